Add the design, the model types and the interface to the platform

Cause: the repository is empty, and several people start on different modules at once, so the modules, rows, messages and interfaces have to be written down first.

Ruled out: one witness per budget row (330,000 rows to rewrite when a witness is lost) in favour of one witness per incarnation named in the fence row; leases on grants, because a paused holder's clock may stop with it.

--- /dev/null
+++ b/src/admin/mod.rs
@@ -0,0 +1,1 @@
+//! Administration API.
--- /dev/null
+++ b/src/bill/mod.rs
@@ -0,0 +1,1 @@
+//! Bills: each finished request is billed exactly once.
--- /dev/null
+++ b/src/bin/cuminloomctl.rs
@@ -0,0 +1,2 @@
+//! The cuminloom command-line tool.
+fn main() {}
--- /dev/null
+++ b/src/bin/cuminloomd.rs
@@ -0,0 +1,2 @@
+//! The cuminloom daemon.
+fn main() {}
--- /dev/null
+++ b/src/budget/mod.rs
@@ -0,0 +1,1 @@
+//! Prepaid budgets: rows, shares, issues, reservations and sizing.
--- /dev/null
+++ b/src/caller/mod.rs
@@ -0,0 +1,1 @@
+//! HTTP interface to callers.
--- /dev/null
+++ b/src/config/mod.rs
@@ -0,0 +1,1 @@
+//! The accepted configuration, edits to it, and its versions.
--- /dev/null
+++ b/src/node/mod.rs
@@ -0,0 +1,1 @@
+//! One state machine composed of claims, budgets, mirror and bills.
--- /dev/null
+++ b/src/peer/mod.rs
@@ -0,0 +1,1 @@
+//! Links between daemons, and membership.
--- /dev/null
+++ b/src/route/mod.rs
@@ -0,0 +1,1 @@
+//! Queues, target choice, limits, retries and strikes.
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,1 @@
+//! The daemon's settings: JSON with comments, checked as a whole before the start.
--- /dev/null
+++ b/src/target/mod.rs
@@ -0,0 +1,1 @@
+//! Interface to model engines and plain services.
--- /dev/null
+++ b/src/telemetry/mod.rs
@@ -0,0 +1,1 @@
+//! Metrics, traces and logs.
--- /dev/null
+++ b/src/wire/mod.rs
@@ -0,0 +1,14 @@
+//! Serialisation types at the borders, generated from `schema/*.json`.
+//!
+//! `cargo typify --no-builder schema/NAME.json -o src/wire/NAME.rs` regenerates a file after its
+//! schema changed. The generated files are committed, so the build needs no generator.
+
+#[allow(missing_docs, unreachable_pub, clippy::all)]
+#[rustfmt::skip]
+pub mod item;
+#[allow(missing_docs, unreachable_pub, clippy::all)]
+#[rustfmt::skip]
+pub mod platform;
+#[allow(missing_docs, unreachable_pub, clippy::all)]
+#[rustfmt::skip]
+pub mod target;
