Add claims of idempotency keys

Cause: a request that may not be repeated must run at most once, also when the answer to its claim is lost, the write arrives late, or several daemons claim the same key at once.

Ruled out: an owner by hash of the key alone, because daemons with different views of the membership would both run it; writing the claim a second time after a lost answer, because the first write may still arrive.

Change: a claim row written put-if-absent before the send, read back after a lost answer; keys issued by a process that alone may run them, with a lifetime that a clock set back cannot extend.

--- /dev/null
+++ b/src/claim/key.rs
@@ -0,0 +1,127 @@
+//! Idempotency keys: the time that a key carries, and keys minted by a daemon.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use hmac::{
+    Hmac,
+    KeyInit,
+    Mac, //
+};
+use sha2::Sha256;
+
+use crate::model::Incarnation;
+
+/// Time after which a caller's own key that carries its time is refused as too old.
+pub const KEY_LIFETIME: Duration = Duration::from_secs(24 * 3600);
+
+/// Version tag of minted keys.
+const TAG: &str = "ck1";
+
+/// Earliest Unix time accepted in front of a key, so that a short number is not read as a time.
+const EARLIEST_S: u64 = 1_500_000_000;
+
+/// Returns the time that a caller's own key carries, in seconds since the Unix epoch: a UUIDv7, or
+/// `<unix seconds>-<text>`.
+///
+/// # Examples
+///
+/// ```
+/// use cuminloom::claim::key_time;
+/// assert_eq!(key_time("1764800000-deposit-17"), Some(1_764_800_000));
+/// assert_eq!(key_time("019ae6c5-6a00-7abc-8def-0123456789ab"), Some(1_764_808_288));
+/// assert_eq!(key_time("deposit-17"), None);
+/// ```
+pub fn key_time(key: &str) -> Option<u64> {
+    uuid7_time(key).or_else(|| {
+        let (time, _) = key.split_once('-')?;
+        let time = time.parse().ok()?;
+        (time >= EARLIEST_S).then_some(time)
+    })
+}
+
+fn uuid7_time(key: &str) -> Option<u64> {
+    let bytes = key.as_bytes();
+    let dashes = [8, 13, 18, 23];
+    if bytes.len() != 36 || bytes[14] != b'7' || dashes.iter().any(|&at| bytes[at] != b'-') {
+        return None;
+    }
+    let millis = format!("{}{}", &key[..8], &key[9..13]);
+    Some(u64::from_str_radix(&millis, 16).ok()? / 1000)
+}
+
+/// A key minted by a daemon: only the process `owner` may run the request that carries it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Minted {
+    /// Process that minted the key.
+    pub owner: Incarnation,
+    /// Time of minting, in seconds since the Unix epoch.
+    pub at: u64,
+    /// Number of the key within its owner.
+    pub nonce: u64,
+}
+
+impl Minted {
+    /// Writes the key with a MAC that binds it to `customer`.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cuminloom::claim::Minted;
+    /// let key = Minted { owner: "vm-1.0a".into(), at: 7, nonce: 1 };
+    /// let text = key.sign(b"secret", "anod");
+    /// assert_eq!(Minted::verify(&text, b"secret", "anod"), Some(key));
+    /// assert_eq!(Minted::verify(&text, b"secret", "other"), None);
+    /// ```
+    pub fn sign(&self, secret: &[u8], customer: &str) -> Arc<str> {
+        let payload = self.payload();
+        let mac = hex::encode(self.mac(secret, customer).finalize().into_bytes());
+        format!("{payload}:{mac}").into()
+    }
+
+    /// Whether `text` has the form of a minted key, valid or not.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// assert!(!cuminloom::claim::Minted::looks_like("deposit-17"));
+    /// ```
+    pub fn looks_like(text: &str) -> bool {
+        text.starts_with(TAG) && text[TAG.len()..].starts_with(':')
+    }
+
+    /// Reads a key; `None` when it is malformed or its MAC does not match.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// assert!(cuminloom::claim::Minted::verify("ck1:a:1:1:00", b"secret", "anod").is_none());
+    /// ```
+    pub fn verify(text: &str, secret: &[u8], customer: &str) -> Option<Self> {
+        let mut parts = text.split(':');
+        if parts.next()? != TAG {
+            return None;
+        }
+        let owner = parts.next()?.into();
+        let at = parts.next()?.parse().ok()?;
+        let nonce = parts.next()?.parse().ok()?;
+        let mac = hex::decode(parts.next()?).ok()?;
+        let key = Self { owner, at, nonce };
+        key.mac(secret, customer).verify_slice(&mac).ok()?;
+        Some(key)
+    }
+
+    fn payload(&self) -> String {
+        format!("{TAG}:{}:{}:{}", self.owner, self.at, self.nonce)
+    }
+
+    fn mac(&self, secret: &[u8], customer: &str) -> Hmac<Sha256> {
+        let mut mac = Hmac::<Sha256>::new_from_slice(secret).expect("HMAC takes any key length");
+        mac.update(self.payload().as_bytes());
+        mac.update(b"\n");
+        mac.update(customer.as_bytes());
+        mac
+    }
+}
--- a/src/claim/mod.rs
+++ b/src/claim/mod.rs
@@ -1,1 +1,31 @@
 //! Idempotency keys: a request that may not be repeated runs at most once.
+//!
+//! A caller's own key is claimed by a put-if-absent row in the platform's table before the request
+//! is sent ([`Claim`]). A key issued by a daemon names the process that alone may run it
+//! ([`Issuer`]) and needs no platform.
+
+mod issued;
+mod key;
+mod row;
+mod step;
+
+pub use issued::{
+    Issuer,
+    Lookup, //
+};
+pub use key::{
+    KEY_LIFETIME,
+    Minted,
+    key_time, //
+};
+pub use row::{
+    ClaimRow,
+    ClaimState,
+    Recorded, //
+};
+pub use step::{
+    Answer,
+    Claim,
+    Decision,
+    Step, //
+};
--- /dev/null
+++ b/tests/claim_run.rs
@@ -0,0 +1,232 @@
+//! Claims of idempotency keys under lost answers, delayed writes, pauses and caller retries.
+
+use cuminloom::{
+    claim::{
+        Answer,
+        Claim,
+        ClaimRow,
+        ClaimState,
+        Decision,
+        Issuer,
+        Lookup,
+        Recorded,
+        Step, //
+    },
+    model::Verdict,
+    store::{
+        StoreFault,
+        Write, //
+    },
+};
+use cuminloom_standins::store::MemStore;
+use rand::{
+    RngExt,
+    SeedableRng,
+    rngs::StdRng, //
+};
+
+const SEEDS: u64 = 400;
+const RETRIES: u64 = 12;
+const NOW_S: u64 = 1_764_800_000;
+
+/// A guard that a run switches off to show that it matters.
+#[derive(Clone, Copy, PartialEq)]
+enum Without {
+    Nothing,
+    /// The claim overwrites whatever row is there.
+    PutIfAbsent,
+    /// A request whose claim got no answer is sent all the same.
+    LostAnswer,
+}
+
+struct Attempt {
+    claim: Claim,
+    step: Step,
+}
+
+struct World {
+    store: MemStore,
+    delayed: Vec<Write>,
+    rng: StdRng,
+    ran: u32,
+    without: Without,
+}
+
+impl World {
+    fn commit(&mut self, mut write: Write) -> Answer {
+        if self.without == Without::PutIfAbsent {
+            write.expect = cuminloom::store::Expect::Any;
+        }
+        match self.rng.random_range(0..5) {
+            0 => Answer::Commit(Err(StoreFault::Unavailable)),
+            1 => {
+                self.store.commit(&[write]);
+                Answer::Commit(Err(StoreFault::Unknown))
+            }
+            2 => {
+                self.delayed.push(write);
+                Answer::Commit(Err(StoreFault::Unknown))
+            }
+            _ => Answer::Commit(Ok(self.store.commit(&[write]))),
+        }
+    }
+
+    fn deliver_delayed(&mut self) {
+        if !self.delayed.is_empty() && self.rng.random_bool(0.3) {
+            let at = self.rng.random_range(0..self.delayed.len());
+            let write = self.delayed.swap_remove(at);
+            self.store.commit(&[write]);
+        }
+    }
+
+    fn advance(&mut self, attempt: &mut Attempt) -> Option<Decision> {
+        let answer = match attempt.step.clone() {
+            Step::Commit(write) => self.commit(write),
+            Step::Read(key) if self.rng.random_bool(0.7) => Answer::Read(Ok(self.store.read(&key))),
+            Step::Read(_) => Answer::Read(Err(StoreFault::Unknown)),
+            Step::Decided(decision) => return Some(decision),
+        };
+        let lost = matches!(answer, Answer::Commit(Err(StoreFault::Unknown)));
+        if lost && self.without == Without::LostAnswer {
+            return Some(Decision::Proceed);
+        }
+        attempt.step = attempt.claim.answer(answer);
+        None
+    }
+
+    /// Sends the request; it may end as certainly not run, as run, or with the answer lost.
+    fn send(&mut self, claim: &Claim) {
+        match self.rng.random_range(0..3) {
+            0 => {
+                let release = claim.release();
+                release.map(|write| self.commit(write));
+            }
+            1 => {
+                self.ran += 1;
+                let record = claim.record(Recorded::new(200, "text/plain", b"ok"));
+                record.map(|write| self.commit(write));
+            }
+            _ => self.ran += 1,
+        }
+    }
+}
+
+/// One key retried at several daemons at once; returns how often its request ran.
+fn run(seed: u64, without: Without) -> u32 {
+    let mut world = World {
+        store: MemStore::default(),
+        delayed: Vec::new(),
+        rng: StdRng::seed_from_u64(seed),
+        ran: 0,
+        without,
+    };
+    let mut attempts: Vec<Attempt> = (0..RETRIES).map(start).collect();
+    while !attempts.is_empty() {
+        world.deliver_delayed();
+        let at = world.rng.random_range(0..attempts.len());
+        let Some(decision) = world.advance(&mut attempts[at]) else {
+            continue;
+        };
+        let mut attempt = attempts.swap_remove(at);
+        match decision {
+            Decision::Proceed => world.send(&attempt.claim),
+            Decision::Replay(_) => assert!(world.ran > 0, "seed {seed}: replay without a run"),
+            Decision::Refuse {
+                cleanup: true,
+                fault,
+            } => {
+                assert_eq!(fault.verdict, Verdict::NotRun);
+                let row = world.store.read(&attempt.claim.row_key());
+                if row.is_some_and(|row| attempt.claim.found(&row)) {
+                    let release = attempt.claim.release().expect("the row was found");
+                    world.commit(release);
+                }
+            }
+            Decision::Refuse { .. } => {}
+        }
+    }
+    world.ran
+}
+
+fn start(nonce: u64) -> Attempt {
+    let row = ClaimRow {
+        owner: format!("vm-{}.0a", nonce % 3).into(),
+        nonce,
+        print: "ff".into(),
+        at: NOW_S,
+        state: ClaimState::Claimed,
+    };
+    let claim = Claim::new("anod", "deposit-17", row);
+    let step = claim.first();
+    Attempt { claim, step }
+}
+
+/// Guards against a second run when a claim's answer is lost, its write arrives late, or several
+/// daemons claim the same key at once.
+#[test]
+fn a_key_runs_at_most_once() {
+    let ran: u32 = (0..SEEDS)
+        .map(|seed| run(seed, Without::Nothing))
+        .inspect(|&ran| {
+            assert!(ran <= 1, "the request ran {ran} times");
+        })
+        .sum();
+    assert!(ran > 100, "too few runs to prove anything: {ran}");
+}
+
+/// Shows that the put-if-absent and the treatment of lost answers are needed.
+#[test]
+fn each_guard_matters() {
+    for without in [Without::PutIfAbsent, Without::LostAnswer] {
+        assert!((0..SEEDS).any(|seed| run(seed, without) > 1));
+    }
+}
+
+/// Guards against a key being taken for another request, or another customer's key being read.
+#[test]
+fn a_key_is_bound_to_its_request_and_customer() {
+    let mut store = MemStore::default();
+    let mut first = start(0);
+    let Step::Commit(write) = first.step.clone() else {
+        panic!("a claim starts with a write")
+    };
+    let answer = Answer::Commit(Ok(store.commit(&[write])));
+    assert_eq!(first.claim.answer(answer), Step::Decided(Decision::Proceed));
+
+    let row = ClaimRow {
+        owner: "vm-9.0a".into(),
+        nonce: 1,
+        print: "another body".into(),
+        at: NOW_S,
+        state: ClaimState::Claimed,
+    };
+    let mut other = Claim::new("anod", "deposit-17", row.clone());
+    let Step::Commit(write) = other.first() else {
+        panic!("a claim starts with a write")
+    };
+    let step = other.answer(Answer::Commit(Ok(store.commit(&[write]))));
+    let Step::Decided(Decision::Refuse { fault, .. }) = step else {
+        panic!("not refused")
+    };
+    assert_eq!(fault.code.as_str(), "key_reused");
+
+    let spoofed = Claim::new("an", "od/deposit-17", row);
+    assert_ne!(spoofed.row_key(), first.claim.row_key());
+}
+
+/// Guards against an issued key that runs again after it was forgotten, also when the wall clock is
+/// set back.
+#[test]
+fn an_expired_issued_key_never_runs() {
+    let mut issuer = Issuer::new("vm-1.0a".into(), b"secret");
+    let key = issuer.mint("anod", NOW_S);
+    assert_eq!(issuer.present(&key, "anod", "ff", NOW_S), Lookup::Proceed);
+    let later = issuer.mint("anod", NOW_S + 8_000);
+    issuer.present(&later, "anod", "ee", NOW_S + 8_000);
+    for unix in [NOW_S + 8_001, NOW_S + 1] {
+        let Lookup::Refuse(fault) = issuer.present(&key, "anod", "ff", unix) else {
+            panic!("an expired key was accepted");
+        };
+        assert_eq!(fault.verdict, Verdict::MayHaveRun);
+    }
+}
