Add telemetry and the interface to targets

Cause: the request path needs spans, counters and a client for engines and plain services whose failures carry a verdict.

Ruled out: relaying a chunked body as it comes, because minreq 3.0 takes a body that is cut between two chunks for a complete one.

Change: OTLP/HTTP JSON export, Prometheus metrics, W3C trace context, the send with verdicts, the event reader that demands an end mark, load reports and orders.

--- /dev/null
+++ b/src/target/event.rs
@@ -0,0 +1,120 @@
+//! Server-sent events of an engine's stream.
+
+use std::io::{
+    BufRead,
+    BufReader,
+    Read, //
+};
+
+use serde::Deserialize;
+
+use crate::{
+    model::{
+        Code,
+        Fault,
+        Tokens, //
+    },
+    wire::target::Usage, //
+};
+
+/// Largest event accepted from an engine, in bytes.
+const MAX_EVENT: u64 = 1 << 20;
+
+/// Mark at the end of a complete stream.
+const DONE: &[u8] = b"[DONE]";
+
+/// One event of a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// A chunk of the answer: the data as it came, and the usage when the chunk reports it.
+    Chunk {
+        /// Data of the event without the field name and line end.
+        data: Vec<u8>,
+        /// Tokens of prompt and answer so far or in total.
+        usage: Option<Tokens>,
+    },
+    /// The stream is complete.
+    Done,
+}
+
+/// Fields of a chunk that matter to the daemon.
+#[derive(Deserialize)]
+struct Chunk {
+    usage: Option<Usage>,
+}
+
+/// Iterator over the events of a stream. It ends after [`Event::Done`] or the first failure.
+#[derive(Debug)]
+pub struct Events<R> {
+    input: BufReader<R>,
+    ended: bool,
+}
+
+impl<R: Read> Events<R> {
+    /// Reads events from `input`.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cuminloom::target::{Event, Events};
+    /// let text = "data: {\"usage\":null}\n\ndata: [DONE]\n\n";
+    /// let events: Vec<_> = Events::open(text.as_bytes()).collect::<Result<_, _>>().unwrap();
+    /// assert_eq!(events.len(), 2);
+    /// assert_eq!(events[1], Event::Done);
+    /// // A stream without its end mark is a broken one.
+    /// assert!(Events::open("data: {}\n\n".as_bytes()).nth(1).unwrap().is_err());
+    /// ```
+    pub fn open(input: R) -> Self {
+        Self {
+            input: BufReader::new(input),
+            ended: false,
+        }
+    }
+
+    fn read(&mut self) -> Result<Event, Fault> {
+        loop {
+            let mut line = Vec::new();
+            let limited = (&mut self.input)
+                .take(MAX_EVENT)
+                .read_until(b'\n', &mut line);
+            if limited.is_err() || line.last() != Some(&b'\n') {
+                return Err(Fault::may_have_run(
+                    Code::TargetFailed,
+                    "the stream was cut off",
+                ));
+            }
+            // Only data lines matter; comments and field names that are not used are skipped.
+            let Some(data) = line.strip_prefix(b"data:") else {
+                continue;
+            };
+            return Ok(parse(data.trim_ascii()));
+        }
+    }
+}
+
+fn parse(data: &[u8]) -> Event {
+    if data == DONE {
+        return Event::Done;
+    }
+    let chunk: Option<Chunk> = serde_json::from_slice(data).ok();
+    let usage = chunk
+        .and_then(|chunk| chunk.usage)
+        .map(|usage| usage.total_tokens);
+    Event::Chunk {
+        data: data.to_vec(),
+        usage,
+    }
+}
+
+impl<R: Read> Iterator for Events<R> {
+    type Item = Result<Event, Fault>;
+
+    fn next(&mut self) -> Option<Self::Item> {
+        if self.ended {
+            return None;
+        }
+        let event = self.read();
+        self.ended = matches!(event, Ok(Event::Done) | Err(_));
+        Some(event)
+    }
+}
--- a/src/target/mod.rs
+++ b/src/target/mod.rs
@@ -1,1 +1,29 @@
 //! Interface to model engines and plain services.
+//!
+//! Engines speak the common chat-completions dialect; plain services get the request as it came.
+//! Every failure says whether the target may have seen the request.
+
+mod event;
+mod load;
+mod order;
+mod send;
+
+pub use event::{
+    Event,
+    Events, //
+};
+pub use load::{
+    Load,
+    fetch_load, //
+};
+pub use order::{
+    Obeyed,
+    Order,
+    send_order, //
+};
+pub use send::{
+    Method,
+    Outgoing,
+    Reply,
+    send, //
+};
--- /dev/null
+++ b/src/telemetry/metrics.rs
@@ -0,0 +1,187 @@
+//! Counters, gauges and histograms for Prometheus.
+
+use prometheus::{
+    Encoder,
+    Histogram,
+    HistogramOpts,
+    HistogramVec,
+    IntCounter,
+    IntCounterVec,
+    IntGauge,
+    IntGaugeVec,
+    Opts,
+    Registry,
+    TextEncoder,
+    core::Collector, //
+};
+
+/// Bounds of the time to the first token, in seconds; 1.1 s is the target for 95 in 100.
+const FIRST_TOKEN_S: [f64; 10] = [0.01, 0.05, 0.1, 0.25, 0.5, 0.8, 1.1, 2.0, 5.0, 20.0];
+
+/// Bounds of the time between two events of a stream, in seconds; 68 ms is the target for 95 in 100.
+const TOKEN_GAP_S: [f64; 8] = [0.005, 0.01, 0.02, 0.04, 0.068, 0.1, 0.25, 1.0];
+
+/// All metrics of a daemon.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Requests by service, code (`ok` when answered) and verdict.
+    pub requests: IntCounterVec,
+    /// Requests in progress.
+    pub open: IntGauge,
+    /// Tokens billed, by service.
+    pub tokens: IntCounterVec,
+    /// Requests whose reported usage exceeded the reserve, by service.
+    pub overruns: IntCounterVec,
+    /// Time from arrival to the first byte of the answer, by service and urgency, in seconds.
+    pub first_token: HistogramVec,
+    /// Time between two events of a stream, in seconds.
+    pub token_gap: Histogram,
+    /// Requests sent again to another target, by service.
+    pub retries: IntCounterVec,
+    /// Exchanges with the platform, by operation and result.
+    pub store: IntCounterVec,
+    /// Tokens of this daemon's shares, by state.
+    pub shares: IntGaugeVec,
+    /// Queued requests, by service and urgency.
+    pub queued: IntGaugeVec,
+    /// Requests in progress at a target.
+    pub inflight: IntGaugeVec,
+    /// Mode of the daemon: 1 for the mode it is in.
+    pub mode: IntGaugeVec,
+    /// Version of the configuration in force.
+    pub config: IntGauge,
+    /// Bytes sent and received on peer links.
+    pub peer_bytes: IntGaugeVec,
+    /// Spans of traces that were dropped.
+    pub lost_spans: IntCounter,
+}
+
+impl Metrics {
+    /// Creates all metrics in a registry of their own.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let metrics = cuminloom::telemetry::Metrics::open();
+    /// metrics.open.set(3);
+    /// assert!(metrics.render().contains("cuminloom_open_requests 3"));
+    /// ```
+    pub fn open() -> Self {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str, labels: &[&str]| {
+            register(&registry, IntCounterVec::new(Opts::new(name, help), labels))
+        };
+        let gauges = |name: &str, help: &str, labels: &[&str]| {
+            register(&registry, IntGaugeVec::new(Opts::new(name, help), labels))
+        };
+        let gauge = |name: &str, help: &str| register(&registry, IntGauge::new(name, help));
+        Self {
+            requests: counter(
+                "cuminloom_requests_total",
+                "Requests by service, code and verdict.",
+                &["service", "code", "verdict"],
+            ),
+            open: gauge("cuminloom_open_requests", "Requests in progress."),
+            tokens: counter("cuminloom_tokens_total", "Tokens billed.", &["service"]),
+            overruns: counter(
+                "cuminloom_overruns_total",
+                "Requests whose usage exceeded the reserve.",
+                &["service"],
+            ),
+            first_token: register(
+                &registry,
+                HistogramVec::new(
+                    HistogramOpts::new(
+                        "cuminloom_first_token_seconds",
+                        "Time from arrival to the first byte of the answer.",
+                    )
+                    .buckets(FIRST_TOKEN_S.to_vec()),
+                    &["service", "urgency"],
+                ),
+            ),
+            token_gap: register(
+                &registry,
+                Histogram::with_opts(
+                    HistogramOpts::new(
+                        "cuminloom_token_gap_seconds",
+                        "Time between two events of a stream.",
+                    )
+                    .buckets(TOKEN_GAP_S.to_vec()),
+                ),
+            ),
+            retries: counter(
+                "cuminloom_retries_total",
+                "Requests sent again.",
+                &["service"],
+            ),
+            store: counter(
+                "cuminloom_store_exchanges_total",
+                "Exchanges with the platform.",
+                &["operation", "result"],
+            ),
+            shares: gauges(
+                "cuminloom_share_tokens",
+                "Tokens of this daemon's shares.",
+                &["state"],
+            ),
+            queued: gauges(
+                "cuminloom_queued_requests",
+                "Queued requests.",
+                &["service", "urgency"],
+            ),
+            inflight: gauges(
+                "cuminloom_target_inflight",
+                "Requests in progress at a target.",
+                &["target"],
+            ),
+            mode: gauges(
+                "cuminloom_mode",
+                "1 for the mode the daemon is in.",
+                &["mode"],
+            ),
+            config: gauge(
+                "cuminloom_config_version",
+                "Version of the configuration in force.",
+            ),
+            peer_bytes: gauges(
+                "cuminloom_peer_bytes",
+                "Bytes on peer links since the start.",
+                &["direction"],
+            ),
+            lost_spans: register(
+                &registry,
+                IntCounter::new("cuminloom_lost_spans_total", "Spans that were dropped."),
+            ),
+            registry,
+        }
+    }
+
+    /// Renders all metrics in the Prometheus text format.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let metrics = cuminloom::telemetry::Metrics::open();
+    /// metrics.requests.with_label_values(&["loom-writers", "ok", "ran"]).inc();
+    /// assert!(metrics.render().contains("cuminloom_requests_total"));
+    /// ```
+    pub fn render(&self) -> String {
+        let mut out = Vec::new();
+        TextEncoder::new()
+            .encode(&self.registry.gather(), &mut out)
+            .expect("registered metrics can be encoded");
+        String::from_utf8(out).expect("the text format is UTF-8")
+    }
+}
+
+fn register<C>(registry: &Registry, metric: prometheus::Result<C>) -> C
+where
+    C: Collector + Clone + 'static,
+{
+    let metric = metric.expect("the names of the metrics are valid");
+    registry
+        .register(Box::new(metric.clone()))
+        .expect("each metric is registered once");
+    metric
+}
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -11,6 +11,9 @@
 pub mod item;
 #[allow(missing_docs, unreachable_pub, clippy::all)]
 #[rustfmt::skip]
+pub mod otlp;
+#[allow(missing_docs, unreachable_pub, clippy::all)]
+#[rustfmt::skip]
 pub mod platform;
 #[allow(missing_docs, unreachable_pub, clippy::all)]
 #[rustfmt::skip]
