--- a/src/target/send.rs
+++ b/src/target/send.rs
@@ -107,9 +107,15 @@
         let max = limit as u64 + 1;
         let read = self.inner.take(max).read_to_end(&mut body);
         // The library reports the end of the connection as the end of the body.
-        let whole = self
-            .length
-            .is_none_or(|length| body.len() >= length.min(limit + 1));
+        let whole = match self.length {
+            Some(length) => body.len() >= length.min(limit + 1),
+            // A chunked body that is cut between two chunks looks complete to the library too, so
+            // JSON is checked for its end.
+            None if self.kind.starts_with("application/json") => {
+                serde_json::from_slice::<IgnoredAny>(&body).is_ok()
+            }
+            None => true,
+        };
         if read.is_err() || !whole {
             return Err(Fault::may_have_run(
                 Code::TargetFailed,
