--- /dev/null
+++ b/src/mirror/choose.rs
@@ -0,0 +1,58 @@
+use std::collections::BTreeMap;
+
+use sha2::{
+    Digest,
+    Sha256, //
+};
+
+use crate::model::{
+    DataCentre,
+    Incarnation, //
+};
+
+/// Where an incarnation runs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peer {
+    /// VM of the daemon.
+    pub vm: std::sync::Arc<str>,
+    /// Data centre of the VM.
+    pub dc: DataCentre,
+}
+
+/// Rendezvous weight of `candidate` for `key`; the same on every daemon and in every version.
+fn weight(key: &str, candidate: &str) -> [u8; 32] {
+    let mut hash = Sha256::new();
+    hash.update(key.as_bytes());
+    hash.update([0]);
+    hash.update(candidate.as_bytes());
+    hash.finalize().into()
+}
+
+/// Chooses one of `peers` for `key` by rendezvous hash: on another VM than `home`, in its data
+/// centre if possible.
+///
+/// # Examples
+///
+/// ```
+/// use cuminloom::mirror::{Peer, choose};
+/// let home = Peer { vm: "vm-1".into(), dc: "east".into() };
+/// let peers = [
+///     ("a.1".into(), Peer { vm: "vm-1".into(), dc: "east".into() }),
+///     ("b.1".into(), Peer { vm: "vm-2".into(), dc: "west".into() }),
+///     ("c.1".into(), Peer { vm: "vm-3".into(), dc: "east".into() }),
+/// ]
+/// .into();
+/// assert_eq!(choose("x.1", &home, &peers, |_| true).as_deref(), Some("c.1"));
+/// ```
+pub fn choose(
+    key: &str,
+    home: &Peer,
+    peers: &BTreeMap<Incarnation, Peer>,
+    allowed: impl Fn(&Incarnation) -> bool,
+) -> Option<Incarnation> {
+    peers
+        .iter()
+        .filter(|(inc, peer)| peer.vm != home.vm && allowed(inc))
+        .max_by_key(|(inc, peer)| (peer.dc == home.dc, weight(key, inc)))
+        .map(|(inc, _)| inc.clone())
+}
--- /dev/null
+++ b/src/mirror/state.rs
@@ -0,0 +1,87 @@
+use std::collections::BTreeMap;
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use super::Op;
+use crate::{
+    bill::{
+        Book,
+        Open, //
+    },
+    model::{
+        BudgetId,
+        Tokens, //
+    },
+};
+
+/// What the log of an incarnation adds up to. The incarnation and its witness apply the same
+/// operations to their copies.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct State {
+    /// Open requests and uncommitted bills.
+    pub book: Book,
+    /// Issued tokens per budget, cumulative.
+    pub issued: BTreeMap<BudgetId, Tokens>,
+    /// Tokens sent to other daemons per budget, cumulative.
+    pub sent: BTreeMap<BudgetId, Tokens>,
+    /// Whether the rest of every share is issued.
+    pub detached: bool,
+}
+
+/// State of an incarnation before operation `next`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// Number of the next operation.
+    pub next: u64,
+    /// The state.
+    pub state: State,
+}
+
+impl State {
+    pub(crate) fn apply(&mut self, op: &Op) {
+        match op {
+            Op::Issue { budget, total } => self.issue(budget, *total),
+            Op::Open {
+                seq,
+                customer,
+                budget,
+                profile,
+                bound,
+            } => {
+                let open = Open {
+                    customer: customer.clone(),
+                    budget: budget.clone(),
+                    profile: profile.clone(),
+                    bound: *bound,
+                };
+                self.book.open(*seq, open);
+            }
+            Op::Close {
+                seq,
+                tokens,
+                verdict,
+            } => self.book.close(*seq, *tokens, *verdict),
+            Op::Cut { batch } => self.book.cut(*batch),
+            Op::Committed { batch } => self.book.commit(*batch),
+            Op::Sent { budget, total } => {
+                let sent = self.sent.entry(budget.clone()).or_default();
+                assert!(*sent <= *total, "sent tokens never shrink");
+                *sent = *total;
+            }
+            Op::Detach => self.detached = true,
+        }
+    }
+
+    /// An issue of 0 starts a share: its figures count from its creation. The entry stays, because
+    /// the sealer visits the rows of all budgets in `issued`.
+    fn issue(&mut self, budget: &BudgetId, total: Tokens) {
+        if total == 0 {
+            self.book.billed.remove(budget);
+            self.sent.remove(budget);
+        }
+        self.issued.insert(budget.clone(), total);
+    }
+}
