Add the budget row and the types of the drawer

The node composes the drawer, so it needs the events, actions and answers before the machine is complete.

Doc examples of the row pass; the drawer's example is only compiled.

--- /dev/null
+++ b/src/budget/event.rs
@@ -0,0 +1,250 @@
+//! Events, actions and answers of the drawer.
+
+use super::Row;
+use crate::{
+    model::{
+        BudgetId,
+        Fault,
+        Incarnation,
+        Tokens,
+        Version, //
+    },
+    store::StoreFault,
+};
+
+/// How far the drawer may act on its own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Mode {
+    /// The platform answers, and issues count once the witness acknowledged them.
+    Attached,
+    /// The platform does not answer, and the witness acknowledged `Detach`.
+    Detached,
+    /// No other daemon can be the witness; issues count at once.
+    Unpaired,
+    /// Witness and platform were lost together; nothing is admitted.
+    Frozen,
+    /// The fence row is sealed; nothing is admitted and nothing is written.
+    Sealed,
+}
+
+/// Tokens that an admitted request may spend. Give it back with
+/// [`Drawer::settle`](super::Drawer::settle).
+#[must_use = "a reservation that is not settled is never freed"]
+#[derive(Debug, PartialEq, Eq)]
+pub struct Reservation {
+    pub(super) slot: u32,
+    pub(super) bound: Tokens,
+}
+
+impl Reservation {
+    /// Largest number of tokens that the request may spend.
+    ///
+    /// # Examples
+    ///
+    /// ```no_run
+    /// use cuminloom::budget::{Drawer, Event, Mode, Reserve, Transfer, TransferId};
+    /// use std::time::Duration;
+    ///
+    /// let mut drawer = Drawer::start("vm-1.0a".into(), 7);
+    /// drawer.handle(Duration::ZERO, Event::Mode(Mode::Unpaired));
+    /// let id = TransferId { from: "vm-2.0b".into(), to: "vm-1.0a".into(), number: 1 };
+    /// let transfer = Transfer { id, budget: "chat".into(), tokens: 100 };
+    /// drawer.handle(Duration::ZERO, Event::Received(transfer));
+    /// drawer.poll(Duration::ZERO);
+    /// let Reserve::Held(held) = drawer.reserve(Duration::ZERO, &"chat".into(), 60) else {
+    ///     panic!("100 tokens are issued");
+    /// };
+    /// assert_eq!(held.bound(), 60);
+    /// ```
+    pub fn bound(&self) -> Tokens {
+        self.bound
+    }
+}
+
+/// Answer to an admission.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Reserve {
+    /// The tokens are reserved.
+    Held(Reservation),
+    /// Tokens may become available soon; reserve again after [`Action::Retry`].
+    Wait,
+    /// The request is refused as not run.
+    Refused(Fault),
+}
+
+/// Identifies a transfer. Numbers rise for each pair of incarnations.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct TransferId {
+    /// Sender.
+    pub from: Incarnation,
+    /// Receiver.
+    pub to: Incarnation,
+    /// Number of the transfer between the two, from 1.
+    pub number: u64,
+}
+
+/// Tokens that move from one share to another.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Transfer {
+    /// Identifies the transfer.
+    pub id: TransferId,
+    /// Budget of both shares.
+    pub budget: BudgetId,
+    /// Number of tokens.
+    pub tokens: Tokens,
+}
+
+/// Input of the drawer. Each `Read` and each `Commit` is answered by exactly one event.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// Answer to [`Action::Read`].
+    Row {
+        /// Budget that was read.
+        budget: BudgetId,
+        /// Version and content; `None` when there is no such row.
+        row: Option<(Version, Row)>,
+    },
+    /// The commit was applied.
+    Committed {
+        /// Budget that was written.
+        budget: BudgetId,
+        /// New version of the row.
+        version: Version,
+    },
+    /// The commit was not applied, because the row has another version.
+    Conflict {
+        /// Budget that was not written.
+        budget: BudgetId,
+    },
+    /// A read or a commit has no answer.
+    Failed {
+        /// Budget of the read or commit.
+        budget: BudgetId,
+        /// What is known about it.
+        fault: StoreFault,
+    },
+    /// The witness acknowledged [`Action::Issue`].
+    Issued {
+        /// Budget of the issue.
+        budget: BudgetId,
+        /// Acknowledged figure.
+        total: Tokens,
+    },
+    /// The mode changed. On `Detached` the witness has acknowledged the detachment.
+    Mode(Mode),
+    /// Bills of the budget were committed.
+    Billed {
+        /// Budget that pays.
+        budget: BudgetId,
+        /// Tokens of all committed bills of this incarnation.
+        total: Tokens,
+    },
+    /// Another drawer was refused, or an operator lowered the limit.
+    Short {
+        /// Budget that is short.
+        budget: BudgetId,
+    },
+    /// Another daemon asks for a transfer.
+    Ask {
+        /// Incarnation that asks.
+        from: Incarnation,
+        /// Budget that it needs.
+        budget: BudgetId,
+        /// Tokens that it wants.
+        tokens: Tokens,
+    },
+    /// The witness acknowledged [`Action::Log`]; sent at once in `Detached` and `Unpaired`.
+    Logged(TransferId),
+    /// A transfer to this incarnation arrived.
+    Received(Transfer),
+    /// The receiver confirmed a transfer.
+    Delivered(TransferId),
+    /// Live incarnations of the data centre, including this one.
+    Members(Vec<Incarnation>),
+    /// Another incarnation was sealed; transfers to it are no longer repeated.
+    Gone(Incarnation),
+    /// A planned stop: refuse new work, return and remove all shares.
+    Stop,
+}
+
+/// Output of the drawer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Read the budget row.
+    Read {
+        /// Budget to read.
+        budget: BudgetId,
+    },
+    /// Replace the budget row. The same commit checks that the fence row is unsealed.
+    Commit {
+        /// Budget to write.
+        budget: BudgetId,
+        /// Version that the row must have.
+        expect: Version,
+        /// New content.
+        row: Row,
+    },
+    /// Log the issued figure at the witness. It is lower than the last one before a return. Each
+    /// budget has at most one unacknowledged figure; it is repeated after a change of the mode.
+    Issue {
+        /// Budget of the share.
+        budget: BudgetId,
+        /// Tokens of the share that the daemon may spend, cumulative.
+        total: Tokens,
+    },
+    /// Tell the holders that the budget is short.
+    Short {
+        /// Budget that is short.
+        budget: BudgetId,
+        /// Incarnations with outstanding tokens.
+        to: Vec<Incarnation>,
+    },
+    /// Ask a drawer for tokens.
+    Ask {
+        /// Drawer to ask.
+        to: Incarnation,
+        /// Budget that is needed.
+        budget: BudgetId,
+        /// Tokens that are wanted.
+        tokens: Tokens,
+    },
+    /// Log a transfer at the witness before it is sent.
+    Log {
+        /// The transfer.
+        transfer: Transfer,
+        /// Tokens that the share has sent, cumulative, including this transfer.
+        sent: Tokens,
+    },
+    /// Send a transfer to its receiver; repeated until it is delivered.
+    Send(Transfer),
+    /// Confirm a transfer to its sender.
+    Confirm(TransferId),
+    /// Reserve again for the requests of this budget that wait.
+    Retry {
+        /// Budget whose state changed.
+        budget: BudgetId,
+    },
+    /// A budget row shows that this incarnation is sealed.
+    Sealed,
+}
+
+/// Figures of a share in memory, cumulative over its incarnation.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Statement {
+    /// Budget of the share.
+    pub budget: BudgetId,
+    /// Incarnation of the share.
+    pub inc: Incarnation,
+    /// Highest issued figure that the witness may know. A snapshot to a new witness holds it.
+    pub issued: Tokens,
+    /// Tokens of finished requests.
+    pub spent: Tokens,
+    /// Tokens reserved by open requests.
+    pub reserved: Tokens,
+    /// Tokens of committed bills.
+    pub billed: Tokens,
+    /// Tokens transferred to other shares.
+    pub sent: Tokens,
+    /// Tokens transferred from other shares.
+    pub received: Tokens,
+}
--- /dev/null
+++ b/src/budget/row.rs
@@ -0,0 +1,331 @@
+//! The budget row and the operations that keep its identity.
+
+use std::{
+    collections::BTreeMap,
+    error::Error,
+    fmt, //
+};
+
+use serde_json::Value;
+
+use crate::{
+    model::{
+        CustomerId,
+        Incarnation,
+        Tokens,
+        Version, //
+    },
+    wire::budget as wire,
+};
+
+/// Seconds of demand that a share covers unless the row says otherwise.
+const RESERVE_S: u32 = 600;
+/// Largest part of the free tokens that one draw takes unless the row says otherwise.
+const FRACTION: f64 = 0.125;
+
+/// Cumulative figures of one incarnation, in tokens.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Share {
+    /// Taken from free.
+    pub drawn: Tokens,
+    /// Given back to free.
+    pub returned: Tokens,
+    /// Spent according to committed bills.
+    pub billed: Tokens,
+    /// Transferred to other shares.
+    pub sent: Tokens,
+    /// Transferred from other shares.
+    pub received: Tokens,
+    /// Whether the incarnation is sealed.
+    pub sealed: bool,
+}
+
+impl Share {
+    /// Tokens that the share holds and that are not billed; `None` when the figures contradict
+    /// each other.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cuminloom::budget::Share;
+    /// let share = Share { drawn: 10, received: 2, billed: 5, sent: 1, ..Share::default() };
+    /// assert_eq!(share.outstanding(), Some(6));
+    /// ```
+    pub fn outstanding(&self) -> Option<Tokens> {
+        self.drawn
+            .checked_add(self.received)?
+            .checked_sub(self.returned)?
+            .checked_sub(self.sent)?
+            .checked_sub(self.billed)
+    }
+
+    /// Whether no figure of `next` is below the figure of this share.
+    pub(super) fn precedes(&self, next: &Share) -> bool {
+        self.drawn <= next.drawn
+            && self.returned <= next.returned
+            && self.billed <= next.billed
+            && self.sent <= next.sent
+            && self.received <= next.received
+    }
+}
+
+/// What a sealer knows about a share: the witness's record and the bills that count.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Record {
+    /// Issued figure; `None` when no record exists or the daemon was detached.
+    pub issued: Option<Tokens>,
+    /// Tokens that the share has sent, cumulative, if the record says so.
+    pub sent: Tokens,
+    /// Tokens of the share's committed bills and of the seal object.
+    pub billed: Tokens,
+}
+
+/// The parts of a limit, in tokens.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Figures {
+    /// Spent according to committed bills.
+    pub billed: i128,
+    /// Outstanding at live shares or in transit between shares.
+    pub held: i128,
+    /// Outstanding at sealed shares.
+    pub orphaned: i128,
+    /// Not drawn; below 0 while a lowered limit is not yet in force.
+    pub free: i128,
+}
+
+/// Answer to lowering a limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Lowered {
+    /// Limit that holds now: spend can still reach it.
+    pub in_force: Tokens,
+    /// Tokens that must be returned before the wanted limit is in force.
+    pub pending: Tokens,
+}
+
+/// Why an operation on a row was refused.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// The row has no share of this incarnation.
+    NoShare,
+    /// The share is sealed.
+    Sealed,
+    /// The share is not sealed.
+    Live,
+    /// A cumulative figure would fall, or a share would have less than 0 outstanding.
+    Backwards,
+    /// A draw would leave less than 0 free.
+    Exhausted,
+    /// More tokens than there are of the kind.
+    TooMany,
+    /// The share still has outstanding tokens.
+    Outstanding,
+    /// The value is no budget row.
+    Malformed(String),
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Refusal::NoShare => "the budget has no share of this incarnation",
+            Refusal::Sealed => "the share is sealed",
+            Refusal::Live => "the share is not sealed",
+            Refusal::Backwards => "a cumulative figure would fall",
+            Refusal::Exhausted => "the draw exceeds the free tokens",
+            Refusal::TooMany => "there are fewer tokens of this kind",
+            Refusal::Outstanding => "the share has outstanding tokens",
+            Refusal::Malformed(detail) => return write!(f, "no budget row: {detail}"),
+        })
+    }
+}
+
+impl Error for Refusal {}
+
+/// Content of the row `budget/<id>`.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Row {
+    /// Customer that prepaid the budget.
+    pub customer: CustomerId,
+    /// Cumulative prepaid tokens.
+    pub limit: Tokens,
+    /// Number of changes of the limit, from 1.
+    pub revision: Version,
+    /// Billed tokens of removed shares.
+    pub settled: Tokens,
+    /// Tokens that removed shares sent.
+    pub sent: Tokens,
+    /// Tokens that removed shares received.
+    pub received: Tokens,
+    /// Seconds of recent demand that a share covers.
+    pub reserve: u32,
+    /// Largest part of the free tokens that one draw takes, 0 to 1.
+    pub fraction: f64,
+    /// Shares by incarnation.
+    pub shares: BTreeMap<Incarnation, Share>,
+}
+
+impl Row {
+    /// Creates a budget without shares.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let row = cuminloom::budget::Row::create("anod".into(), 1_000);
+    /// assert_eq!(row.figures().free, 1_000);
+    /// ```
+    pub fn create(customer: CustomerId, limit: Tokens) -> Self {
+        Self {
+            customer,
+            limit,
+            revision: 1,
+            settled: 0,
+            sent: 0,
+            received: 0,
+            reserve: RESERVE_S,
+            fraction: FRACTION,
+            shares: BTreeMap::new(),
+        }
+    }
+
+    /// Tokens in transit: sent and not yet received. Below 0 while the receiver has written its
+    /// figure and the sender has not.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// assert_eq!(cuminloom::budget::Row::create("anod".into(), 1_000).transit(), 0);
+    /// ```
+    pub fn transit(&self) -> i128 {
+        self.shares.values().fold(
+            i128::from(self.sent) - i128::from(self.received),
+            |sum, share| sum + i128::from(share.sent) - i128::from(share.received),
+        )
+    }
+
+    /// Splits the limit. `free` is computed from draws and returns only, so the identity is a check
+    /// and no definition.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cuminloom::budget::{Row, Share};
+    /// let mut row = Row::create("anod".into(), 1_000);
+    /// row.post("vm-1.0a", Share { drawn: 100, billed: 30, ..Share::default() }).unwrap();
+    /// let figures = row.figures();
+    /// assert_eq!((figures.billed, figures.held, figures.free), (30, 70, 900));
+    /// ```
+    pub fn figures(&self) -> Figures {
+        let removed = i128::from(self.settled) + i128::from(self.sent) - i128::from(self.received);
+        let mut figures = Figures {
+            billed: self.settled.into(),
+            held: self.transit(),
+            orphaned: 0,
+            free: i128::from(self.limit) - removed,
+        };
+        for share in self.shares.values() {
+            let left = i128::from(share.drawn) + i128::from(share.received)
+                - i128::from(share.returned)
+                - i128::from(share.sent)
+                - i128::from(share.billed);
+            figures.billed += i128::from(share.billed);
+            figures.free += i128::from(share.returned) - i128::from(share.drawn);
+            match share.sealed {
+                true => figures.orphaned += left,
+                false => figures.held += left,
+            }
+        }
+        figures
+    }
+
+    /// Checks the identity, and that no share has less than 0 outstanding.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// assert!(cuminloom::budget::Row::create("anod".into(), 1_000).holds());
+    /// ```
+    pub fn holds(&self) -> bool {
+        let Figures {
+            billed,
+            held,
+            orphaned,
+            free,
+        } = self.figures();
+        i128::from(self.limit) == billed + held + orphaned + free
+            && self.shares.values().all(|s| s.outstanding().is_some())
+    }
+}
+
+impl TryFrom<Value> for Row {
+    type Error = Refusal;
+
+    fn try_from(value: Value) -> Result<Self, Refusal> {
+        let row: wire::Budget =
+            serde_json::from_value(value).map_err(|err| Refusal::Malformed(err.to_string()))?;
+        let row = row_from(row);
+        if !row.holds() || !(0.0..=1.0).contains(&row.fraction) {
+            return Err(Refusal::Malformed("contradictory figures".into()));
+        }
+        Ok(row)
+    }
+}
+
+fn row_from(row: wire::Budget) -> Row {
+    Row {
+        customer: row.customer.into(),
+        limit: row.limit,
+        revision: row.revision,
+        settled: row.settled,
+        sent: row.sent,
+        received: row.received,
+        reserve: row.reserve,
+        fraction: row.fraction,
+        shares: row
+            .shares
+            .into_iter()
+            .map(|(inc, share)| (inc.into(), share_from(&share)))
+            .collect(),
+    }
+}
+
+fn share_from(share: &wire::Share) -> Share {
+    Share {
+        drawn: share.drawn,
+        returned: share.returned,
+        billed: share.billed,
+        sent: share.sent,
+        received: share.received,
+        sealed: share.sealed,
+    }
+}
+
+fn share_to(share: &Share) -> wire::Share {
+    wire::Share {
+        drawn: share.drawn,
+        returned: share.returned,
+        billed: share.billed,
+        sent: share.sent,
+        received: share.received,
+        sealed: share.sealed,
+    }
+}
+
+impl From<&Row> for Value {
+    fn from(row: &Row) -> Self {
+        let row = wire::Budget {
+            customer: row.customer.to_string(),
+            limit: row.limit,
+            revision: row.revision,
+            settled: row.settled,
+            sent: row.sent,
+            received: row.received,
+            reserve: row.reserve,
+            fraction: row.fraction,
+            shares: row
+                .shares
+                .iter()
+                .map(|(inc, share)| (inc.to_string(), share_to(share)))
+                .collect(),
+        };
+        serde_json::to_value(row).expect("wire types have string keys")
+    }
+}
