--- a/src/bill/mod.rs
+++ b/src/bill/mod.rs
@@ -24,6 +24,7 @@
 };
 
 pub use book::Book;
+pub(crate) use book::add;
 pub(crate) use writer::{
     Step,
     Writer, //
--- /dev/null
+++ b/src/bill/writer.rs
@@ -0,0 +1,330 @@
+use std::{
+    collections::BTreeMap,
+    mem,
+    sync::Arc,
+    time::Duration, //
+};
+
+use super::{
+    Bill,
+    Book,
+    Ledger,
+    Seal,
+    book::add,
+    encode_batch, //
+};
+use crate::{
+    mirror::{
+        Reply,
+        Request,
+        fence_key,
+        ledger_key, //
+    },
+    model::{
+        BudgetId,
+        Incarnation,
+        Seq,
+        Tokens,
+        Version, //
+    },
+    store::{
+        Change,
+        Expect,
+        Outcome,
+        Row,
+        StoreFault,
+        Write, //
+    },
+};
+
+/// Time between batches.
+pub(crate) const INTERVAL: Duration = Duration::from_secs(2);
+/// Time between batches in a fleet of more than [`LARGE`] daemons.
+const SLOW_INTERVAL: Duration = Duration::from_secs(4);
+/// Fleet size above which batches are written half as often, to stay within the platform's writes.
+const LARGE: usize = 170;
+/// Bills after which a batch is cut although the one before it is not committed.
+const FULL: usize = 4_096;
+/// Pause before a failed operation is repeated.
+const RETRY: Duration = Duration::from_millis(500);
+
+/// Result of a step of the writer.
+#[derive(Debug, PartialEq)]
+pub(crate) enum Step {
+    /// Cut this batch now.
+    Cut(u64),
+    /// The ledger counts all batches up to this one.
+    Committed(u64),
+    /// A conflict showed the fence row.
+    Fence(Option<Row>),
+    /// Late bills count now; their budgets' totals changed.
+    Late,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Idle,
+    Put(u64),
+    Commit(u64),
+}
+
+/// Bills of a sealed incarnation.
+#[derive(Debug)]
+struct Late {
+    /// Batches that count.
+    batches: u64,
+    /// Requests that the seal object names.
+    sealed: Vec<Seq>,
+    /// Finished requests that are in no late batch yet.
+    bills: Vec<Bill>,
+    /// Content of the late batch that is being written.
+    batch: Vec<Bill>,
+    /// Billed tokens per budget over everything that counts.
+    billed: BTreeMap<BudgetId, Tokens>,
+}
+
+/// Writes the batches of one incarnation, and its late batches after the seal. A batch counts once
+/// the ledger row says so.
+#[derive(Debug)]
+pub(crate) struct Writer {
+    inc: Incarnation,
+    expect: Expect,
+    ledger: Ledger,
+    phase: Phase,
+    pending: bool,
+    retry_at: Duration,
+    cut_at: Duration,
+    late: Option<Late>,
+}
+
+impl Writer {
+    pub(crate) fn new(now: Duration, inc: Incarnation) -> Self {
+        Self {
+            inc,
+            expect: Expect::Absent,
+            ledger: Ledger::default(),
+            phase: Phase::Idle,
+            pending: false,
+            retry_at: now,
+            cut_at: now + INTERVAL,
+            late: None,
+        }
+    }
+
+    /// Returns the batch to cut if one is due in a fleet of `daemons`.
+    pub(crate) fn cut(&mut self, now: Duration, book: &Book, daemons: usize) -> Option<Step> {
+        let due = now >= self.cut_at && book.cut.is_empty() && !book.closed.is_empty();
+        if self.late.is_some() || !(due || book.closed.len() >= FULL) {
+            return None;
+        }
+        self.cut_at = now
+            + match daemons > LARGE {
+                true => SLOW_INTERVAL,
+                false => INTERVAL,
+            };
+        Some(Step::Cut(book.last + 1))
+    }
+
+    /// The platform operation that is due. `fence` is the version of the unsealed fence row.
+    pub(crate) fn poll(
+        &mut self,
+        now: Duration,
+        book: &Book,
+        fence: Option<Version>,
+    ) -> Option<Request> {
+        if self.pending || now < self.retry_at {
+            return None;
+        }
+        if self.phase == Phase::Idle {
+            self.phase = self.next(now, book)?;
+        }
+        let request = match self.phase {
+            Phase::Put(n) => Request::Put(self.object(n), encode_batch(self.content(book, n))),
+            Phase::Commit(n) => self.commit(n, fence)?,
+            Phase::Idle => return None,
+        };
+        self.pending = true;
+        Some(request)
+    }
+
+    fn next(&mut self, now: Duration, book: &Book) -> Option<Phase> {
+        let Some(late) = &mut self.late else {
+            let batch = book.committed + 1;
+            return book.cut.contains_key(&batch).then_some(Phase::Put(batch));
+        };
+        if late.batch.is_empty() {
+            if late.bills.is_empty() || now < self.cut_at {
+                return None;
+            }
+            self.cut_at = now + INTERVAL;
+            late.batch = mem::take(&mut late.bills);
+        }
+        Some(Phase::Put(self.ledger.late + 1))
+    }
+
+    fn object(&self, n: u64) -> Arc<str> {
+        let late = if self.late.is_some() { "late-" } else { "" };
+        format!("bills/{}/{late}{n}", self.inc).into()
+    }
+
+    fn content<'a>(&'a self, book: &'a Book, n: u64) -> &'a [Bill] {
+        match &self.late {
+            Some(late) => &late.batch,
+            None => &book.cut[&n],
+        }
+    }
+
+    /// Only a regular batch needs an unsealed fence row: after the seal nobody else writes the
+    /// ledger row.
+    fn commit(&self, n: u64, fence: Option<Version>) -> Option<Request> {
+        let ledger = match &self.late {
+            Some(late) => Ledger {
+                batches: late.batches,
+                late: n,
+            },
+            None => Ledger {
+                batches: n,
+                late: 0,
+            },
+        };
+        let mut writes = vec![Write {
+            key: ledger_key(&self.inc),
+            expect: self.expect,
+            change: Change::Put(ledger.to_value()),
+        }];
+        if self.late.is_none() {
+            writes.push(Write {
+                key: fence_key(&self.inc),
+                expect: Expect::Version(fence?),
+                change: Change::Check,
+            });
+        }
+        Some(Request::Commit(writes))
+    }
+
+    /// Takes the answer to the operation.
+    pub(crate) fn answer(&mut self, now: Duration, reply: Reply) -> Option<Step> {
+        self.pending = false;
+        match (self.phase, reply) {
+            (_, Reply::Failed(StoreFault::Unavailable | StoreFault::Unknown)) => {
+                self.retry_at = now + RETRY;
+                None
+            }
+            // An object that exists has this content: it was written before the answer was lost.
+            (Phase::Put(n), Reply::Put(_)) => {
+                self.phase = Phase::Commit(n);
+                None
+            }
+            (Phase::Commit(n), Reply::Commit(Outcome::Applied(versions))) => {
+                self.counted(n, versions[0])
+            }
+            (Phase::Commit(n), Reply::Commit(Outcome::Conflict { key, row })) => {
+                self.conflicted(now, n, &key, row)
+            }
+            // The answer belongs to an operation that the seal made void.
+            _ => None,
+        }
+    }
+
+    fn counted(&mut self, n: u64, version: Version) -> Option<Step> {
+        self.expect = Expect::Version(version);
+        self.phase = Phase::Idle;
+        let Some(late) = &mut self.late else {
+            self.ledger.batches = n;
+            return Some(Step::Committed(n));
+        };
+        self.ledger.late = n;
+        add(&mut late.billed, &late.batch);
+        late.batch.clear();
+        Some(Step::Late)
+    }
+
+    fn conflicted(
+        &mut self,
+        now: Duration,
+        n: u64,
+        key: &str,
+        row: Option<Row>,
+    ) -> Option<Step> {
+        if key == &*fence_key(&self.inc) {
+            self.retry_at = now + RETRY;
+            return Some(Step::Fence(row));
+        }
+        let row = row.expect("the ledger row is never deleted");
+        let ledger = Ledger::from_value(&row.value).expect("a ledger row holds two numbers");
+        self.expect = Expect::Version(row.version);
+        let done = match &self.late {
+            Some(_) => ledger.late >= n,
+            None => ledger.batches >= n,
+        };
+        match done {
+            true => self.counted(n, row.version),
+            false => None,
+        }
+    }
+
+    /// Whether an operation is under way.
+    pub(crate) fn is_pending(&self) -> bool {
+        self.pending
+    }
+
+    /// Changes to late batches after the seal object was read. `book` must have accounted for the
+    /// batches that count.
+    pub(crate) fn seal(&mut self, now: Duration, book: &Book, seal: &Seal) {
+        assert!(!self.pending, "an operation is under way");
+        assert_eq!(book.committed, seal.batches, "the ledger row counts");
+        let sealed: Vec<Seq> = seal.bills.iter().map(|bill| bill.seq).collect();
+        let mut billed = book.billed.clone();
+        add(&mut billed, &seal.bills);
+        self.phase = Phase::Idle;
+        self.cut_at = now;
+        self.retry_at = now;
+        self.ledger.batches = seal.batches;
+        let mut late = Late {
+            batches: seal.batches,
+            sealed,
+            bills: Vec::new(),
+            batch: Vec::new(),
+            billed,
+        };
+        let done = book.cut.values().flatten().chain(&book.closed);
+        done.for_each(|bill| late.push(bill.clone()));
+        self.late = Some(late);
+    }
+
+    /// Adds the bill of a request that finished after the seal object was read.
+    pub(crate) fn push(&mut self, bill: Bill) {
+        self.late
+            .as_mut()
+            .expect("the incarnation is sealed")
+            .push(bill);
+    }
+
+    /// Whether the seal object was read.
+    pub(crate) fn is_late(&self) -> bool {
+        self.late.is_some()
+    }
+
+    /// Whether no late bill is left to write.
+    pub(crate) fn is_flushed(&self) -> bool {
+        self.late
+            .as_ref()
+            .is_some_and(|late| late.bills.is_empty() && late.batch.is_empty())
+    }
+
+    /// Billed tokens per budget after the seal.
+    pub(crate) fn totals(&self) -> BTreeMap<BudgetId, Tokens> {
+        self.late
+            .as_ref()
+            .map(|late| late.billed.clone())
+            .unwrap_or_default()
+    }
+}
+
+impl Late {
+    fn push(&mut self, bill: Bill) {
+        if !self.sealed.contains(&bill.seq) {
+            self.bills.push(bill);
+        }
+    }
+}
--- a/src/mirror/op.rs
+++ b/src/mirror/op.rs
@@ -120,7 +120,9 @@
     },
     /// Moves tokens to the receiver's share.
     Transfer {
-        /// Number of the transfer within the sending incarnation.
+        /// Incarnation whose share receives the tokens.
+        to: Incarnation,
+        /// Number of the transfer between the two incarnations.
         id: u64,
         /// Budget of the tokens.
         budget: BudgetId,
@@ -129,7 +131,9 @@
     },
     /// The transfer was added to the receiver's share.
     TransferAck {
-        /// Number of the transfer within the sending incarnation.
+        /// Incarnation whose share sent the tokens.
+        from: Incarnation,
+        /// Number of the transfer between the two incarnations.
         id: u64,
     },
     /// A request was refused because the budget has no free tokens.
--- a/src/mirror/pair.rs
+++ b/src/mirror/pair.rs
@@ -123,6 +123,17 @@
         &self.state
     }
 
+    /// Accounts for the batches that count after the seal; answers to their commits may be lost.
+    pub(crate) fn settle(&mut self, batches: u64) {
+        assert!(self.fence.sealed.is_some(), "the incarnation is sealed");
+        self.state.book.commit(batches);
+    }
+
+    /// Number of the last operation.
+    pub(crate) fn last(&self) -> u64 {
+        self.log.next() - 1
+    }
+
     pub(crate) fn fence(&self) -> &Fence {
         &self.fence
     }
@@ -157,6 +168,9 @@
 
     /// Whether the log is kept for a witness or for a snapshot that is under way.
     fn is_mirrored(&self) -> bool {
+        if self.fence.sealed.is_some() {
+            return false;
+        }
         let held = !matches!(self.step, Step::Idle);
         held || (self.fence.witness.is_some() && !(self.lost && self.detach == Detach::Acked))
     }
@@ -464,6 +478,10 @@
     }
 
     fn applied(&mut self, now: Duration, version: Version) {
+        // A late answer; the row has been sealed since.
+        if self.version.is_some_and(|known| known > version) {
+            return;
+        }
         self.version = Some(version);
         let Step::Committing { want, next, .. } = &self.step else {
             return;
--- /dev/null
+++ b/src/node/life.rs
@@ -0,0 +1,519 @@
+use std::{
+    collections::{
+        BTreeMap,
+        VecDeque, //
+    },
+    sync::Arc,
+    time::Duration,
+};
+
+use super::{
+    Action,
+    Admission,
+    Admit,
+    Change,
+    retire::Retire, //
+};
+use crate::{
+    bill::{
+        self,
+        Writer, //
+    },
+    budget::{
+        self,
+        Drawer,
+        Mode,
+        Reservation,
+        Reserve,
+        Row,
+        TransferId, //
+    },
+    mirror::{
+        Message,
+        Op,
+        Out,
+        Pair,
+        Peer,
+        Reply,
+        Request,
+        fence_key, //
+    },
+    model::{
+        BudgetId,
+        Code,
+        Fault,
+        Incarnation,
+        Seq,
+        Tokens,
+        Verdict,
+        Version, //
+    },
+    store::{
+        Change as Put,
+        Expect,
+        Outcome,
+        StoreFault,
+        Write, //
+    },
+};
+
+/// Requests and bills kept in memory; admission stops above.
+const MAX_UNBILLED: usize = 65_536;
+/// Pause between reads of the own fence row, which find a seal and show whether the platform
+/// responds.
+const PROBE: Duration = Duration::from_secs(2);
+
+/// What waits for an operation to be acknowledged.
+#[derive(Debug)]
+enum Waiter {
+    Ready(Seq),
+    Issued(BudgetId, Tokens),
+    Logged(TransferId),
+    Commit(BudgetId, Version, Row),
+}
+
+/// Part of a life that asked for a platform operation.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum Asker {
+    Pair,
+    Probe,
+    Writer,
+    Drawer(BudgetId),
+    Retire,
+}
+
+/// Surroundings of a life, the same for all lives of the process.
+pub(super) struct Around<'a> {
+    pub(super) platform: bool,
+    pub(super) peers: &'a BTreeMap<Incarnation, Peer>,
+}
+
+/// One incarnation of the daemon.
+#[derive(Debug)]
+pub(super) struct Life {
+    pub(super) inc: Incarnation,
+    pub(super) pair: Pair,
+    pub(super) writer: Writer,
+    drawer: Drawer,
+    mode: Mode,
+    /// Reservations of open requests, and whether they are ready.
+    open: BTreeMap<Seq, (Reservation, bool)>,
+    /// Waiters by the number of the operation.
+    waiters: BTreeMap<u64, Vec<Waiter>>,
+    /// Operation that told the witness of a budget or of the start of its current share. The row is
+    /// written only after it, so that the sealer visits the row.
+    known: BTreeMap<BudgetId, u64>,
+    probe_at: Duration,
+    pub(super) retire: Option<Retire>,
+    stopping: bool,
+    requests: VecDeque<(Asker, Request)>,
+    actions: Vec<Action>,
+}
+
+impl Life {
+    pub(super) fn new(now: Duration, pair: Pair, inc: Incarnation, seed: u64) -> Self {
+        Self {
+            drawer: Drawer::start(inc.clone(), seed),
+            writer: Writer::new(now, inc.clone()),
+            pair,
+            inc,
+            mode: Mode::Frozen,
+            open: BTreeMap::new(),
+            waiters: BTreeMap::new(),
+            known: BTreeMap::new(),
+            probe_at: now,
+            retire: None,
+            stopping: false,
+            requests: VecDeque::new(),
+            actions: Vec::new(),
+        }
+    }
+
+    pub(super) fn mode(&self) -> Mode {
+        self.mode
+    }
+
+    pub(super) fn open(&self) -> usize {
+        self.open.len()
+    }
+
+    pub(super) fn has(&self, seq: Seq) -> bool {
+        self.open.contains_key(&seq)
+    }
+
+    /// Requests that wait for an acknowledgement.
+    pub(super) fn unready(&self) -> Vec<Seq> {
+        let unready = self.open.iter().filter(|(_, (_, ready))| !ready);
+        unready.map(|(seq, _)| *seq).collect()
+    }
+
+    pub(super) fn admit(&mut self, now: Duration, seq: Seq, admission: &Admission) -> Admit {
+        if let Some(fault) = self.refusal() {
+            return Admit::Refused(fault);
+        }
+        let held = match self.drawer.reserve(now, &admission.budget, admission.bound) {
+            Reserve::Held(held) => held,
+            Reserve::Wait => return Admit::Wait,
+            Reserve::Refused(fault) => return Admit::Refused(fault),
+        };
+        let number = self.pair.append(
+            now,
+            Op::Open {
+                seq,
+                customer: admission.customer.clone(),
+                budget: admission.budget.clone(),
+                profile: admission.profile.clone(),
+                bound: admission.bound,
+            },
+        );
+        let ready = self.pair.counted() >= number;
+        self.open.insert(seq, (held, ready));
+        if !ready {
+            self.wait(number, Waiter::Ready(seq));
+        }
+        Admit::Admitted { seq, ready }
+    }
+
+    fn refusal(&self) -> Option<Fault> {
+        let (code, detail) = match self.mode {
+            Mode::Sealed => (Code::Stopping, "the daemon was sealed"),
+            Mode::Frozen => (Code::StoreUnavailable, "platform and witness are lost"),
+            _ if self.pair.is_full() => (Code::Overloaded, "the operation log is full"),
+            _ if self.pair.state().book.len() >= MAX_UNBILLED => {
+                (Code::Overloaded, "too many bills are not committed")
+            }
+            _ => return None,
+        };
+        Some(Fault::not_run(code, detail))
+    }
+
+    pub(super) fn finish(&mut self, now: Duration, seq: Seq, tokens: Tokens, verdict: Verdict) {
+        let (held, ready) = self.open.remove(&seq).expect("the request is open");
+        assert!(
+            ready || tokens == 0,
+            "request {seq} ran before it was ready"
+        );
+        self.drawer.settle(now, held, tokens);
+        let op = Op::Close {
+            seq,
+            tokens,
+            verdict,
+        };
+        self.pair.append(now, op);
+        if self.writer.is_late() {
+            let bill = self.pair.state().book.closed.last();
+            self.writer
+                .push(bill.expect("the request was closed").clone());
+        }
+    }
+
+    pub(super) fn set_ready(&mut self, seq: Seq) {
+        if let Some((_, ready)) = self.open.get_mut(&seq)
+            && !*ready
+        {
+            *ready = true;
+            self.actions.push(Action::Ready { seq });
+        }
+    }
+
+    pub(super) fn refuse(&mut self, now: Duration, seq: Seq) {
+        self.finish(now, seq, 0, Verdict::NotRun);
+        let fault = Fault::not_run(Code::Stopping, "the daemon was sealed");
+        self.actions.push(Action::Refuse { seq, fault });
+    }
+
+    fn wait(&mut self, number: u64, waiter: Waiter) {
+        self.waiters.entry(number).or_default().push(waiter);
+    }
+
+    pub(super) fn handle(&mut self, now: Duration, event: budget::Event) {
+        self.drawer.handle(now, event);
+    }
+
+    pub(super) fn stop(&mut self) {
+        self.stopping = true;
+    }
+
+    /// Takes a message about this incarnation from its witness.
+    pub(super) fn receive(&mut self, now: Duration, from: &Incarnation, message: &Message) {
+        match message {
+            Message::Sealed { .. } => self.probe_at = now,
+            _ => self.pair.receive(now, from, message),
+        }
+    }
+
+    /// Runs what is due; returns platform operations and other actions.
+    pub(super) fn poll(
+        &mut self,
+        now: Duration,
+        around: &Around<'_>,
+    ) -> (VecDeque<(Asker, Request)>, Vec<Action>) {
+        self.update_mode(now, around.platform);
+        self.pass_drawer(now);
+        if self.mode != Mode::Sealed {
+            self.poll_pair(now, around);
+            self.update_mode(now, around.platform);
+            self.pass_drawer(now);
+            self.poll_stop(now);
+        }
+        self.poll_writer(now, around.peers.len() + 1);
+        if self.probe_at <= now && self.pair.is_registered() && self.mode != Mode::Sealed {
+            self.probe_at = now + PROBE;
+            let request = Request::Read(fence_key(&self.inc));
+            self.requests.push_back((Asker::Probe, request));
+        }
+        if self.mode == Mode::Sealed {
+            self.poll_retire(now);
+        }
+        (
+            std::mem::take(&mut self.requests),
+            std::mem::take(&mut self.actions),
+        )
+    }
+
+    pub(super) fn request(&mut self, asker: Asker, request: Request) {
+        self.requests.push_back((asker, request));
+    }
+
+    fn update_mode(&mut self, now: Duration, platform: bool) {
+        let mode = self.pair.mode(platform);
+        if mode == self.mode {
+            return;
+        }
+        assert_ne!(self.mode, Mode::Sealed, "a seal is final");
+        self.mode = mode;
+        self.drawer.handle(now, budget::Event::Mode(mode));
+        let change = Change::Mode(self.inc.clone(), mode);
+        self.actions.push(Action::Change(change));
+    }
+
+    /// Releases what has been acknowledged, and carries out the drawer's actions.
+    fn pass_drawer(&mut self, now: Duration) {
+        loop {
+            let released = self.release(now);
+            let actions = self.drawer.poll(now);
+            if !released && actions.is_empty() {
+                return;
+            }
+            for action in actions {
+                self.draw(now, action);
+            }
+        }
+    }
+
+    fn release(&mut self, now: Duration) -> bool {
+        if self.mode == Mode::Sealed {
+            return false;
+        }
+        let counted = self.pair.counted();
+        let later = self.waiters.split_off(&(counted + 1));
+        let released = std::mem::replace(&mut self.waiters, later);
+        let any = !released.is_empty();
+        for waiter in released.into_values().flatten() {
+            match waiter {
+                Waiter::Ready(seq) => self.set_ready(seq),
+                Waiter::Issued(budget, total) => {
+                    self.handle(now, budget::Event::Issued { budget, total });
+                }
+                Waiter::Logged(id) => self.handle(now, budget::Event::Logged(id)),
+                Waiter::Commit(budget, expect, row) => self.commit(now, budget, expect, &row),
+            }
+        }
+        any
+    }
+
+    fn draw(&mut self, now: Duration, action: budget::Action) {
+        match action {
+            budget::Action::Read { budget } => {
+                let request = Request::Read(format!("budget/{budget}").into());
+                self.request(Asker::Drawer(budget), request);
+            }
+            budget::Action::Commit {
+                budget,
+                expect,
+                row,
+            } => self.commit_known(now, budget, expect, row),
+            budget::Action::Issue { budget, total } => self.issue(now, budget, total),
+            budget::Action::Log { transfer, sent } => {
+                let budget = transfer.budget;
+                let op = Op::Sent {
+                    budget,
+                    total: sent,
+                };
+                let number = self.pair.append(now, op);
+                self.wait(number, Waiter::Logged(transfer.id));
+            }
+            budget::Action::Retry { budget } => self.actions.push(Action::Retry { budget }),
+            budget::Action::Sealed => self.probe_at = now,
+            budget::Action::Short { budget, to } => {
+                for to in to {
+                    let budget = budget.clone();
+                    self.send(to, Message::Short { budget });
+                }
+            }
+            budget::Action::Ask { to, budget, tokens } => {
+                self.send(to, Message::Ask { budget, tokens });
+            }
+            budget::Action::Send(transfer) => self.send(
+                transfer.id.to.clone(),
+                Message::Transfer {
+                    to: transfer.id.to,
+                    id: transfer.id.number,
+                    budget: transfer.budget,
+                    tokens: transfer.tokens,
+                },
+            ),
+            budget::Action::Confirm(id) => self.send(
+                id.from.clone(),
+                Message::TransferAck {
+                    from: id.from,
+                    id: id.number,
+                },
+            ),
+        }
+    }
+
+    fn send(&mut self, to: Incarnation, message: Message) {
+        self.actions.push(Action::Send { to, message });
+    }
+
+    fn issue(&mut self, now: Duration, budget: BudgetId, total: Tokens) {
+        let op = Op::Issue {
+            budget: budget.clone(),
+            total,
+        };
+        let number = self.pair.append(now, op);
+        if total == 0 {
+            self.known.insert(budget.clone(), number);
+        }
+        self.wait(number, Waiter::Issued(budget, total));
+    }
+
+    fn commit_known(&mut self, now: Duration, budget: BudgetId, expect: Version, row: Row) {
+        if !self.known.contains_key(&budget) {
+            let op = Op::Issue {
+                budget: budget.clone(),
+                total: 0,
+            };
+            // Issued tokens before the first draw come from transfers; their figure stays.
+            let number = match self.pair.state().issued.contains_key(&budget) {
+                true => self.pair.last(),
+                false => self.pair.append(now, op),
+            };
+            self.known.insert(budget.clone(), number);
+        }
+        let number = self.known[&budget];
+        self.wait(number, Waiter::Commit(budget, expect, row));
+    }
+
+    fn commit(&mut self, now: Duration, budget: BudgetId, expect: Version, row: &Row) {
+        let Some(version) = self.pair.version() else {
+            let fault = StoreFault::Unavailable;
+            return self.handle(now, budget::Event::Failed { budget, fault });
+        };
+        let key: Arc<str> = format!("budget/{budget}").into();
+        let writes = vec![
+            Write {
+                key,
+                expect: Expect::Version(expect),
+                change: Put::Put(row.into()),
+            },
+            Write {
+                key: fence_key(&self.inc),
+                expect: Expect::Version(version),
+                change: Put::Check,
+            },
+        ];
+        self.request(Asker::Drawer(budget), Request::Commit(writes));
+    }
+
+    fn poll_pair(&mut self, now: Duration, around: &Around<'_>) {
+        for out in self.pair.poll(now, around.platform, around.peers) {
+            match out {
+                Out::Send(to, message) => self.send(to, message),
+                Out::Request(request) => self.request(Asker::Pair, request),
+            }
+        }
+    }
+
+    fn poll_writer(&mut self, now: Duration, daemons: usize) {
+        let book = &self.pair.state().book;
+        if self.mode != Mode::Sealed
+            && let Some(bill::Step::Cut(batch)) = self.writer.cut(now, book, daemons)
+        {
+            self.pair.append(now, Op::Cut { batch });
+        }
+        if self.mode == Mode::Sealed && !self.writer.is_late() {
+            return;
+        }
+        let version = self.pair.version();
+        let book = &self.pair.state().book;
+        if let Some(request) = self.writer.poll(now, book, version) {
+            self.request(Asker::Writer, request);
+        }
+    }
+
+    fn poll_stop(&mut self, now: Duration) {
+        if !self.stopping || !self.open.is_empty() {
+            return;
+        }
+        self.drawer.handle(now, budget::Event::Stop);
+        self.pass_drawer(now);
+        if self.drawer.is_done() && self.pair.state().book.len() == 0 && !self.writer.is_pending() {
+            self.pair.stop();
+        }
+    }
+
+    /// Takes the answer to a platform operation.
+    pub(super) fn answer(&mut self, now: Duration, asker: Asker, reply: Reply) {
+        match asker {
+            Asker::Pair => self.pair.answer(now, reply),
+            Asker::Probe => {
+                if let Reply::Row(row) = reply {
+                    self.pair.observe(now, row.as_ref());
+                }
+            }
+            Asker::Writer => self.written(now, reply),
+            Asker::Drawer(budget) => self.drawn(now, budget, reply),
+            Asker::Retire => self.retired(now, reply),
+        }
+    }
+
+    fn written(&mut self, now: Duration, reply: Reply) {
+        match self.writer.answer(now, reply) {
+            Some(bill::Step::Committed(batch)) => {
+                let mut tokens = BTreeMap::new();
+                bill::add(&mut tokens, &self.pair.state().book.cut[&batch]);
+                self.pair.append(now, Op::Committed { batch });
+                for (budget, tokens) in tokens {
+                    self.handle(now, budget::Event::Billed { budget, tokens });
+                }
+            }
+            Some(bill::Step::Fence(row)) => self.pair.observe(now, row.as_ref()),
+            Some(bill::Step::Late) => self.late(),
+            Some(bill::Step::Cut(_)) | None => {}
+        }
+    }
+
+    fn drawn(&mut self, now: Duration, budget: BudgetId, reply: Reply) {
+        let event = match reply {
+            Reply::Row(row) => {
+                let row = row.and_then(|row| Some((row.version, Row::try_from(row.value).ok()?)));
+                budget::Event::Row { budget, row }
+            }
+            Reply::Commit(Outcome::Applied(versions)) => budget::Event::Committed {
+                budget,
+                version: versions[0],
+            },
+            Reply::Commit(Outcome::Conflict { key, row }) => {
+                if key == fence_key(&self.inc) {
+                    self.pair.observe(now, row.as_ref());
+                }
+                budget::Event::Conflict { budget }
+            }
+            Reply::Failed(fault) => budget::Event::Failed { budget, fault },
+            reply => panic!("reply {reply:?} does not answer the drawer"),
+        };
+        self.handle(now, event);
+    }
+}
--- /dev/null
+++ b/src/node/machine.rs
@@ -0,0 +1,497 @@
+use std::{
+    collections::BTreeMap,
+    sync::Arc,
+    time::Duration, //
+};
+
+use rand::{
+    RngExt,
+    SeedableRng,
+    rngs::StdRng, //
+};
+
+use super::{
+    Action,
+    Admission,
+    Admit,
+    Change,
+    Event,
+    Figures,
+    Identity,
+    health::Health,
+    life::{
+        Around,
+        Asker,
+        Life, //
+    },
+    scan::Scan, //
+};
+use crate::{
+    budget::{
+        self,
+        Mode,
+        Transfer,
+        TransferId, //
+    },
+    mirror::{
+        Fence,
+        Message,
+        Pair,
+        Peer,
+        Reply,
+        Request,
+        Seal,
+        Witness, //
+    },
+    model::{
+        Code,
+        Fault,
+        Incarnation,
+        Seq,
+        Tokens,
+        Verdict,
+        daemon_of, //
+    },
+};
+
+/// Part of the node that asked for a platform operation.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Origin {
+    Life(Incarnation, Asker),
+    Seal(Incarnation),
+    Scan,
+}
+
+/// One daemon process.
+#[derive(Debug)]
+pub struct Node {
+    identity: Identity,
+    rng: StdRng,
+    /// The current incarnation is the last one; the others are sealed.
+    lives: Vec<Life>,
+    witness: Witness,
+    scan: Scan,
+    health: Health<Origin>,
+    platform: bool,
+    peers: BTreeMap<Incarnation, Peer>,
+    last_seq: Seq,
+    stopping: bool,
+    stopped: bool,
+    actions: Vec<Action>,
+}
+
+impl Node {
+    /// Starts a daemon process with a first incarnation. `seed` decides the name of the
+    /// incarnation, so it must be random.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use cuminloom::node::{Action, Identity, Node};
+    /// let identity = Identity {
+    ///     daemon: "a".into(),
+    ///     vm: "vm-1".into(),
+    ///     dc: "east".into(),
+    ///     vm_list_lag: Duration::from_secs(600),
+    /// };
+    /// let mut node = Node::start(Duration::ZERO, identity, 7);
+    /// // Its first operation writes its fence row.
+    /// let actions = node.poll(Duration::ZERO);
+    /// assert!(actions.iter().any(|action| matches!(action, Action::Store { .. })));
+    /// ```
+    pub fn start(now: Duration, identity: Identity, seed: u64) -> Self {
+        let mut node = Self {
+            scan: Scan::new(now, identity.vm_list_lag),
+            identity,
+            rng: StdRng::seed_from_u64(seed),
+            lives: Vec::new(),
+            witness: Witness::default(),
+            health: Health::new(),
+            platform: true,
+            peers: BTreeMap::new(),
+            last_seq: 0,
+            stopping: false,
+            stopped: false,
+            actions: Vec::new(),
+        };
+        node.begin(now);
+        node
+    }
+
+    /// Starts a fresh incarnation.
+    fn begin(&mut self, now: Duration) {
+        let daemon = &self.identity.daemon;
+        let inc: Incarnation = format!("{daemon}.{:016x}", self.rng.random::<u64>()).into();
+        let fence = Fence {
+            daemon: daemon.clone(),
+            vm: self.identity.vm.clone(),
+            dc: self.identity.dc.clone(),
+            witness: None,
+            epoch: 0,
+            sealed: None,
+        };
+        let pair = Pair::new(inc.clone(), fence);
+        let life = Life::new(now, pair, inc.clone(), self.rng.random());
+        self.lives.push(life);
+        self.actions.push(Action::Change(Change::Started(inc)));
+        self.members(now);
+    }
+
+    fn current(&mut self) -> &mut Life {
+        self.lives.last_mut().expect("there is always a life")
+    }
+
+    /// Current incarnation.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use cuminloom::node::{Identity, Node};
+    /// # let lag = std::time::Duration::from_secs(600);
+    /// # let id = Identity { daemon: "a".into(), vm: "v".into(), dc: "d".into(), vm_list_lag: lag };
+    /// let node = Node::start(std::time::Duration::ZERO, id, 7);
+    /// assert!(node.incarnation().starts_with("a."));
+    /// ```
+    pub fn incarnation(&self) -> &Incarnation {
+        &self.lives.last().expect("there is always a life").inc
+    }
+
+    fn home(&self) -> Peer {
+        Peer {
+            vm: self.identity.vm.clone(),
+            dc: self.identity.dc.clone(),
+        }
+    }
+
+    /// Admits a request and reserves its bound.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cuminloom::node::{Admission, Admit};
+    /// # use cuminloom::node::{Identity, Node};
+    /// # let now = std::time::Duration::ZERO;
+    /// # let id = Identity { daemon: "a".into(), vm: "v".into(), dc: "d".into(), vm_list_lag: now };
+    /// let mut node = Node::start(now, id, 7);
+    /// let admission = Admission {
+    ///     customer: "anod".into(),
+    ///     profile: "chat".into(),
+    ///     budget: "anod-chat".into(),
+    ///     bound: 500,
+    /// };
+    /// // No budget row has been read yet.
+    /// assert!(!matches!(node.admit(now, admission), Admit::Admitted { .. }));
+    /// ```
+    pub fn admit(&mut self, now: Duration, admission: Admission) -> Admit {
+        if self.stopping {
+            let fault = Fault::not_run(Code::Stopping, "the daemon is stopping");
+            return Admit::Refused(fault);
+        }
+        let seq = self.last_seq + 1;
+        let admit = self.current().admit(now, seq, &admission);
+        if let Admit::Admitted { .. } = admit {
+            self.last_seq = seq;
+        }
+        admit
+    }
+
+    /// Ends an admitted request that consumed `tokens`; 0 with verdict `NotRun` when it was not
+    /// sent. Every admitted request is finished exactly once, unless it is refused by
+    /// [`Action::Refuse`].
+    ///
+    /// # Panics
+    ///
+    /// Panics when the request is not open, or consumed more than its bound.
+    pub fn finish(&mut self, now: Duration, seq: Seq, tokens: Tokens, verdict: Verdict) {
+        let life = self.lives.iter_mut().find(|life| life.has(seq));
+        let life = life.expect("the request is open");
+        life.finish(now, seq, tokens, verdict);
+    }
+
+    /// Starts a planned stop: new requests are refused, open ones finish, then all bills are
+    /// committed, all shares returned and the own fence row is sealed. [`Action::Stopped`] follows.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use cuminloom::node::{Identity, Node};
+    /// # let now = std::time::Duration::ZERO;
+    /// # let id = Identity { daemon: "a".into(), vm: "v".into(), dc: "d".into(), vm_list_lag: now };
+    /// let mut node = Node::start(now, id, 7);
+    /// node.stop();
+    /// ```
+    pub fn stop(&mut self) {
+        self.stopping = true;
+        self.current().stop();
+    }
+
+    /// Takes an event.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cuminloom::{mirror::Peer, node::Event};
+    /// # use cuminloom::node::{Identity, Node};
+    /// # let now = std::time::Duration::ZERO;
+    /// # let id = Identity { daemon: "a".into(), vm: "v".into(), dc: "d".into(), vm_list_lag: now };
+    /// let mut node = Node::start(now, id, 7);
+    /// let peer = Peer { vm: "vm-2".into(), dc: "d".into() };
+    /// node.handle(now, Event::PeerUp { inc: "b.1".into(), peer });
+    /// ```
+    pub fn handle(&mut self, now: Duration, event: Event) {
+        match event {
+            Event::Answer { token, reply } => self.answer(now, token, reply),
+            Event::Message { from, message } => self.receive(now, from, message),
+            Event::PeerUp { inc, peer } => self.peer_up(now, inc, peer),
+            Event::PeerDown { inc } => self.peer_down(now, &inc),
+            Event::Vms(vms) => self.scan.vms(now, &vms),
+        }
+    }
+
+    fn answer(&mut self, now: Duration, token: u64, reply: Reply) {
+        let failed = matches!(reply, Reply::Failed(_));
+        let Some(origin) = self.health.finish(now, token, failed) else {
+            return;
+        };
+        match origin {
+            Origin::Life(inc, asker) => {
+                if let Some(life) = self.lives.iter_mut().find(|life| life.inc == inc) {
+                    life.answer(now, asker, reply);
+                }
+            }
+            Origin::Seal(inc) => {
+                if self.witness.answer(now, &inc, reply) {
+                    self.sealed(now, inc);
+                }
+            }
+            Origin::Scan => {
+                let me = (self.incarnation().clone(), self.home());
+                let found = self.scan.answer(now, reply, &self.peers, (&me.0, &me.1));
+                for inc in found {
+                    self.witness.start(Seal::third(inc, me.0.clone()));
+                }
+            }
+        }
+    }
+
+    /// Reports a seal by this daemon.
+    fn sealed(&mut self, now: Duration, inc: Incarnation) {
+        self.current().handle(now, budget::Event::Gone(inc.clone()));
+        self.actions.push(Action::Send {
+            to: inc.clone(),
+            message: Message::Sealed { inc: inc.clone() },
+        });
+        self.actions.push(Action::Change(Change::SealedPeer(inc)));
+    }
+
+    fn receive(&mut self, now: Duration, from: Incarnation, message: Message) {
+        match &message {
+            Message::Mirror { .. } | Message::Attach { .. } => {
+                if let Some(message) = self.witness.receive(now, &message) {
+                    self.actions.push(Action::Send { to: from, message });
+                }
+            }
+            Message::MirrorAck { inc, .. }
+            | Message::AttachAck { inc, .. }
+            | Message::Sealed { inc } => {
+                if let Some(life) = self.lives.iter_mut().find(|life| life.inc == *inc) {
+                    life.receive(now, &from, &message);
+                }
+            }
+            _ => self.transfer(now, from, message),
+        }
+    }
+
+    fn transfer(&mut self, now: Duration, from: Incarnation, message: Message) {
+        let me = self.incarnation().clone();
+        let event = match message {
+            Message::Ask { budget, tokens } => budget::Event::Ask {
+                from,
+                budget,
+                tokens,
+            },
+            Message::Short { budget } => budget::Event::Short { budget },
+            // Tokens for an incarnation that was replaced stay in transit until an operator
+            // settles them.
+            Message::Transfer {
+                to,
+                id,
+                budget,
+                tokens,
+            } if to == me => budget::Event::Received(Transfer {
+                id: TransferId {
+                    from,
+                    to,
+                    number: id,
+                },
+                budget,
+                tokens,
+            }),
+            Message::TransferAck { from: sender, id } if sender == me => {
+                budget::Event::Delivered(TransferId {
+                    from: sender,
+                    to: from,
+                    number: id,
+                })
+            }
+            _ => return,
+        };
+        self.current().handle(now, event);
+    }
+
+    fn peer_up(&mut self, now: Duration, inc: Incarnation, peer: Peer) {
+        let old = self.peers.keys().find(|old| {
+            **old != inc && daemon_of(old) == daemon_of(&inc)
+        });
+        if let Some(old) = old.cloned() {
+            self.peer_down(now, &old);
+        }
+        self.witness.peer_up(&inc);
+        self.peers.insert(inc, peer);
+        self.members(now);
+    }
+
+    fn peer_down(&mut self, now: Duration, inc: &Incarnation) {
+        self.peers.remove(inc);
+        self.witness.peer_down(now, inc);
+        for life in &mut self.lives {
+            life.pair.peer_down(now, inc);
+        }
+        self.members(now);
+    }
+
+    /// Tells the drawer the live incarnations of the data centre.
+    fn members(&mut self, now: Duration) {
+        let me = self.incarnation().clone();
+        let near = self.peers.iter().filter(|(_, p)| p.dc == self.identity.dc);
+        let mut members: Vec<Incarnation> = near.map(|(inc, _)| inc.clone()).collect();
+        members.push(me);
+        members.sort();
+        self.current().handle(now, budget::Event::Members(members));
+    }
+
+    /// Runs what is due and returns the actions since the last call. Call it after each event and
+    /// at least every 100 ms.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use cuminloom::node::{Identity, Node};
+    /// # let now = std::time::Duration::ZERO;
+    /// # let id = Identity { daemon: "a".into(), vm: "v".into(), dc: "d".into(), vm_list_lag: now };
+    /// let mut node = Node::start(now, id, 7);
+    /// assert!(!node.poll(now).is_empty());
+    /// ```
+    pub fn poll(&mut self, now: Duration) -> Vec<Action> {
+        let up = self.health.is_up(now);
+        if up != self.platform {
+            self.platform = up;
+            self.actions.push(Action::Change(Change::Platform(up)));
+        }
+        self.poll_lives(now);
+        let me = self.incarnation().clone();
+        for (inc, request) in self.witness.poll(now, &me) {
+            self.store(now, Origin::Seal(inc), request);
+        }
+        if !self.stopped
+            && let Some(request) = self.scan.poll(now)
+        {
+            self.store(now, Origin::Scan, request);
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    fn poll_lives(&mut self, now: Duration) {
+        if self.current().pair.fence().sealed.is_some() {
+            self.replace(now);
+        }
+        for index in 0..self.lives.len() {
+            let around = Around {
+                platform: self.platform,
+                peers: &self.peers,
+            };
+            let life = &mut self.lives[index];
+            let inc = life.inc.clone();
+            let (requests, actions) = life.poll(now, &around);
+            self.actions.extend(actions);
+            for (asker, request) in requests {
+                self.store(now, Origin::Life(inc.clone(), asker), request);
+            }
+        }
+        let (current, actions) = (self.incarnation().clone(), &mut self.actions);
+        self.lives.retain(|life| {
+            let keep = life.inc == current || !life.is_retired();
+            if !keep {
+                actions.push(Action::Change(Change::Retired(life.inc.clone())));
+            }
+            keep
+        });
+        let done = self.lives.iter().all(Life::is_retired);
+        if self.stopping && done && !self.stopped {
+            self.stopped = true;
+            self.actions.push(Action::Stopped);
+        }
+    }
+
+    /// Replaces a sealed incarnation, unless the daemon is stopping, and makes sure that its budget
+    /// rows get settled even if its sealer is lost.
+    fn replace(&mut self, now: Duration) {
+        let me = self.incarnation().clone();
+        let sealed = self.current().pair.fence().sealed.clone();
+        let foreign = sealed.is_some_and(|sealed| sealed.by != me);
+        if foreign && self.current().mode() != Mode::Sealed {
+            self.witness.start(Seal::third(me.clone(), me));
+        }
+        if !self.stopping {
+            self.begin(now);
+        }
+    }
+
+    fn store(&mut self, now: Duration, origin: Origin, request: Request) {
+        let token = self.health.start(now, origin);
+        self.actions.push(Action::Store { token, request });
+    }
+
+    /// Figures for metrics.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use cuminloom::node::{Identity, Node};
+    /// # let now = std::time::Duration::ZERO;
+    /// # let id = Identity { daemon: "a".into(), vm: "v".into(), dc: "d".into(), vm_list_lag: now };
+    /// let node = Node::start(now, id, 7);
+    /// assert_eq!(node.snapshot().open, 0);
+    /// ```
+    pub fn snapshot(&self) -> Figures {
+        let life = self.lives.last().expect("there is always a life");
+        let fence = life.pair.fence();
+        let (watched, seals) = self.witness.len();
+        Figures {
+            inc: life.inc.clone(),
+            mode: life.mode(),
+            witness: fence.witness.clone(),
+            epoch: fence.epoch,
+            platform: self.platform,
+            open: self.lives.iter().map(Life::open).sum(),
+            unbilled: self.lives.iter().map(|l| l.pair.state().book.len()).sum(),
+            backlog: life.pair.backlog(),
+            retiring: self.lives.len() - 1,
+            watched,
+            seals,
+            pending: self.health.pending(),
+        }
+    }
+}
+
+/// Key of the row of a budget.
+///
+/// # Examples
+///
+/// ```
+/// assert_eq!(&*cuminloom::node::budget_key("chat"), "budget/chat");
+/// ```
+pub fn budget_key(budget: &str) -> Arc<str> {
+    format!("budget/{budget}").into()
+}
--- /dev/null
+++ b/src/node/scan.rs
@@ -0,0 +1,136 @@
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    sync::Arc,
+    time::Duration,
+};
+
+use crate::{
+    mirror::{
+        Fence,
+        Peer,
+        Reply,
+        Request,
+        choose, //
+    },
+    model::{
+        Incarnation,
+        daemon_of, //
+    },
+    store::Vm,
+};
+
+/// Time between scans of the fence rows.
+const INTERVAL: Duration = Duration::from_secs(30);
+/// Rows per page.
+const PAGE: usize = 256;
+
+/// Finds incarnations that nobody seals: those whose VM and whose witness's VM are both lost, and
+/// those whose sealer was lost before it settled the budget rows.
+#[derive(Debug)]
+pub(super) struct Scan {
+    lag: Duration,
+    /// When each VM was last listed.
+    seen: BTreeMap<Arc<str>, Duration>,
+    listed: Option<(Duration, Duration)>,
+    rows: BTreeMap<Incarnation, Fence>,
+    after: Option<Arc<str>>,
+    pending: bool,
+    due: Duration,
+}
+
+impl Scan {
+    pub(super) fn new(now: Duration, lag: Duration) -> Self {
+        Self {
+            lag,
+            seen: BTreeMap::new(),
+            listed: None,
+            rows: BTreeMap::new(),
+            after: None,
+            pending: false,
+            due: now + INTERVAL,
+        }
+    }
+
+    pub(super) fn vms(&mut self, now: Duration, vms: &[Vm]) {
+        let first = self.listed.map_or(now, |(first, _)| first);
+        self.listed = Some((first, now));
+        for vm in vms {
+            self.seen.insert(vm.name.clone(), now);
+        }
+        // Entries are needed only until the absence is long enough.
+        let lag = self.lag;
+        self.seen.retain(|_, seen| *seen + lag + lag >= now);
+    }
+
+    /// Whether the VM has been absent from the list for the time by which the list may lag.
+    fn is_absent(&self, vm: &Arc<str>) -> bool {
+        let Some((first, last)) = self.listed else {
+            return false;
+        };
+        let seen = self.seen.get(vm).copied().unwrap_or(first);
+        last >= seen + self.lag
+    }
+
+    pub(super) fn poll(&mut self, now: Duration) -> Option<Request> {
+        if self.pending || now < self.due {
+            return None;
+        }
+        self.pending = true;
+        let after = self.after.clone().unwrap_or_else(|| "".into());
+        Some(Request::List("fence/".into(), after, PAGE))
+    }
+
+    /// Takes a page; returns the incarnations that `me` has to seal or settle after the last one.
+    pub(super) fn answer(
+        &mut self,
+        now: Duration,
+        reply: Reply,
+        peers: &BTreeMap<Incarnation, Peer>,
+        me: (&Incarnation, &Peer),
+    ) -> Vec<Incarnation> {
+        self.pending = false;
+        self.due = now + INTERVAL;
+        let Reply::Rows(page) = reply else {
+            return Vec::new();
+        };
+        for row in &page {
+            let inc = row.key.strip_prefix("fence/");
+            if let (Some(inc), Some(fence)) = (inc, Fence::from_value(&row.value)) {
+                self.rows.insert(inc.into(), fence);
+            }
+        }
+        if page.len() == PAGE {
+            self.after = page.last().map(|row| row.key.clone());
+            self.due = now;
+            return Vec::new();
+        }
+        self.after = None;
+        let rows = std::mem::take(&mut self.rows);
+        let mut all = peers.clone();
+        all.insert(me.0.clone(), me.1.clone());
+        let live: BTreeSet<&str> = all.keys().map(|inc| daemon_of(inc)).collect();
+        let lost = |inc: &Incarnation| match rows.get(inc) {
+            // Another incarnation of its daemon is live, so it has been replaced.
+            Some(fence) => {
+                let replaced = !all.contains_key(inc) && live.contains(&*fence.daemon);
+                fence.sealed.is_some() || replaced || self.is_absent(&fence.vm)
+            }
+            None => true,
+        };
+        let stuck = rows.iter().filter(|(inc, fence)| match &fence.sealed {
+            Some(sealed) => !sealed.settled && lost(&sealed.by),
+            None => lost(inc) && fence.witness.as_ref().is_none_or(lost),
+        });
+        let mine = stuck.filter(|(inc, fence)| {
+            let home = Peer {
+                vm: fence.vm.clone(),
+                dc: fence.dc.clone(),
+            };
+            choose(inc, &home, &all, |_| true).as_ref() == Some(me.0)
+        });
+        mine.map(|(inc, _)| inc.clone()).collect()
+    }
+}
