Add the drawer, transfers between drawers and the audit

The drawer is the state machine of all budgets of one incarnation: admission on issued tokens, issues through the witness, draws and returns through the row, transfers, and a planned stop.

Rows are not kept in memory: each commit starts with a read, which keeps a budget's memory independent of the number of its shares. Only drawn follows the row; returned, sent, received and billed never fall locally, because a commit whose answer was lost may still be applied later.

--- a/src/budget/change.rs
+++ b/src/budget/change.rs
@@ -113,8 +113,10 @@
     /// ```
     pub fn settle_sealed(&mut self, inc: &str, record: Record) -> Result<(), Refusal> {
         let Some(old) = self.shares.get(inc).copied() else {
-            // A share that exists on transfers only has no row entry yet.
-            if record == Record::default() {
+            // A share that lived on transfers only may have no row entry; what it spent must then
+            // be in transit. Otherwise the share was removed by a planned stop.
+            let spent = record.issued.unwrap_or(0).max(record.billed) + record.sent;
+            if spent == 0 || self.transit() < i128::from(spent) {
                 return Err(Refusal::NoShare);
             }
             return self.insert_sealed(inc, Share::default(), record);
--- /dev/null
+++ b/src/budget/choice.rs
@@ -0,0 +1,56 @@
+//! Which daemons of a data centre draw from a budget.
+
+use sha2::{
+    Digest,
+    Sha256, //
+};
+
+use crate::model::{
+    Incarnation,
+    daemon_of, //
+};
+
+/// Number of daemons of a data centre that draw from one budget. With 21 data centres a row then
+/// has at most 84 writers.
+pub const DRAWERS: usize = 4;
+
+/// Returns the drawers of `budget` among the live incarnations of one data centre: the first
+/// [`DRAWERS`] by rendezvous hash of the daemon id, so that a restart changes nothing.
+///
+/// # Examples
+///
+/// ```
+/// use cuminloom::{budget::drawers, model::Incarnation};
+/// let members: Vec<Incarnation> = (0..9).map(|n| format!("vm-{n}.0a").into()).collect();
+/// let chosen = drawers("chat", &members);
+/// assert_eq!(chosen.len(), 4);
+/// // A daemon that is no drawer can leave without any effect.
+/// let rest: Vec<_> = members.iter().filter(|m| chosen.contains(m)).cloned().collect();
+/// assert_eq!(drawers("chat", &rest), chosen);
+/// ```
+pub fn drawers(budget: &str, members: &[Incarnation]) -> Vec<Incarnation> {
+    let mut ranked: Vec<_> = members
+        .iter()
+        .map(|inc| (weight(budget, daemon_of(inc)), inc))
+        .collect();
+    ranked.sort();
+    ranked
+        .into_iter()
+        .rev()
+        .take(DRAWERS)
+        .map(|(_, inc)| inc.clone())
+        .collect()
+}
+
+// SHA-256, because daemons of different releases must agree.
+fn weight(budget: &str, daemon: &str) -> u64 {
+    let mut hash = Sha256::new();
+    hash.update(budget.as_bytes());
+    hash.update([0]);
+    hash.update(daemon.as_bytes());
+    let digest = hash.finalize();
+    digest
+        .iter()
+        .take(8)
+        .fold(0, |sum, byte| sum << 8 | u64::from(*byte))
+}
--- a/src/budget/drawer.rs
+++ b/src/budget/drawer.rs
@@ -1,14 +1,22 @@
 //! The drawer: all budgets of one incarnation.
 
-use std::time::Duration;
+use std::{
+    cmp::Reverse,
+    collections::{
+        BinaryHeap,
+        HashMap, //
+    },
+    time::Duration,
+};
 
 use super::{
-    Action,
-    Event,
-    Mode,
-    Reservation,
-    Reserve,
-    Statement, //
+    Action, Event, Mode, Reservation, Reserve, Share, Statement,
+    choice::drawers,
+    slot::{
+        Millis,
+        Slot, //
+    },
+    transfer::Transfers,
 };
 use crate::model::{
     BudgetId,
@@ -18,58 +26,363 @@
     Tokens, //
 };
 
+/// Budgets with a share that a planned stop returns at the same time.
+const STOP_BATCH: usize = 64;
+
 /// Draws, issues and returns the shares of one incarnation.
+///
+/// # Examples
+///
+/// ```
+/// use cuminloom::budget::{Action, Drawer, Event, Mode, Reserve, Row};
+/// use std::time::Duration;
+///
+/// let (now, chat) = (Duration::ZERO, "chat".into());
+/// let mut drawer = Drawer::start("vm-1.0a".into(), 7);
+/// drawer.handle(now, Event::Mode(Mode::Attached));
+/// assert_eq!(drawer.reserve(now, &chat, 10), Reserve::Wait);
+/// assert_eq!(drawer.poll(now), [Action::Read { budget: chat.clone() }]);
+/// let row = Some((1, Row::create("anod".into(), 1_000)));
+/// drawer.handle(now, Event::Row { budget: chat.clone(), row });
+/// assert!(matches!(drawer.poll(now)[..], [Action::Commit { expect: 1, .. }]));
+/// drawer.handle(now, Event::Committed { budget: chat.clone(), version: 2 });
+/// assert_eq!(drawer.poll(now), [Action::Issue { budget: chat.clone(), total: 10 }]);
+/// drawer.handle(now, Event::Issued { budget: chat.clone(), total: 10 });
+/// assert_eq!(drawer.poll(now), [Action::Retry { budget: chat.clone() }]);
+/// let Reserve::Held(held) = drawer.reserve(now, &chat, 10) else { panic!("10 are issued") };
+/// drawer.settle(now, held, 4);
+/// ```
 #[derive(Debug)]
 pub struct Drawer {
-    inc: Incarnation,
-    mode: Mode,
-    seed: u64,
+    pub(super) inc: Incarnation,
+    pub(super) mode: Mode,
+    pub(super) stopping: bool,
+    pub(super) seed: u64,
+    pub(super) index: HashMap<BudgetId, u32>,
+    pub(super) slots: Vec<Option<Box<Slot>>>,
+    pub(super) vacant: Vec<u32>,
+    /// Figures of shares that are empty and have left the memory otherwise.
+    pub(super) closed: HashMap<BudgetId, Box<Share>>,
+    /// Slots to be looked at in the next poll.
+    pub(super) queue: Vec<u32>,
+    pub(super) timers: BinaryHeap<Reverse<(Millis, u32)>>,
+    pub(super) members: Vec<Incarnation>,
+    pub(super) transfers: Transfers,
+    pub(super) out: Vec<Action>,
 }
 
 impl Drawer {
     /// Returns a drawer without shares, in mode `Frozen` until the first [`Event::Mode`].
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cuminloom::budget::{Drawer, Reserve};
+    /// let mut drawer = Drawer::start("vm-1.0a".into(), 7);
+    /// let answer = drawer.reserve(std::time::Duration::ZERO, &"chat".into(), 1);
+    /// assert!(matches!(answer, Reserve::Refused(_)));
+    /// ```
     pub fn start(inc: Incarnation, seed: u64) -> Self {
         Self {
             inc,
             mode: Mode::Frozen,
-            seed,
+            stopping: false,
+            seed: seed | 1,
+            index: HashMap::new(),
+            slots: Vec::new(),
+            vacant: Vec::new(),
+            closed: HashMap::new(),
+            queue: Vec::new(),
+            timers: BinaryHeap::new(),
+            members: Vec::new(),
+            transfers: Transfers::default(),
+            out: Vec::new(),
         }
     }
 
-    /// Reserves `bound` tokens from what is issued.
+    /// Reserves `bound` tokens from what is issued. Needs no message and no memory when the issued
+    /// tokens suffice.
+    ///
+    /// # Examples
+    ///
+    /// See [`Drawer`].
     pub fn reserve(&mut self, now: Duration, budget: &BudgetId, bound: Tokens) -> Reserve {
-        let _ = (now, budget, bound, self.seed);
-        Reserve::Refused(Fault::not_run(Code::BudgetUnavailable, "not implemented"))
+        if let Some(fault) = self.refusal() {
+            return Reserve::Refused(fault);
+        }
+        let now = millis(now);
+        let i = match self.index.get(budget) {
+            Some(i) => *i,
+            None => self.open(now, budget),
+        };
+        let slot = self.slot(i);
+        if slot.admit(now, bound) {
+            if slot.spendable() < slot.low {
+                self.mark(i);
+            }
+            return Reserve::Held(Reservation { slot: i, bound });
+        }
+        if now < slot.dry_until {
+            return Reserve::Refused(slot_fault(slot));
+        }
+        slot.starve(now, bound);
+        self.mark(i);
+        Reserve::Wait
+    }
+
+    fn refusal(&self) -> Option<Fault> {
+        let (code, detail) = match self.mode {
+            Mode::Sealed => (Code::Stopping, "the daemon was sealed"),
+            _ if self.stopping => (Code::Stopping, "the daemon is stopping"),
+            Mode::Frozen => (
+                Code::BudgetUnavailable,
+                "witness and platform are both unreachable",
+            ),
+            _ => return None,
+        };
+        Some(Fault::not_run(code, detail))
     }
 
     /// Ends a reservation and charges `used` tokens.
+    ///
+    /// # Panics
+    ///
+    /// When `used` exceeds the bound; the caller ends a stream before that.
+    ///
+    /// # Examples
+    ///
+    /// See [`Drawer`].
     pub fn settle(&mut self, now: Duration, held: Reservation, used: Tokens) {
-        let _ = (now, held, used);
+        let _ = now;
+        let closing = self.stopping;
+        let slot = self.slot(held.slot);
+        slot.settle(held.bound, used);
+        // Waiting requests and a pending return can use what was freed.
+        if slot.need > 0 || closing {
+            self.mark(held.slot);
+        }
     }
 
     /// Takes an event.
+    ///
+    /// # Examples
+    ///
+    /// See [`Drawer`].
     pub fn handle(&mut self, now: Duration, event: Event) {
-        let _ = (now, event);
+        let now = millis(now);
+        match event {
+            Event::Row { budget, row } => self.on_row(now, &budget, row),
+            Event::Committed { budget, version } => self.on_committed(&budget, version),
+            Event::Conflict { budget } => self.on_failed(now, &budget, true),
+            Event::Failed { budget, .. } => self.on_failed(now, &budget, false),
+            Event::Issued { budget, total } => self.on_issued(&budget, total),
+            Event::Mode(mode) => self.on_mode(mode),
+            Event::Billed { budget, total } => self.on_billed(&budget, total),
+            Event::Short { budget } => self.on_short(&budget),
+            Event::Ask {
+                from,
+                budget,
+                tokens,
+            } => self.on_ask(now, from, budget, tokens),
+            Event::Logged(id) => self.on_logged(now, &id),
+            Event::Received(transfer) => self.on_received(now, transfer),
+            Event::Delivered(id) => self.on_delivered(&id),
+            Event::Members(members) => self.on_members(members),
+            Event::Gone(inc) => self.transfers.forget(&inc),
+            Event::Stop => {
+                self.stopping = true;
+                self.mark_all();
+            }
+        }
     }
 
     /// Runs what is due and returns the actions since the last call.
+    ///
+    /// # Examples
+    ///
+    /// See [`Drawer`].
     pub fn poll(&mut self, now: Duration) -> Vec<Action> {
-        let _ = (now, &self.inc, self.mode);
-        Vec::new()
+        let now = millis(now);
+        while let Some(Reverse((due, i))) = self.timers.peek().copied() {
+            if due > now {
+                break;
+            }
+            self.timers.pop();
+            if self.slots[i as usize]
+                .as_ref()
+                .is_some_and(|s| s.due == due)
+            {
+                self.tick(now, i);
+            }
+        }
+        if self.stopping {
+            self.reopen(now);
+        }
+        let mut queue = std::mem::take(&mut self.queue);
+        for i in queue.drain(..) {
+            if let Some(slot) = self.slots[i as usize].as_mut() {
+                slot.queued = false;
+                self.step(now, i);
+            }
+        }
+        // Keeps the capacity, so that marking a slot does not allocate.
+        queue.append(&mut self.queue);
+        self.queue = queue;
+        self.resend(now);
+        std::mem::take(&mut self.out)
     }
 
     /// When [`Drawer::poll`] has to be called next unless an event arrives earlier.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let drawer = cuminloom::budget::Drawer::start("vm-1.0a".into(), 7);
+    /// assert_eq!(drawer.next_due(), None);
+    /// ```
     pub fn next_due(&self) -> Option<Duration> {
-        None
+        if !self.queue.is_empty() || !self.out.is_empty() {
+            return Some(Duration::ZERO);
+        }
+        let timer = self.timers.peek().map(|Reverse((due, _))| *due);
+        let due = timer.into_iter().chain(self.transfers.next_due()).min()?;
+        Some(Duration::from_millis(due))
     }
 
-    /// Figures of all shares that are not closed, for a snapshot or an audit.
+    /// Figures of the shares in use, for a snapshot or an audit.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let drawer = cuminloom::budget::Drawer::start("vm-1.0a".into(), 7);
+    /// assert_eq!(drawer.statements().count(), 0);
+    /// ```
     pub fn statements(&self) -> impl Iterator<Item = Statement> + '_ {
-        std::iter::empty()
+        self.slots.iter().flatten().map(|slot| Statement {
+            budget: slot.id.clone(),
+            inc: self.inc.clone(),
+            issued: slot.ceiling(),
+            spent: slot.spent,
+            reserved: slot.reserved,
+            billed: slot.share.billed,
+            sent: slot.share.sent,
+            received: slot.share.received,
+        })
     }
 
     /// Whether a planned stop has returned and removed every share.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cuminloom::budget::{Drawer, Event};
+    /// let mut drawer = Drawer::start("vm-1.0a".into(), 7);
+    /// drawer.handle(std::time::Duration::ZERO, Event::Stop);
+    /// assert!(drawer.is_done());
+    /// ```
     pub fn is_done(&self) -> bool {
-        false
+        self.stopping
+            && self.index.is_empty()
+            && self.closed.is_empty()
+            && self.transfers.is_empty()
+    }
+
+    pub(super) fn slot(&mut self, i: u32) -> &mut Slot {
+        self.slots[i as usize].as_mut().expect("the slot is in use")
+    }
+
+    pub(super) fn find(&self, budget: &str) -> Option<u32> {
+        self.index.get(budget).copied()
+    }
+
+    pub(super) fn open(&mut self, now: Millis, budget: &BudgetId) -> u32 {
+        let share = self
+            .closed
+            .remove(budget)
+            .map_or_else(Share::default, |s| *s);
+        let drawer = self.draws(budget);
+        let slot = Some(Box::new(Slot::open(budget.clone(), share, now, drawer)));
+        let i = match self.vacant.pop() {
+            Some(i) => {
+                self.slots[i as usize] = slot;
+                i
+            }
+            None => {
+                self.slots.push(slot);
+                u32::try_from(self.slots.len() - 1).expect("fewer than 2^32 budgets")
+            }
+        };
+        self.index.insert(budget.clone(), i);
+        self.mark(i);
+        i
+    }
+
+    /// Drops a slot from memory; its figures stay unless the share was removed from the row.
+    pub(super) fn close(&mut self, i: u32, removed: bool) {
+        let slot = self.slots[i as usize].take().expect("the slot is in use");
+        assert!(slot.reserved == 0, "an open request keeps its slot");
+        self.index.remove(&slot.id);
+        self.vacant.push(i);
+        if !removed && slot.share != Share::default() {
+            self.closed.insert(slot.id, Box::new(slot.share));
+        }
+    }
+
+    fn draws(&self, budget: &str) -> bool {
+        !self.members.contains(&self.inc) || drawers(budget, &self.members).contains(&self.inc)
+    }
+
+    fn on_members(&mut self, members: Vec<Incarnation>) {
+        self.members = members;
+        for i in 0..self.slots.len() {
+            let Some(id) = self.slots[i].as_ref().map(|slot| slot.id.clone()) else {
+                continue;
+            };
+            let drawer = self.draws(&id);
+            if let Some(slot) = self.slots[i].as_mut() {
+                slot.drawer = drawer;
+            }
+        }
+        self.mark_all();
+    }
+
+    #[inline]
+    pub(super) fn mark(&mut self, i: u32) {
+        let slot = self.slot(i);
+        if !slot.queued {
+            slot.queued = true;
+            self.queue.push(i);
+        }
     }
+
+    pub(super) fn mark_all(&mut self) {
+        for (i, slot) in (0..).zip(&mut self.slots) {
+            if let Some(slot) = slot.as_mut().filter(|slot| !slot.queued) {
+                slot.queued = true;
+                self.queue.push(i);
+            }
+        }
+    }
+
+    fn reopen(&mut self, now: Millis) {
+        while self.index.len() < STOP_BATCH {
+            let Some(budget) = self.closed.keys().next().cloned() else {
+                return;
+            };
+            self.open(now, &budget);
+        }
+    }
+}
+
+fn millis(now: Duration) -> Millis {
+    Millis::try_from(now.as_millis()).expect("a process runs for less than 2^64 ms")
+}
+
+fn slot_fault(slot: &Slot) -> Fault {
+    let detail = match slot.reason {
+        Code::NotFound => format!("no budget {:?}", slot.id),
+        Code::BudgetUnavailable => format!("budget {:?} cannot be drawn on", slot.id),
+        _ => format!("budget {:?} has {} free tokens", slot.id, slot.free.max(0)),
+    };
+    Fault::not_run(slot.reason, detail)
 }
--- a/src/budget/event.rs
+++ b/src/budget/event.rs
@@ -41,12 +41,12 @@
     ///
     /// # Examples
     ///
-    /// ```no_run
+    /// ```
     /// use cuminloom::budget::{Drawer, Event, Mode, Reserve, Transfer, TransferId};
     /// use std::time::Duration;
     ///
     /// let mut drawer = Drawer::start("vm-1.0a".into(), 7);
-    /// drawer.handle(Duration::ZERO, Event::Mode(Mode::Unpaired));
+    /// drawer.handle(Duration::ZERO, Event::Mode(Mode::Detached));
     /// let id = TransferId { from: "vm-2.0b".into(), to: "vm-1.0a".into(), number: 1 };
     /// let transfer = Transfer { id, budget: "chat".into(), tokens: 100 };
     /// drawer.handle(Duration::ZERO, Event::Received(transfer));
