Add the configuration machine and its jobs

Several operators edit at several daemons while answers of the platform are lost; an accepted edit must neither revert nor be overwritten, and each conflict must be told to its operator. Deciding an edit by the head alone was ruled out: the object of a version would then be written by two daemons, or left behind by one that failed and read by the others.

An edit is decided by its object, which is written only if absent, and accepted by the compare-and-set of the head. A daemon that finds an object after the head completes it. Items are converted with the path of each faulty field.

--- /dev/null
+++ b/src/config/edit.rs
@@ -0,0 +1,284 @@
+//! Edits of items and how they are written.
+
+use std::{
+    error::Error,
+    fmt,
+    str::FromStr,
+    sync::Arc, //
+};
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use super::{
+    SNAPSHOT_EVERY,
+    check::ItemFault, //
+};
+use crate::{
+    model::Version,
+    store::Write,
+    wire::item::{
+        Customer,
+        Item,
+        Profile,
+        Service,
+        Stop, //
+    },
+};
+
+/// Kind of an item.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Kind {
+    /// Somebody whose services send requests.
+    Customer,
+    /// How a kind of work is treated.
+    Profile,
+    /// A named group of targets.
+    Service,
+    /// A planned stop.
+    Stop,
+}
+
+impl Kind {
+    /// All kinds, in the order in which items refer to each other.
+    pub const ALL: [Kind; 4] = [Kind::Customer, Kind::Service, Kind::Profile, Kind::Stop];
+
+    /// Name of the kind.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// assert_eq!(cuminloom::config::Kind::Stop.as_str(), "stop");
+    /// ```
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Kind::Customer => "customer",
+            Kind::Profile => "profile",
+            Kind::Service => "service",
+            Kind::Stop => "stop",
+        }
+    }
+
+    /// Name of the collection of the kind in paths.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// assert_eq!(cuminloom::config::Kind::Stop.plural(), "stops");
+    /// ```
+    pub fn plural(self) -> &'static str {
+        match self {
+            Kind::Customer => "customers",
+            Kind::Profile => "profiles",
+            Kind::Service => "services",
+            Kind::Stop => "stops",
+        }
+    }
+
+    /// Parses the JSON body of an item of this kind.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a field is missing, unknown or of the wrong type.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cuminloom::config::Kind;
+    /// assert!(Kind::Stop.parse(br#"{"what":"vm","name":"vm-1"}"#).is_ok());
+    /// let fault = Kind::Stop.parse(br#"{"what":"vm","nam":"vm-1"}"#).unwrap_err();
+    /// assert!(fault.to_string().contains("unknown field `nam`"));
+    /// ```
+    pub fn parse(self, body: &[u8]) -> Result<Item, ItemFault> {
+        let item = match self {
+            Kind::Customer => serde_json::from_slice::<Customer>(body).map(Item::from),
+            Kind::Profile => serde_json::from_slice::<Profile>(body).map(Item::from),
+            Kind::Service => serde_json::from_slice::<Service>(body).map(Item::from),
+            Kind::Stop => serde_json::from_slice::<Stop>(body).map(Item::from),
+        };
+        item.map_err(|err| ItemFault::new(self.as_str(), err.to_string()))
+    }
+
+    /// Kind of an item.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cuminloom::config::Kind;
+    /// let item = Kind::Customer.parse(br#"{"keys":[]}"#).unwrap();
+    /// assert_eq!(Kind::of(&item), Kind::Customer);
+    /// ```
+    pub fn of(item: &Item) -> Self {
+        match item {
+            Item::Customer(_) => Kind::Customer,
+            Item::Profile(_) => Kind::Profile,
+            Item::Service(_) => Kind::Service,
+            Item::Stop(_) => Kind::Stop,
+        }
+    }
+}
+
+impl fmt::Display for Kind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+impl FromStr for Kind {
+    type Err = ItemFault;
+
+    /// Accepts the name and the plural.
+    fn from_str(text: &str) -> Result<Self, ItemFault> {
+        let mut all = Kind::ALL.into_iter();
+        all.find(|kind| kind.as_str() == text || kind.plural() == text)
+            .ok_or_else(|| ItemFault::new("", format!("{text:?} is no kind of item")))
+    }
+}
+
+/// JSON of an item, without its kind.
+pub(crate) fn body_of(item: &Item) -> serde_json::Value {
+    match item {
+        Item::Customer(it) => serde_json::to_value(it),
+        Item::Profile(it) => serde_json::to_value(it),
+        Item::Service(it) => serde_json::to_value(it),
+        Item::Stop(it) => serde_json::to_value(it),
+    }
+    .expect("items have string keys")
+}
+
+/// A change that an operator wants.
+#[derive(Clone, Debug)]
+pub struct Change {
+    /// Kind of the item.
+    pub kind: Kind,
+    /// Name of the item.
+    pub name: Arc<str>,
+    /// New content; `None` deletes the item.
+    pub value: Option<Item>,
+    /// Version of the item that the operator saw; `None` when it must not exist.
+    pub if_match: Option<Version>,
+    /// Operator who asks.
+    pub operator: Arc<str>,
+    /// Seconds since the Unix epoch.
+    pub time: u64,
+    /// Identifies the request, so that repeating it has no second effect.
+    pub request: Arc<str>,
+}
+
+/// An edit, the content of the object `config/edit/<version>`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Edit {
+    /// Version of the configuration that the edit makes.
+    pub version: Version,
+    /// Kind of the item.
+    pub kind: Kind,
+    /// Name of the item.
+    pub name: Arc<str>,
+    /// Content of the item; `None` when it was deleted.
+    pub value: Option<Item>,
+    /// Operator who asked.
+    pub operator: Arc<str>,
+    /// Seconds since the Unix epoch.
+    pub time: u64,
+    /// Identifies the operator's request.
+    pub request: Arc<str>,
+}
+
+impl Edit {
+    /// Whether this edit was made for the request of `change`.
+    pub(super) fn answers(&self, change: &Change) -> bool {
+        self.request == change.request && self.operator == change.operator
+    }
+
+    /// Whether this edit does what `change` asks for.
+    pub(super) fn does(&self, change: &Change) -> bool {
+        self.kind == change.kind
+            && self.name == change.name
+            && self.value.as_ref().map(body_of) == change.value.as_ref().map(body_of)
+    }
+}
+
+/// Edits in the order of their versions: the content of the object `config/snapshot/<version>`,
+/// and what a daemon sends to a peer.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Batch {
+    /// Version of the configuration after the edits.
+    pub version: Version,
+    /// Whether the edits make the whole configuration. Otherwise they follow each other and the
+    /// receiver needs the version before the first one.
+    pub full: bool,
+    /// The edits.
+    pub edits: Vec<Arc<Edit>>,
+}
+
+/// Name of the object that holds an edit.
+pub(super) fn edit_name(version: Version) -> Arc<str> {
+    format!("config/edit/{version}").into()
+}
+
+/// Name of the object that holds a snapshot.
+pub(super) fn snapshot_name(version: Version) -> Arc<str> {
+    format!("config/snapshot/{version}").into()
+}
+
+/// Whether a snapshot is written at this version.
+pub(super) fn snapshot_due(version: Version) -> bool {
+    version > 0 && version.is_multiple_of(SNAPSHOT_EVERY)
+}
+
+/// What must be written to accept an edit: first the object, then the commit.
+#[derive(Clone, Debug)]
+pub struct Proposed {
+    /// The edit.
+    pub edit: Arc<Edit>,
+    /// Name and content of the object.
+    pub object: (Arc<str>, Vec<u8>),
+    /// Advances the head by compare-and-set.
+    pub commit: Vec<Write>,
+}
+
+/// Why a change was refused. Nothing was changed.
+#[derive(Clone, Debug)]
+pub enum Refusal {
+    /// The item changed since the operator saw it; its last edit, if it is still known.
+    Conflict(Option<Arc<Edit>>),
+    /// There is no such item to delete.
+    Missing,
+    /// The item is faulty or does not fit the others.
+    Invalid(Vec<ItemFault>),
+    /// The request id was used for another change.
+    Reused(Arc<Edit>),
+    /// The configuration at hand is not the one that the head names.
+    Behind,
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Refusal::Conflict(Some(edit)) => write!(
+                f,
+                "{} {:?} was changed by {} in version {}",
+                edit.kind, edit.name, edit.operator, edit.version
+            ),
+            Refusal::Conflict(None) => f.write_str("the item is not at the expected version"),
+            Refusal::Missing => f.write_str("there is no such item"),
+            Refusal::Invalid(faults) => {
+                let texts: Vec<String> = faults.iter().map(ToString::to_string).collect();
+                f.write_str(&texts.join("; "))
+            }
+            Refusal::Reused(edit) => {
+                write!(
+                    f,
+                    "the request id belongs to the edit of version {}",
+                    edit.version
+                )
+            }
+            Refusal::Behind => f.write_str("the configuration is behind the head"),
+        }
+    }
+}
+
+impl Error for Refusal {}
--- /dev/null
+++ b/tests/config_run.rs
@@ -0,0 +1,342 @@
+//! Seeded runs of edits at several daemons with lost answers, late messages and restarts.
+
+use std::{
+    collections::BTreeMap,
+    sync::Arc, //
+};
+
+use cuminloom::{
+    config::{
+        Answer,
+        Batch,
+        Change,
+        Config,
+        Edit,
+        HEAD,
+        Job,
+        JobFault,
+        Kind,
+        Received,
+        Refusal,
+        Step, //
+    },
+    store::{
+        StoreFault,
+        Write, //
+    },
+};
+use cuminloom_standins::store::MemStore;
+use rand::{
+    RngExt,
+    SeedableRng,
+    rngs::StdRng, //
+};
+
+const DAEMONS: usize = 4;
+const STEPS: usize = 4_000;
+const SEEDS: u64 = 40;
+
+/// What an operator was told.
+type Told = Result<Arc<Edit>, JobFault>;
+
+enum Delayed {
+    Put(Arc<str>, Vec<u8>),
+    Commit(Vec<Write>),
+}
+
+struct Running {
+    daemon: usize,
+    job: Job,
+    step: Step,
+    change: Option<Change>,
+}
+
+struct Run {
+    rng: StdRng,
+    store: MemStore,
+    away: bool,
+    delayed: Vec<Delayed>,
+    daemons: Vec<Config>,
+    running: Vec<Running>,
+    messages: Vec<Batch>,
+    head: u64,
+    results: BTreeMap<Arc<str>, (Change, Vec<Told>)>,
+    unsure: Vec<Change>,
+}
+
+impl Run {
+    fn new(seed: u64) -> Self {
+        Self {
+            rng: StdRng::seed_from_u64(seed),
+            store: MemStore::default(),
+            away: false,
+            delayed: Vec::new(),
+            daemons: vec![Config::default(); DAEMONS],
+            running: Vec::new(),
+            messages: Vec::new(),
+            head: 0,
+            results: BTreeMap::new(),
+            unsure: Vec::new(),
+        }
+    }
+
+    fn write(&mut self, write: Delayed) -> Answer {
+        let answer = match write {
+            Delayed::Put(name, body) => Answer::Put(self.store.put_new(&name, &body)),
+            Delayed::Commit(writes) => Answer::Commit(self.store.commit(&writes)),
+        };
+        let row = self.store.read(HEAD);
+        let head = row.map_or(0, |row| row.value["version"].as_u64().unwrap());
+        assert!(
+            head >= self.head,
+            "the head went from {} to {head}",
+            self.head
+        );
+        self.head = head;
+        answer
+    }
+
+    /// Executes a step; the answer may be lost, and a write without answer may apply later.
+    fn execute(&mut self, step: &Step) -> Answer {
+        let luck = self.rng.random_range(0..40);
+        if self.away || luck == 0 {
+            return Answer::Fault(StoreFault::Unavailable);
+        }
+        let write = match step.clone() {
+            Step::Head => return self.read(luck, Answer::Head(self.store.read(HEAD))),
+            Step::Get(name) => {
+                let body = self.store.get(&name).map(<[u8]>::to_vec);
+                return self.read(luck, Answer::Object(body));
+            }
+            Step::Put(name, body) => Delayed::Put(name, body),
+            Step::Commit(writes) => Delayed::Commit(writes),
+            Step::Done(_) => unreachable!("finished jobs are removed"),
+        };
+        match luck {
+            1 => drop(self.write(write)),
+            2 | 3 => self.delayed.push(write),
+            _ => return self.write(write),
+        }
+        Answer::Fault(StoreFault::Unknown)
+    }
+
+    fn read(&self, luck: u32, answer: Answer) -> Answer {
+        match luck {
+            1 => Answer::Fault(StoreFault::Unknown),
+            _ => answer,
+        }
+    }
+
+    fn start(&mut self, daemon: usize, change: Option<Change>) {
+        let mut job = match &change {
+            Some(change) => Job::edit(change.clone()),
+            None => Job::poll(self.rng.random_bool(0.3)),
+        };
+        let step = job.start();
+        self.running.push(Running {
+            daemon,
+            job,
+            step,
+            change,
+        });
+    }
+
+    /// An operator edits or deletes what the daemon shows, or repeats a change without answer.
+    fn operate(&mut self, number: usize) {
+        let daemon = self.rng.random_range(0..DAEMONS);
+        if !self.unsure.is_empty() && self.rng.random_bool(0.5) {
+            let change = self.unsure.swap_remove(0);
+            return self.start(daemon, Some(change));
+        }
+        let name: Arc<str> = format!("stop-{}", self.rng.random_range(0..4)).into();
+        let shown = self.daemons[daemon].item(Kind::Stop, &name);
+        let body = format!(r#"{{"what":"vm","name":"vm-{number}"}}"#);
+        let deletes = shown.is_some() && self.rng.random_bool(0.2);
+        let value = (!deletes).then(|| Kind::Stop.parse(body.as_bytes()).unwrap());
+        let change = Change {
+            kind: Kind::Stop,
+            if_match: shown.map(|edit| edit.version),
+            name,
+            value,
+            operator: format!("operator-{}", number % 3).into(),
+            time: 0,
+            request: format!("r{number}").into(),
+        };
+        let entry = (change.clone(), Vec::new());
+        self.results.insert(change.request.clone(), entry);
+        self.start(daemon, Some(change));
+    }
+
+    fn advance(&mut self) {
+        let at = self.rng.random_range(0..self.running.len());
+        let mut running = self.running.swap_remove(at);
+        let answer = self.execute(&running.step);
+        let config = &mut self.daemons[running.daemon];
+        let before = config.version();
+        running.step = running.job.handle(config, answer);
+        assert!(config.version() >= before, "a daemon lowered its version");
+        let Step::Done(result) = &running.step else {
+            return self.running.push(running);
+        };
+        assert!(!matches!(result, Err(JobFault::Corrupt(_))), "{result:?}");
+        let Some(change) = running.change else { return };
+        let result = result.clone().map(|edit| edit.expect("the own edit"));
+        if matches!(result, Err(JobFault::Uncertain)) {
+            self.unsure.push(change.clone());
+        }
+        let entry = self.results.get_mut(&change.request).unwrap();
+        entry.1.push(result);
+    }
+
+    /// A daemon sends what it has, from any version; messages are lost, late and repeated.
+    fn gossip(&mut self) {
+        let from = self.rng.random_range(0..DAEMONS);
+        let version = self.daemons[from].version();
+        let after = self.rng.random_range(0..=version);
+        self.messages.push(self.daemons[from].since(after));
+        let message = self.rng.random_range(0..self.messages.len());
+        let to = self.rng.random_range(0..DAEMONS);
+        let before = self.daemons[to].version();
+        let received = self.daemons[to].receive(&self.messages[message]).unwrap();
+        assert!(self.daemons[to].version() >= before);
+        assert_eq!(
+            matches!(received, Received::Advanced(_)),
+            self.daemons[to].version() > before
+        );
+        if self.messages.len() > 30 {
+            self.messages.swap_remove(message);
+        }
+    }
+
+    /// The daemon and its jobs end; their operators get no answer and ask again.
+    fn restart(&mut self) {
+        let daemon = self.rng.random_range(0..DAEMONS);
+        self.daemons[daemon] = Config::default();
+        let (gone, left) = std::mem::take(&mut self.running)
+            .into_iter()
+            .partition(|running| running.daemon == daemon);
+        self.running = left;
+        for change in Vec::<Running>::into_iter(gone).filter_map(|it| it.change) {
+            let entry = self.results.get_mut(&change.request).unwrap();
+            entry.1.push(Err(JobFault::Uncertain));
+            self.unsure.push(change);
+        }
+        if self.away {
+            // Peers alone must bring the daemon to the highest version that any of them has.
+            let batches: Vec<Batch> = self.daemons.iter().map(|it| it.since(0)).collect();
+            let highest = batches.iter().map(|it| it.version).max().unwrap();
+            batches.iter().for_each(|batch| {
+                self.daemons[daemon].receive(batch).unwrap();
+            });
+            assert_eq!(self.daemons[daemon].version(), highest);
+        }
+    }
+
+    fn run(&mut self) {
+        for number in 0..STEPS {
+            match self.rng.random_range(0..100) {
+                0..=7 => self.operate(number),
+                8..=13 => self.start(number % DAEMONS, None),
+                14..=19 => self.gossip(),
+                20 if self.rng.random_bool(0.3) => self.restart(),
+                21 => self.away = self.rng.random_bool(0.2),
+                22..=24 if !self.delayed.is_empty() => {
+                    let at = self.rng.random_range(0..self.delayed.len());
+                    let write = self.delayed.swap_remove(at);
+                    self.write(write);
+                }
+                _ if !self.running.is_empty() => self.advance(),
+                _ => {}
+            }
+        }
+        while !self.running.is_empty() {
+            self.advance();
+        }
+        while let Some(write) = self.delayed.pop() {
+            self.write(write);
+        }
+    }
+
+    /// Reads the accepted edits from the store and compares them with what was told to whom.
+    fn judge(&self) -> [usize; 3] {
+        let log: Vec<Edit> = (1..=self.head)
+            .map(|version| self.store.get(&format!("config/edit/{version}")).unwrap())
+            .map(|body| serde_json::from_slice(body).unwrap())
+            .collect();
+        let mut counts = [0; 3];
+        for (change, results) in self.results.values() {
+            let mut own = log.iter().filter(|edit| edit.request == change.request);
+            let accepted = own.next();
+            assert!(own.next().is_none(), "accepted twice: {change:?}");
+            for result in results {
+                match result {
+                    Ok(edit) => {
+                        counts[0] += 1;
+                        assert_eq!(accepted.map(|it| it.version), Some(edit.version));
+                    }
+                    Err(JobFault::Refused(Refusal::Conflict(Some(other)))) => {
+                        counts[1] += 1;
+                        let last = &log[other.version as usize - 1];
+                        assert_eq!((&last.request, &last.name), (&other.request, &change.name));
+                        assert!(Some(other.version) > change.if_match);
+                        assert!(accepted.is_none(), "refused and accepted: {change:?}");
+                    }
+                    Err(JobFault::Uncertain) => counts[2] += 1,
+                    Err(_) if results.len() == 1 => {
+                        assert!(accepted.is_none(), "{result:?} and accepted: {change:?}");
+                    }
+                    Err(_) => {}
+                }
+            }
+        }
+        self.judge_items(&log);
+        counts
+    }
+
+    /// Each accepted edit follows the version that its operator saw, and nothing is reverted.
+    fn judge_items(&self, log: &[Edit]) {
+        let mut items: BTreeMap<&str, &Edit> = BTreeMap::new();
+        for edit in log {
+            let (change, _) = &self.results[&edit.request];
+            let seen = items.get(&*edit.name).map(|it| it.version);
+            assert_eq!(change.if_match, seen, "overwrote an edit: {edit:?}");
+            match edit.value {
+                Some(_) => items.insert(&edit.name, edit),
+                None => items.remove(&*edit.name),
+            };
+        }
+        let mut fresh = Config::default();
+        let mut job = Job::poll(false);
+        let mut step = job.start();
+        while !matches!(step, Step::Done(_)) {
+            let answer = match &step {
+                Step::Head => Answer::Head(self.store.read(HEAD)),
+                Step::Get(name) => Answer::Object(self.store.get(name).map(<[u8]>::to_vec)),
+                other => panic!("a poll wants {other:?}"),
+            };
+            step = job.handle(&mut fresh, answer);
+        }
+        assert_eq!(fresh.version(), self.head);
+        let stops = fresh.items(Kind::Stop).map(|edit| edit.version);
+        assert!(stops.eq(items.values().map(|edit| edit.version)));
+    }
+}
+
+/// Guards against a lost or reverted edit, an edit that is accepted twice or over another one, a
+/// refusal that took effect, and a version that falls.
+#[test]
+fn edits_of_several_operators_never_revert() {
+    let mut total = [0; 3];
+    let mut longest = 0;
+    for seed in 0..SEEDS {
+        let mut run = Run::new(seed);
+        run.run();
+        for (sum, count) in total.iter_mut().zip(run.judge()) {
+            *sum += count;
+        }
+        longest = longest.max(run.head);
+    }
+    // The runs must reach what they are about.
+    assert!(total.iter().all(|count| *count > 100), "{total:?}");
+    assert!(longest > 70, "no run wrote a snapshot: {longest}");
+}
