--- a/src/bin/cuminloomd.rs
+++ b/src/bin/cuminloomd.rs
@@ -1,2 +1,92 @@
 //! The cuminloom daemon.
-fn main() {}
+
+use std::{
+    path::PathBuf,
+    process::ExitCode, //
+};
+
+use clap::{
+    Arg,
+    ArgAction,
+    Command,
+    value_parser, //
+};
+use cuminloom::{
+    kernel::Daemon,
+    settings::{
+        Settings,
+        faults, //
+    },
+    telemetry::init_log,
+};
+use signal_hook::{
+    consts::{
+        SIGINT,
+        SIGTERM, //
+    },
+    iterator::Signals, //
+};
+
+/// Exit code for faulty settings.
+const BAD_SETTINGS: u8 = 2;
+
+fn command() -> Command {
+    Command::new("cuminloomd")
+        .version(clap::crate_version!())
+        .about("Routes requests to model engines and plain services within prepaid token budgets.")
+        .after_help(
+            "Examples:\n  cuminloomd --settings /etc/cuminloom.jsonc --check\n  \
+             cuminloomd --settings /etc/cuminloom.jsonc\n\nSIGTERM and SIGINT start a planned stop. \
+             Exit codes: 0 stopped, 1 failed, 2 faulty settings.",
+        )
+        .arg(
+            Arg::new("settings")
+                .long("settings")
+                .value_name("FILE")
+                .required(true)
+                .value_parser(value_parser!(PathBuf))
+                .help("Settings file: JSON with comments"),
+        )
+        .arg(
+            Arg::new("check")
+                .long("check")
+                .action(ArgAction::SetTrue)
+                .help("Check the settings, report every fault and exit"),
+        )
+}
+
+fn main() -> ExitCode {
+    let matches = command().get_matches();
+    let path = matches
+        .get_one::<PathBuf>("settings")
+        .expect("clap requires the argument");
+    let settings = match Settings::open(path) {
+        Ok(settings) => settings,
+        Err(report) => {
+            for fault in faults(&report) {
+                eprintln!("{}: {fault}", path.display());
+            }
+            return ExitCode::from(BAD_SETTINGS);
+        }
+    };
+    if matches.get_flag("check") {
+        println!("{}: ok", path.display());
+        return ExitCode::SUCCESS;
+    }
+    init_log(settings.log.as_str());
+    // Signals are taken over before the start, so that none is lost.
+    let mut signals = Signals::new([SIGTERM, SIGINT]).expect("the system can handle signals");
+    let daemon = match Daemon::open(settings) {
+        Ok(daemon) => daemon,
+        Err(report) => {
+            eprintln!("cuminloomd: {report:?}");
+            return ExitCode::FAILURE;
+        }
+    };
+    signals.forever().next();
+    if daemon.drain() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
--- /dev/null
+++ b/src/caller/auth.rs
@@ -0,0 +1,55 @@
+//! Authentication of callers.
+
+use sha2::{
+    Digest,
+    Sha256, //
+};
+use tiny_http::Request;
+
+use crate::model::{
+    Code,
+    Configuration,
+    Customer,
+    Fault,
+    Key,
+    Profile, //
+};
+
+/// Returns the value of a header, if there is one.
+pub(crate) fn header_of<'a>(request: &'a Request, name: &'static str) -> Option<&'a str> {
+    let found = request
+        .headers()
+        .iter()
+        .find(|header| header.field.equiv(name));
+    found.map(|header| header.value.as_str())
+}
+
+/// Finds the customer whose key the request carries.
+pub(crate) fn customer<'a>(
+    request: &Request,
+    config: &'a Configuration,
+) -> Result<&'a Customer, Fault> {
+    let refused = || Fault::not_run(Code::Unauthorized, "the key is missing or unknown");
+    let token = header_of(request, "authorization")
+        .and_then(|value| value.strip_prefix("Bearer "))
+        .ok_or_else(refused)?;
+    // Hashes are compared, so the time of the comparison says nothing about a key.
+    let key = Key(Sha256::digest(token.trim().as_bytes()).into());
+    let mut customers = config.customers.values();
+    customers
+        .find(|customer| customer.keys.contains(&key))
+        .ok_or_else(refused)
+}
+
+/// Finds a profile that the customer may use. A profile of others is reported like an unknown one,
+/// so that its name does not leak.
+pub(crate) fn profile<'a>(
+    config: &'a Configuration,
+    customer: &Customer,
+    name: &str,
+) -> Result<&'a Profile, Fault> {
+    let profile = config.profiles.get(name);
+    profile
+        .filter(|profile| profile.customers.contains(&customer.id))
+        .ok_or_else(|| Fault::not_run(Code::NotFound, format!("no profile {name:?} for this key")))
+}
--- /dev/null
+++ b/src/caller/chat.rs
@@ -0,0 +1,218 @@
+//! Requests in the chat-completions dialect.
+
+use std::sync::Arc;
+
+use serde_json::{
+    Map,
+    Value,
+    json, //
+};
+
+use crate::model::{
+    Code,
+    Fault,
+    Tokens,
+    Urgency, //
+};
+
+/// Tokens that an engine's template may add around each message.
+const MESSAGE_OVERHEAD: Tokens = 16;
+
+/// Priority sent to engines for urgent and patient work; a lower value runs first.
+const PRIORITY: [i64; 2] = [0, 10];
+
+/// A chat request whose cost has a known upper bound.
+#[derive(Clone, Debug)]
+pub struct Chat {
+    body: Map<String, Value>,
+    prompt: Tokens,
+    choices: Tokens,
+    asked: Option<Tokens>,
+}
+
+impl Chat {
+    /// Reads the body of a request.
+    ///
+    /// # Errors
+    ///
+    /// Fails with verdict not-run when the body is malformed or its cost has no upper bound.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cuminloom::caller::Chat;
+    /// let body = br#"{"model": "chat", "messages": [{"role": "user", "content": "Hi"}]}"#;
+    /// let chat = Chat::parse(body).unwrap();
+    /// assert_eq!(chat.profile(), Some("chat"));
+    /// assert_eq!(chat.bound(100), body.len() as u64 + 2 * 16 + 100);
+    /// assert!(Chat::parse(b"[]").is_err());
+    /// ```
+    pub fn parse(body: &[u8]) -> Result<Self, Fault> {
+        let parsed: Value = serde_json::from_slice(body)
+            .map_err(|err| bad(format!("the body is not JSON: {err}")))?;
+        let Value::Object(map) = parsed else {
+            return Err(bad("the body is not a JSON object"));
+        };
+        let Some(Value::Array(messages)) = map.get("messages") else {
+            return Err(bad("\"messages\" is missing or not an array"));
+        };
+        if messages.iter().any(has_media) {
+            // The tokens of an image or sound are not bounded by the size of the body.
+            return Err(bad("only text content is accepted"));
+        }
+        let overhead = MESSAGE_OVERHEAD * (messages.len() as Tokens + 1);
+        // No token of a byte-level tokenizer is shorter than one byte of the text, and the text is
+        // no longer than the body, so the body's length bounds the prompt. An escaped character
+        // takes more bytes in the body than in the text, never fewer.
+        let prompt = body.len() as Tokens + overhead;
+        let choices = number(&map, "n")?.unwrap_or(1).max(1);
+        let asked = match (
+            number(&map, "max_tokens")?,
+            number(&map, "max_completion_tokens")?,
+        ) {
+            (Some(a), Some(b)) => Some(a.min(b)),
+            (a, b) => a.or(b),
+        };
+        Ok(Self {
+            body: map,
+            prompt,
+            choices,
+            asked,
+        })
+    }
+
+    /// The profile named in the `model` field.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let chat = cuminloom::caller::Chat::parse(br#"{"messages": []}"#).unwrap();
+    /// assert_eq!(chat.profile(), None);
+    /// ```
+    pub fn profile(&self) -> Option<&str> {
+        self.body.get("model")?.as_str()
+    }
+
+    /// Whether the caller asked for a stream.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let chat = cuminloom::caller::Chat::parse(br#"{"messages": [], "stream": true}"#).unwrap();
+    /// assert!(chat.is_stream());
+    /// ```
+    pub fn is_stream(&self) -> bool {
+        self.body
+            .get("stream")
+            .and_then(Value::as_bool)
+            .unwrap_or(false)
+    }
+
+    /// Whether the caller asked for a chunk with the usage at the end of the stream.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let body = br#"{"messages": [], "stream_options": {"include_usage": true}}"#;
+    /// assert!(cuminloom::caller::Chat::parse(body).unwrap().wants_usage());
+    /// ```
+    pub fn wants_usage(&self) -> bool {
+        let options = self.body.get("stream_options");
+        options
+            .and_then(|o| o.get("include_usage"))
+            .and_then(Value::as_bool)
+            .unwrap_or(false)
+    }
+
+    /// Upper bound of the tokens that the request can cost, when one choice is limited to `output`
+    /// tokens.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let body = br#"{"messages": [], "n": 2, "max_tokens": 5}"#;
+    /// let chat = cuminloom::caller::Chat::parse(body).unwrap();
+    /// assert_eq!(chat.bound(100), body.len() as u64 + 16 + 2 * 5);
+    /// ```
+    pub fn bound(&self, output: Tokens) -> Tokens {
+        let each = self.output(output);
+        self.prompt
+            .saturating_add(each.saturating_mul(self.choices))
+    }
+
+    /// Tokens that one choice may generate.
+    fn output(&self, limit: Tokens) -> Tokens {
+        self.asked.map_or(limit, |asked| asked.min(limit))
+    }
+
+    /// Hash of the start of the conversation, for prefix affinity; 0 when there is none.
+    pub(crate) fn affinity(&self) -> u64 {
+        let first = self
+            .body
+            .get("messages")
+            .and_then(|messages| messages.get(0));
+        first.map_or(0, |message| hash(message.to_string().as_bytes()))
+    }
+
+    /// Body of the request to an engine that knows the model as `model`.
+    pub(crate) fn outgoing(&self, send: &Sending<'_>) -> Arc<[u8]> {
+        let mut body = self.body.clone();
+        body.insert("model".into(), json!(send.model));
+        body.insert("max_tokens".into(), json!(self.output(send.output)));
+        body.remove("max_completion_tokens");
+        body.insert("cache_salt".into(), json!(send.salt));
+        let urgent = send.urgency == Urgency::Urgent;
+        body.insert("priority".into(), json!(PRIORITY[usize::from(!urgent)]));
+        if self.is_stream() {
+            body.insert("stream_options".into(), json!({ "include_usage": true }));
+        } else {
+            body.remove("stream_options");
+        }
+        serde_json::to_vec(&body)
+            .expect("JSON values can be written")
+            .into()
+    }
+}
+
+/// What the daemon sets in a request to an engine.
+pub(crate) struct Sending<'a> {
+    /// Model name at the engine.
+    pub(crate) model: &'a str,
+    /// Output limit of one choice, in tokens.
+    pub(crate) output: Tokens,
+    /// Cache salt of the customer, which keeps its prompt prefixes apart from others'.
+    pub(crate) salt: &'a str,
+    /// How urgent the request is.
+    pub(crate) urgency: Urgency,
+}
+
+/// First eight bytes of the SHA-256 of `bytes`.
+pub(crate) fn hash(bytes: &[u8]) -> u64 {
+    use sha2::Digest;
+    let digest = sha2::Sha256::digest(bytes);
+    u64::from_be_bytes(digest[..8].try_into().expect("a digest has 32 bytes"))
+}
+
+fn bad(detail: impl Into<Arc<str>>) -> Fault {
+    Fault::not_run(Code::BadRequest, detail)
+}
+
+fn number(map: &Map<String, Value>, name: &str) -> Result<Option<Tokens>, Fault> {
+    match map.get(name) {
+        None | Some(Value::Null) => Ok(None),
+        Some(value) => match value.as_u64() {
+            Some(number) => Ok(Some(number)),
+            None => Err(bad(format!("{name:?} is not a whole number of at least 0"))),
+        },
+    }
+}
+
+/// Whether a message holds parts other than text.
+fn has_media(message: &Value) -> bool {
+    let Some(Value::Array(parts)) = message.get("content") else {
+        return false;
+    };
+    parts
+        .iter()
+        .any(|part| part.get("type").and_then(Value::as_str) != Some("text"))
+}
--- /dev/null
+++ b/src/caller/exchange.rs
@@ -0,0 +1,334 @@
+//! The path of one accepted request: admission, queue, send, answer, bill.
+
+use std::time::Duration;
+
+use crate::{
+    kernel::Context,
+    model::{
+        Code,
+        Fault,
+        Profile,
+        Repeat,
+        TargetKind,
+        Tokens,
+        Urgency,
+        Verdict, //
+    },
+    node::Admission,
+    route::{
+        Ended,
+        Job, //
+    },
+    target::{
+        Outgoing,
+        Reply,
+        send, //
+    },
+    telemetry::{
+        Span,
+        SpanKind,
+        TraceContext, //
+    },
+};
+
+/// Who sends a request, under which profile, and what is known of its cost.
+pub(crate) struct Order<'a> {
+    /// Profile of the request.
+    pub(crate) profile: &'a Profile,
+    /// Customer that sent it.
+    pub(crate) customer: &'a str,
+    /// What the targets speak.
+    pub(crate) kind: TargetKind,
+    /// Upper bound of its cost, in tokens.
+    pub(crate) bound: Tokens,
+    /// Hash of customer and body.
+    pub(crate) print: u64,
+    /// Hash of the prompt's start, or 0.
+    pub(crate) affinity: u64,
+    /// Time of arrival on the daemon's clock.
+    pub(crate) start: Duration,
+    /// Span of the request.
+    pub(crate) trace: TraceContext,
+}
+
+/// What the target's answer came to.
+pub(crate) struct Delivered {
+    /// Tokens that the target reports; `None` when it reported none.
+    pub(crate) tokens: Option<Tokens>,
+    /// How the exchange ended for the router.
+    pub(crate) ended: Ended,
+    /// Failure to report when the answer did not arrive whole.
+    pub(crate) fault: Option<Fault>,
+}
+
+/// A kind of request: how it is sent and how its answer is passed on.
+pub(crate) trait Work {
+    /// Builds the request; `id` names it towards the target and `trace` continues its trace.
+    fn outgoing(&self, addr: std::net::SocketAddr, id: &str, trace: TraceContext) -> Outgoing;
+
+    /// Takes the target's answer.
+    fn deliver(&mut self, reply: Reply) -> Delivered;
+}
+
+/// Runs one request to its end. The work has passed on or kept the answer when this returns `Ok`.
+///
+/// # Errors
+///
+/// Fails with the verdict of the last attempt, or with may-have-run when an earlier attempt may
+/// have run.
+pub(crate) fn run<W: Work>(ctx: &Context, order: &Order<'_>, work: &mut W) -> Result<(), Fault> {
+    let mut attempted = false;
+    let mut ticket = Ticket { ctx, number: None };
+    loop {
+        let outcome = attempt(ctx, order, work, &mut ticket);
+        match outcome {
+            Ok(()) => return Ok(()),
+            Err(Failed { fault, retry: true }) => {
+                attempted |= fault.verdict != Verdict::NotRun;
+                let service = &*order.profile.service;
+                ctx.metrics.retries.with_label_values(&[service]).inc();
+            }
+            Err(Failed { mut fault, .. }) => {
+                if attempted && fault.verdict == Verdict::NotRun {
+                    fault.verdict = Verdict::MayHaveRun;
+                }
+                return Err(fault);
+            }
+        }
+    }
+}
+
+struct Failed {
+    fault: Fault,
+    retry: bool,
+}
+
+impl From<Fault> for Failed {
+    fn from(fault: Fault) -> Self {
+        Self {
+            fault,
+            retry: false,
+        }
+    }
+}
+
+/// The request's place in the router, given up when the request ends early.
+struct Ticket<'a> {
+    ctx: &'a Context,
+    number: Option<u64>,
+}
+
+impl Drop for Ticket<'_> {
+    fn drop(&mut self) {
+        if let Some(ticket) = self.number {
+            self.ctx.router.finish(ticket, Ended::Cancelled);
+        }
+    }
+}
+
+/// The reservation of one attempt. It is charged in full unless the attempt says otherwise, because
+/// a request that was sent may have cost all of it.
+struct Paid<'a> {
+    ctx: &'a Context,
+    service: &'a str,
+    seq: u64,
+    bound: Tokens,
+    open: bool,
+}
+
+impl Paid<'_> {
+    fn settle(&mut self, tokens: Tokens, verdict: Verdict) {
+        if !std::mem::take(&mut self.open) {
+            return;
+        }
+        if tokens > self.bound {
+            self.ctx
+                .metrics
+                .overruns
+                .with_label_values(&[self.service])
+                .inc();
+        }
+        let charged = tokens.min(self.bound);
+        self.ctx
+            .metrics
+            .tokens
+            .with_label_values(&[self.service])
+            .inc_by(charged);
+        self.ctx.node.finish(self.seq, charged, verdict);
+    }
+}
+
+impl Drop for Paid<'_> {
+    fn drop(&mut self) {
+        self.settle(self.bound, Verdict::MayHaveRun);
+    }
+}
+
+fn attempt<W: Work>(
+    ctx: &Context,
+    order: &Order<'_>,
+    work: &mut W,
+    ticket: &mut Ticket<'_>,
+) -> Result<(), Failed> {
+    let mut paid = admit(ctx, order)?;
+    let slot = match queue(ctx, order, ticket) {
+        Ok(slot) => slot,
+        Err(fault) => {
+            paid.settle(0, Verdict::NotRun);
+            return Err(fault.into());
+        }
+    };
+    let id = format!("{}-{}", ctx.process, paid.seq);
+    let trace = order.trace.child();
+    let mut span = ctx
+        .tracer
+        .start("send", SpanKind::Client, trace, order.trace.span);
+    span.note("target", &slot.target);
+    let delivered = match send(&work.outgoing(slot.addr, &id, trace)) {
+        Ok(reply) if is_refusal(&reply, order) => refused(),
+        Ok(reply) => {
+            ctx.router.first_byte(slot.ticket);
+            observe_first(ctx, order);
+            work.deliver(reply)
+        }
+        Err(fault) => unsent(fault),
+    };
+    finish(ctx, delivered, &mut paid, ticket, span)
+}
+
+fn finish(
+    ctx: &Context,
+    delivered: Delivered,
+    paid: &mut Paid<'_>,
+    ticket: &mut Ticket<'_>,
+    mut span: Span,
+) -> Result<(), Failed> {
+    let Delivered {
+        tokens,
+        ended,
+        fault,
+    } = delivered;
+    let verdict = fault.as_ref().map_or(Verdict::Ran, |fault| fault.verdict);
+    let charge = match verdict {
+        Verdict::NotRun => 0,
+        _ => tokens.unwrap_or(paid.bound),
+    };
+    paid.settle(charge, verdict);
+    span.note("verdict", verdict);
+    ctx.tracer.end(span);
+    let number = ticket.number.expect("the attempt was dispatched");
+    let retry = ctx.router.finish(number, ended);
+    if !retry {
+        ticket.number = None;
+    }
+    match fault {
+        None => Ok(()),
+        Some(fault) => Err(Failed { fault, retry }),
+    }
+}
+
+fn admit<'a>(ctx: &'a Context, order: &Order<'a>) -> Result<Paid<'a>, Fault> {
+    let span = ctx.tracer.start(
+        "admit",
+        SpanKind::Internal,
+        order.trace.child(),
+        order.trace.span,
+    );
+    let admission = Admission {
+        customer: order.customer.into(),
+        profile: order.profile.id.clone(),
+        budget: order.profile.budget.clone(),
+        bound: order.bound,
+    };
+    let deadline = order.start + order.profile.deadline;
+    let admitted = ctx.node.admit(admission, deadline);
+    ctx.tracer.end(span);
+    let service = &*order.profile.service;
+    Ok(Paid {
+        ctx,
+        service,
+        seq: admitted?,
+        bound: order.bound,
+        open: true,
+    })
+}
+
+fn queue(
+    ctx: &Context,
+    order: &Order<'_>,
+    ticket: &mut Ticket<'_>,
+) -> Result<crate::route::Slot, Fault> {
+    let span = ctx.tracer.start(
+        "queue",
+        SpanKind::Internal,
+        order.trace.child(),
+        order.trace.span,
+    );
+    let dispatched = match ticket.number {
+        // A retry is in the queue already.
+        Some(number) => ctx.router.wait(number),
+        None => ctx.router.enqueue(job(order)),
+    };
+    ctx.tracer.end(span);
+    ticket.number = dispatched.as_ref().ok().map(|slot| slot.ticket);
+    dispatched
+}
+
+fn job(order: &Order<'_>) -> Job {
+    Job {
+        ticket: 0,
+        service: order.profile.service.clone(),
+        customer: order.customer.into(),
+        urgency: order.profile.urgency,
+        repeat: order.profile.repeat,
+        deadline: order.start + order.profile.deadline,
+        fingerprint: order.print,
+        affinity: order.affinity,
+        cost: order.bound,
+    }
+}
+
+/// Whether an engine turned the request away before running it. A plain service may answer 503
+/// after a part of its work, so its answer is passed on.
+fn is_refusal(reply: &Reply, order: &Order<'_>) -> bool {
+    order.kind == TargetKind::Engine && matches!(reply.status, 429 | 503)
+}
+
+fn refused() -> Delivered {
+    let fault = Fault::not_run(Code::Overloaded, "the target refused the request");
+    Delivered {
+        tokens: None,
+        ended: Ended::Refused,
+        fault: Some(fault),
+    }
+}
+
+fn unsent(fault: Fault) -> Delivered {
+    let ended = match fault.verdict {
+        Verdict::NotRun => Ended::Unreachable,
+        verdict => Ended::Crashed(verdict),
+    };
+    Delivered {
+        tokens: None,
+        ended,
+        fault: Some(fault),
+    }
+}
+
+fn observe_first(ctx: &Context, order: &Order<'_>) {
+    let urgency = match order.profile.urgency {
+        Urgency::Urgent => "urgent",
+        Urgency::Patient => "patient",
+    };
+    let waited = ctx.clock.now().saturating_sub(order.start);
+    let labels = [&*order.profile.service, urgency];
+    ctx.metrics
+        .first_token
+        .with_label_values(&labels)
+        .observe(waited.as_secs_f64());
+}
+
+/// Whether a profile's requests need an idempotency key.
+pub(crate) fn needs_key(profile: &Profile) -> bool {
+    profile.repeat == Repeat::Once
+}
--- /dev/null
+++ b/src/caller/relay.rs
@@ -0,0 +1,209 @@
+//! Passing on the answer of a model engine.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use prometheus::Histogram;
+use serde::Deserialize;
+use tiny_http::Request;
+
+use super::{
+    chat::{
+        Chat,
+        Sending, //
+    },
+    exchange::{
+        Delivered,
+        Work, //
+    },
+    reply::EventStream,
+};
+use crate::{
+    model::{
+        Code,
+        Fault,
+        Tokens,
+        Verdict, //
+    },
+    route::Ended,
+    target::{
+        Event,
+        Events,
+        Method,
+        Outgoing,
+        Reply, //
+    },
+    telemetry::TraceContext,
+    wire::target::Usage, //
+};
+
+/// Largest whole answer of an engine, in bytes.
+const MAX_ANSWER: usize = 32 << 20;
+
+/// A chat request and the caller that waits for its answer.
+pub(crate) struct Completion<'a> {
+    /// The request as it was read.
+    pub(crate) chat: &'a Chat,
+    /// What is set in the request to the engine.
+    pub(crate) sending: Sending<'a>,
+    /// Upper bound of the cost, in tokens.
+    pub(crate) bound: Tokens,
+    /// Longest time for the whole exchange.
+    pub(crate) limit: Duration,
+    /// The caller; taken when a stream to it was started.
+    pub(crate) caller: Option<Request>,
+    /// Status, content type and body of a whole answer.
+    pub(crate) answer: Option<(u16, Arc<str>, Vec<u8>)>,
+    /// Time between two events.
+    pub(crate) gaps: &'a Histogram,
+}
+
+/// Field of a whole answer that matters to the daemon.
+#[derive(Deserialize)]
+struct Whole {
+    usage: Option<Usage>,
+}
+
+type Stream = EventStream<Box<dyn std::io::Write + Send>>;
+
+impl Work for Completion<'_> {
+    fn outgoing(&self, addr: SocketAddr, id: &str, trace: TraceContext) -> Outgoing {
+        Outgoing {
+            addr,
+            method: Method::Post,
+            path: "/v1/chat/completions".into(),
+            headers: vec![
+                ("Content-Type", "application/json".into()),
+                ("x-request-id", id.into()),
+                ("traceparent", trace.to_string()),
+            ],
+            body: self.chat.outgoing(&self.sending),
+            limit: self.limit,
+        }
+    }
+
+    fn deliver(&mut self, reply: Reply) -> Delivered {
+        match reply.status {
+            500.. => crashed(Fault::may_have_run(Code::TargetFailed, "the engine failed")),
+            200 if reply.is_stream() => self.stream(reply),
+            _ => self.whole(reply),
+        }
+    }
+}
+
+impl Completion<'_> {
+    fn whole(&mut self, reply: Reply) -> Delivered {
+        let (status, kind) = (reply.status, reply.kind.clone());
+        let body = match reply.read_all(MAX_ANSWER) {
+            Ok(body) => body,
+            Err(fault) => return crashed(fault),
+        };
+        let usage = serde_json::from_slice::<Whole>(&body)
+            .ok()
+            .and_then(|whole| whole.usage);
+        // An engine that rejects a request has generated nothing.
+        let rejected = (status >= 400).then_some(0);
+        let tokens = usage.map(|usage| usage.total_tokens).or(rejected);
+        self.answer = Some((status, kind, body));
+        Delivered {
+            tokens,
+            ended: Ended::Success,
+            fault: None,
+        }
+    }
+
+    fn stream(&mut self, reply: Reply) -> Delivered {
+        let mut stream: Option<Stream> = None;
+        let mut tokens = None;
+        let mut events: Tokens = 0;
+        let mut last = Instant::now();
+        for event in Events::open(reply) {
+            self.gaps.observe(last.elapsed().as_secs_f64());
+            last = Instant::now();
+            let (data, usage, bare) = match event {
+                Ok(Event::Chunk { data, usage, bare }) => (data, usage, bare),
+                Ok(Event::Done) => return self.complete(stream, tokens),
+                Err(fault) => return broken(stream, fault),
+            };
+            tokens = usage.or(tokens);
+            events += 1;
+            if tokens.unwrap_or(events) > self.bound {
+                let detail = "the answer exceeded its reserve and was cut";
+                return broken(stream, Fault::may_have_run(Code::Internal, detail));
+            }
+            if bare && !self.chat.wants_usage() {
+                continue;
+            }
+            let sent = match self.opened(&mut stream) {
+                Ok(open) => open.send(&data),
+                Err(err) => Err(err),
+            };
+            if sent.is_err() {
+                return left();
+            }
+        }
+        let detail = "the stream ended without its end mark";
+        broken(stream, Fault::may_have_run(Code::TargetFailed, detail))
+    }
+
+    /// The stream to the caller, started at its first event.
+    fn opened<'s>(&mut self, stream: &'s mut Option<Stream>) -> std::io::Result<&'s mut Stream> {
+        if stream.is_none() {
+            let caller = self.caller.take().expect("a stream is started once");
+            *stream = Some(EventStream::open(caller.into_writer())?);
+        }
+        Ok(stream.as_mut().expect("the stream was started"))
+    }
+
+    fn complete(&mut self, stream: Option<Stream>, tokens: Option<Tokens>) -> Delivered {
+        let mut stream = stream;
+        let opened = self.opened(&mut stream).is_ok();
+        if !opened || stream.is_some_and(|open| open.done().is_err()) {
+            return left();
+        }
+        Delivered {
+            tokens,
+            ended: Ended::Success,
+            fault: None,
+        }
+    }
+}
+
+fn crashed(fault: Fault) -> Delivered {
+    Delivered {
+        tokens: None,
+        ended: Ended::Crashed(Verdict::MayHaveRun),
+        fault: Some(fault),
+    }
+}
+
+/// The engine's stream broke off. The reported usage may be older than the last token, so the whole
+/// reserve is charged.
+fn broken(stream: Option<Stream>, fault: Fault) -> Delivered {
+    let Some(open) = stream else {
+        return crashed(fault);
+    };
+    // A caller that left as well cannot be told.
+    let _ = open.broken(&fault);
+    Delivered {
+        tokens: None,
+        ended: Ended::Crashed(Verdict::Ran),
+        fault: Some(fault),
+    }
+}
+
+/// The caller left; dropping the reply cancels the engine's work.
+fn left() -> Delivered {
+    let fault = Fault::may_have_run(Code::TargetFailed, "the caller closed the connection");
+    Delivered {
+        tokens: None,
+        ended: Ended::Cancelled,
+        fault: Some(fault),
+    }
+}
--- /dev/null
+++ b/src/caller/run.rs
@@ -0,0 +1,365 @@
+//! Chat and plain-service requests from their head to their answer.
+
+use std::{
+    io,
+    sync::Arc,
+    time::Duration, //
+};
+
+use tiny_http::Request;
+
+use super::{
+    auth::{
+        self,
+        header_of, //
+    },
+    chat::{
+        Chat,
+        Sending,
+        hash, //
+    },
+    exchange::{
+        self,
+        Order,
+        Work, //
+    },
+    keyed::{
+        self,
+        Begin, //
+    },
+    plain::Plain,
+    relay::Completion,
+    reply::{
+        answer,
+        refuse, //
+    },
+    server::{
+        read_body,
+        trace_of, //
+    },
+};
+use crate::{
+    claim::Recorded,
+    kernel::Context,
+    model::{
+        Code,
+        Configuration,
+        Customer,
+        Fault,
+        Profile,
+        Repeat,
+        Service,
+        TargetKind,
+        Tokens,
+        Verdict, //
+    },
+    target::Method,
+    telemetry::SpanKind, //
+};
+
+/// Longest time between two tokens that an answer is waited for, on average. The target is 68 ms
+/// for 95 in 100 tokens.
+const TOKEN_TIME: Duration = Duration::from_millis(200);
+
+/// Least time for a whole exchange with a target.
+const MIN_EXCHANGE: Duration = Duration::from_secs(30);
+
+/// What a request's head says, after it was checked against the configuration.
+struct Head<'a> {
+    customer: &'a Customer,
+    profile: &'a Profile,
+    service: &'a Service,
+    key: Option<String>,
+    start: Duration,
+}
+
+fn head<'a>(
+    ctx: &Context,
+    request: &Request,
+    config: &'a Configuration,
+    customer: &'a Customer,
+    name: &str,
+) -> Result<Head<'a>, Fault> {
+    let profile = auth::profile(config, customer, name)?;
+    let service = config
+        .services
+        .get(&profile.service)
+        .ok_or_else(|| Fault::not_run(Code::NoTarget, "the profile's service does not exist"))?;
+    let key = header_of(request, "idempotency-key").map(str::to_owned);
+    if profile.repeat == Repeat::Once && key.is_none() {
+        let detail = "requests of this profile need an idempotency-key header";
+        return Err(Fault::not_run(Code::KeyRequired, detail));
+    }
+    let key = key.filter(|_| profile.repeat == Repeat::Once);
+    Ok(Head {
+        customer,
+        profile,
+        service,
+        key,
+        start: ctx.clock.now(),
+    })
+}
+
+/// Serves `POST /v1/chat/completions`.
+pub(crate) fn chat(ctx: &Context, mut request: Request) -> io::Result<()> {
+    let config = ctx.config.load();
+    match read_chat(ctx, &mut request, &config) {
+        Ok((head, chat, print)) => complete(ctx, request, &head, &chat, &print),
+        Err(fault) => refuse_early(ctx, request, &fault),
+    }
+}
+
+type ChatRequest<'a> = (Head<'a>, Chat, Arc<str>);
+
+fn read_chat<'a>(
+    ctx: &Context,
+    request: &mut Request,
+    config: &'a Configuration,
+) -> Result<ChatRequest<'a>, Fault> {
+    let customer = auth::customer(request, config)?;
+    let body = read_body(ctx, request)?;
+    let chat = Chat::parse(&body)?;
+    let name = header_of(request, "x-cuminloom-profile")
+        .or(chat.profile())
+        .ok_or_else(|| Fault::not_run(Code::BadRequest, "\"model\" has to name a profile"))?;
+    let head = head(ctx, request, config, customer, name)?;
+    if head.service.kind != TargetKind::Engine {
+        let detail = "the profile is for a plain service, under /s/<profile>/";
+        return Err(Fault::not_run(Code::BadRequest, detail));
+    }
+    let print = keyed::fingerprint(name, "POST", "/v1/chat/completions", &body);
+    Ok((head, chat, print))
+}
+
+fn complete(
+    ctx: &Context,
+    request: Request,
+    head: &Head<'_>,
+    chat: &Chat,
+    print: &str,
+) -> io::Result<()> {
+    let profile = head.profile;
+    let bound = chat.bound(profile.output);
+    let wait = TOKEN_TIME.saturating_mul(u32::try_from(profile.output).unwrap_or(u32::MAX));
+    let salt = format!("{:016x}", hash(head.customer.id.as_bytes()));
+    let (trace, parent) = trace_of(ctx, &request);
+    let mut work = Completion {
+        chat,
+        sending: Sending {
+            model: &head.service.model,
+            output: profile.output,
+            salt: &salt,
+            urgency: profile.urgency,
+        },
+        bound,
+        limit: (profile.deadline + wait).max(MIN_EXCHANGE),
+        caller: Some(request),
+        answer: None,
+        gaps: &ctx.metrics.token_gap,
+    };
+    let affinity = chat.affinity() ^ hash(head.customer.id.as_bytes());
+    let order = order(head, bound, print, affinity, trace);
+    let result = keyed_run(ctx, head, &order, print, &mut work, |work| {
+        let recorded = work.answer.as_ref();
+        let streamed = || Recorded {
+            status: 200,
+            kind: "text/event-stream".into(),
+            body: None,
+        };
+        recorded.map_or_else(streamed, |(status, kind, body)| {
+            Recorded::new(*status, kind, body)
+        })
+    });
+    end_span(ctx, &order, parent, &result);
+    let Some(caller) = work.caller else {
+        // The stream has told the caller how it ended.
+        return Ok(());
+    };
+    respond(caller, result, work.answer)
+}
+
+/// Serves `/s/<profile>/<path>`.
+pub(crate) fn plain(ctx: &Context, mut request: Request) -> io::Result<()> {
+    let config = ctx.config.load();
+    match read_plain(ctx, &mut request, &config) {
+        Ok((head, work, print)) => call(ctx, request, &head, work, &print),
+        Err(fault) => refuse_early(ctx, request, &fault),
+    }
+}
+
+fn read_plain<'a>(
+    ctx: &Context,
+    request: &mut Request,
+    config: &'a Configuration,
+) -> Result<(Head<'a>, Plain, Arc<str>), Fault> {
+    let customer = auth::customer(request, config)?;
+    let url = request.url().to_owned();
+    let rest = url.strip_prefix("/s/").unwrap_or_default();
+    let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
+    let head = head(ctx, request, config, customer, name)?;
+    if head.service.kind != TargetKind::Plain {
+        let detail = "the profile is for a model engine, at /v1/chat/completions";
+        return Err(Fault::not_run(Code::BadRequest, detail));
+    }
+    let method = method_of(request)?;
+    let kind = header_of(request, "content-type")
+        .unwrap_or("application/octet-stream")
+        .to_owned();
+    let body: Arc<[u8]> = read_body(ctx, request)?.into();
+    let print = keyed::fingerprint(name, request.method().as_str(), path, &body);
+    let work = Plain {
+        method,
+        path: format!("/{path}").into(),
+        kind,
+        body,
+        key: header_of(request, "idempotency-key").map(str::to_owned),
+        limit: head.profile.deadline,
+        charge: head.profile.charge,
+        answer: None,
+    };
+    Ok((head, work, print))
+}
+
+fn call(
+    ctx: &Context,
+    request: Request,
+    head: &Head<'_>,
+    mut work: Plain,
+    print: &str,
+) -> io::Result<()> {
+    let (trace, parent) = trace_of(ctx, &request);
+    let order = order(head, head.profile.charge, print, 0, trace);
+    let result = keyed_run(ctx, head, &order, print, &mut work, |work| {
+        let (status, kind, body) = work.answer.as_ref().expect("a call that ran has an answer");
+        Recorded::new(*status, kind, body)
+    });
+    end_span(ctx, &order, parent, &result);
+    respond(request, result, work.answer)
+}
+
+fn order<'a>(
+    head: &Head<'a>,
+    bound: Tokens,
+    print: &str,
+    affinity: u64,
+    trace: crate::telemetry::TraceContext,
+) -> Order<'a> {
+    Order {
+        profile: head.profile,
+        customer: &head.customer.id,
+        kind: head.service.kind,
+        bound,
+        print: hash(print.as_bytes()) ^ hash(head.customer.id.as_bytes()),
+        affinity,
+        start: head.start,
+        trace,
+    }
+}
+
+/// How a request ended for its caller.
+enum Ending {
+    /// It ran now.
+    Ran,
+    /// It ran before; this is the recorded answer.
+    Replay(Recorded),
+}
+
+/// Runs a request, under the claim of its idempotency key when it has one.
+fn keyed_run<W: Work>(
+    ctx: &Context,
+    head: &Head<'_>,
+    order: &Order<'_>,
+    print: &str,
+    work: &mut W,
+    record: impl FnOnce(&W) -> Recorded,
+) -> Result<Ending, Fault> {
+    let Some(key) = &head.key else {
+        return exchange::run(ctx, order, work).map(|()| Ending::Ran);
+    };
+    match keyed::begin(ctx, &head.customer.id, key, print) {
+        Begin::Replay(recorded) => Ok(Ending::Replay(recorded)),
+        Begin::Refuse(fault) => Err(fault),
+        Begin::Forward(owner) => Err(Fault::may_have_run(
+            Code::AlreadyClaimed,
+            format!("only {owner} may run a request with this key"),
+        )),
+        Begin::Run(claim) => {
+            let result = exchange::run(ctx, order, work);
+            claim.finish(result.as_ref().map(|()| record(work)));
+            result.map(|()| Ending::Ran)
+        }
+    }
+}
+
+fn respond(
+    caller: Request,
+    result: Result<Ending, Fault>,
+    ran: Option<(u16, Arc<str>, Vec<u8>)>,
+) -> io::Result<()> {
+    match (result, ran) {
+        (Ok(Ending::Ran), Some((status, kind, body))) => answer(caller, status, &kind, &body),
+        (
+            Ok(Ending::Replay(Recorded {
+                status,
+                kind,
+                body: Some(body),
+            })),
+            _,
+        ) => answer(caller, status, &kind, &body),
+        (Ok(_), _) => refuse(
+            caller,
+            &Fault {
+                verdict: Verdict::Ran,
+                code: Code::AlreadyClaimed,
+                detail: "the request ran before; its answer was not kept".into(),
+            },
+        ),
+        (Err(fault), _) => refuse(caller, &fault),
+    }
+}
+
+fn refuse_early(ctx: &Context, request: Request, fault: &Fault) -> io::Result<()> {
+    count(ctx, "", Some(fault));
+    refuse(request, fault)
+}
+
+fn count(ctx: &Context, service: &str, fault: Option<&Fault>) {
+    let (code, verdict) = match fault {
+        None => ("ok", Verdict::Ran),
+        Some(fault) => (fault.code.as_str(), fault.verdict),
+    };
+    ctx.metrics
+        .requests
+        .with_label_values(&[service, code, verdict.as_str()])
+        .inc();
+}
+
+fn end_span(ctx: &Context, order: &Order<'_>, parent: u64, result: &Result<Ending, Fault>) {
+    count(ctx, &order.profile.service, result.as_ref().err());
+    let mut span = ctx
+        .tracer
+        .start("request", SpanKind::Server, order.trace, parent);
+    span.start = ctx.clock.wall(order.start);
+    span.note("profile", &order.profile.id);
+    span.note("customer", order.customer);
+    if let Err(fault) = result {
+        span.note("code", fault.code.as_str());
+        span.note("verdict", fault.verdict);
+    }
+    ctx.tracer.end(span);
+}
+
+fn method_of(request: &Request) -> Result<Method, Fault> {
+    match request.method() {
+        tiny_http::Method::Get => Ok(Method::Get),
+        tiny_http::Method::Head => Ok(Method::Head),
+        tiny_http::Method::Post => Ok(Method::Post),
+        tiny_http::Method::Put => Ok(Method::Put),
+        tiny_http::Method::Patch => Ok(Method::Patch),
+        tiny_http::Method::Delete => Ok(Method::Delete),
+        _ => Err(Fault::not_run(
+            Code::BadRequest,
+            "the method is not supported",
+        )),
+    }
+}
--- a/src/claim/mod.rs
+++ b/src/claim/mod.rs
@@ -6,7 +6,9 @@
 
 mod issued;
 mod key;
+mod plugin;
 mod row;
+mod service;
 mod step;
 
 pub use issued::{
@@ -23,6 +25,7 @@
     ClaimState,
     Recorded, //
 };
+pub use service::Claims;
 pub use step::{
     Answer,
     Claim,
--- /dev/null
+++ b/src/claim/service.rs
@@ -0,0 +1,176 @@
+//! Claims in progress of this process, and the writes that follow the end of a request.
+
+use std::{
+    collections::VecDeque,
+    sync::{
+        Mutex,
+        MutexGuard,
+        PoisonError,
+        atomic::{
+            AtomicU64,
+            Ordering, //
+        }, //
+    }, //
+};
+
+use super::{
+    Claim,
+    Issuer,
+    Recorded, //
+};
+use crate::{
+    model::Incarnation,
+    store::{
+        Outcome,
+        StoreFault,
+        Table, //
+    }, //
+};
+
+/// Writes kept for repetition while the platform is away. A release that is dropped leaves a claim
+/// that says "may have run", which is safe.
+const MAX_PENDING: usize = 4_096;
+
+/// A write that follows the end of a request.
+#[derive(Clone, Debug)]
+enum After {
+    Release(Claim),
+    Record(Claim, Recorded),
+}
+
+/// Claims of this process.
+#[derive(Debug)]
+pub struct Claims {
+    issuer: Mutex<Issuer>,
+    nonce: AtomicU64,
+    pending: Mutex<VecDeque<After>>,
+}
+
+impl Claims {
+    /// Creates the claims of the process `owner`, which signs issued keys with `secret`.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let claims = cuminloom::claim::Claims::open("vm-1.0a".into(), b"secret");
+    /// assert_ne!(claims.next_nonce(), claims.next_nonce());
+    /// ```
+    pub fn open(owner: Incarnation, secret: &[u8]) -> Self {
+        Self {
+            issuer: Mutex::new(Issuer::new(owner, secret)),
+            nonce: AtomicU64::new(1),
+            pending: Mutex::new(VecDeque::new()),
+        }
+    }
+
+    /// Number of the next claim.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let claims = cuminloom::claim::Claims::open("vm-1.0a".into(), b"secret");
+    /// assert_eq!(claims.next_nonce(), 1);
+    /// ```
+    pub fn next_nonce(&self) -> u64 {
+        self.nonce.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// The registry of issued keys.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let claims = cuminloom::claim::Claims::open("vm-1.0a".into(), b"secret");
+    /// assert!(claims.issuer().mint("anod", 100).starts_with("ck1:vm-1.0a:100:1:"));
+    /// ```
+    pub fn issuer(&self) -> MutexGuard<'_, Issuer> {
+        self.issuer.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Releases a claim whose request certainly did not run, at the next [`Claims::flush`].
+    pub(crate) fn release_later(&self, claim: Claim) {
+        self.push(After::Release(claim));
+    }
+
+    /// Records the answer of a claimed request at the next [`Claims::flush`].
+    pub(crate) fn record_later(&self, claim: Claim, recorded: Recorded) {
+        self.push(After::Record(claim, recorded));
+    }
+
+    fn push(&self, after: After) {
+        let mut pending = self.pending.lock().unwrap_or_else(PoisonError::into_inner);
+        if pending.len() >= MAX_PENDING {
+            pending.pop_front();
+        }
+        pending.push_back(after);
+    }
+
+    /// Whether writes wait for the platform.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// assert!(!cuminloom::claim::Claims::open("vm-1.0a".into(), b"secret").has_pending());
+    /// ```
+    pub fn has_pending(&self) -> bool {
+        !self
+            .pending
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .is_empty()
+    }
+
+    /// Writes what follows the ends of requests; stops at the first failure and keeps the rest.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the platform's fault; the call may be repeated.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cuminloom::{claim::Claims, store::HttpStore};
+    /// let claims = Claims::open("vm-1.0a".into(), b"secret");
+    /// // Nothing is pending, so the platform is not asked.
+    /// assert!(claims.flush(&HttpStore::open("127.0.0.1:1".parse().unwrap())).is_ok());
+    /// ```
+    pub fn flush<T: Table>(&self, table: &T) -> Result<(), StoreFault> {
+        loop {
+            let next = self
+                .pending
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .pop_front();
+            let Some(after) = next else {
+                return Ok(());
+            };
+            if let Err(fault) = apply(table, after.clone()) {
+                let mut pending = self.pending.lock().unwrap_or_else(PoisonError::into_inner);
+                pending.push_front(after);
+                return Err(fault);
+            }
+        }
+    }
+}
+
+/// Applies one write. A conflict means that an earlier try was applied, so there is nothing to do.
+fn apply<T: Table>(table: &T, after: After) -> Result<(), StoreFault> {
+    let (mut claim, recorded) = match after {
+        After::Release(claim) => (claim, None),
+        After::Record(claim, recorded) => (claim, Some(recorded)),
+    };
+    if claim.release().is_none() {
+        let row = table.read(&claim.row_key())?;
+        if !row.is_some_and(|row| claim.found(&row)) {
+            return Ok(());
+        }
+    }
+    let write = match recorded {
+        None => claim.release(),
+        Some(recorded) => claim.record(recorded),
+    };
+    match write.map(|write| table.commit(&[write])) {
+        None | Some(Ok(Outcome::Applied(_) | Outcome::Conflict { .. })) => Ok(()),
+        Some(Err(fault)) => Err(fault),
+    }
+}
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -12,6 +12,7 @@
 mod edit;
 mod job;
 mod machine;
+mod plugin;
 mod shell;
 
 pub use check::{
--- /dev/null
+++ b/src/kernel/context.rs
@@ -0,0 +1,168 @@
+//! What the plug-ins of a daemon share.
+
+use std::sync::{
+    Arc,
+    Mutex,
+    PoisonError,
+    RwLock,
+    atomic::{
+        AtomicBool,
+        Ordering, //
+    }, //
+};
+
+use crate::{
+    claim::Claims,
+    config,
+    kernel::Clock,
+    mirror,
+    model::{
+        Configuration,
+        Incarnation, //
+    },
+    node, route,
+    settings::Settings,
+    store::HttpStore,
+    telemetry::{
+        Metrics,
+        Tracer, //
+    },
+};
+
+/// The configuration in force, replaced as a whole.
+#[derive(Debug, Default)]
+pub struct InForce(RwLock<Arc<Configuration>>);
+
+impl InForce {
+    /// The configuration in force.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// assert_eq!(cuminloom::kernel::InForce::default().load().version, 0);
+    /// ```
+    pub fn load(&self) -> Arc<Configuration> {
+        self.0
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Puts a configuration in force unless a later one is in force already; returns whether it was
+    /// put in force. An accepted configuration never reverts.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::sync::Arc;
+    /// use cuminloom::{kernel::InForce, model::Configuration};
+    /// let cell = InForce::default();
+    /// let later = Configuration { version: 2, ..Configuration::default() };
+    /// assert!(cell.store(Arc::new(later)));
+    /// let earlier = Configuration { version: 1, ..Configuration::default() };
+    /// assert!(!cell.store(Arc::new(earlier)));
+    /// assert_eq!(cell.load().version, 2);
+    /// ```
+    pub fn store(&self, config: Arc<Configuration>) -> bool {
+        let mut cell = self.0.write().unwrap_or_else(PoisonError::into_inner);
+        if config.version < cell.version {
+            return false;
+        }
+        *cell = config;
+        true
+    }
+}
+
+/// Handles and settings that the plug-ins of a daemon share.
+#[derive(Debug)]
+pub struct Context {
+    /// Settings of the daemon.
+    pub settings: Settings,
+    /// Fleet secret.
+    pub secret: Arc<[u8]>,
+    /// Name of this process; it stays when the node starts a new incarnation.
+    pub process: Incarnation,
+    /// Clock of the daemon.
+    pub clock: Clock,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Spans of requests.
+    pub tracer: Tracer,
+    /// The platform.
+    pub store: HttpStore,
+    /// Configuration in force.
+    pub config: InForce,
+    /// Claims of idempotency keys.
+    pub claims: Claims,
+    /// Budgets, bills and mirror.
+    pub node: node::Handle,
+    /// Queues and target choice.
+    pub router: route::Handle,
+    /// Accepted edits and the configuration that they make.
+    pub edits: Mutex<config::Config>,
+    /// Work that one plug-in leaves for another.
+    pub queues: Queues,
+    /// Whether the daemon was told to stop.
+    pub stopping: AtomicBool,
+}
+
+/// Channels between plug-ins; each receiver is drained by one plug-in.
+#[derive(Debug)]
+pub struct Queues {
+    /// Platform operations of the node.
+    pub store: flume::Receiver<(u64, mirror::Request)>,
+    /// Messages of the node to peers.
+    pub peers: flume::Receiver<(Incarnation, mirror::Message)>,
+    /// State changes of the node for the log.
+    pub changes: flume::Receiver<node::Change>,
+    /// Strikes for peers.
+    pub strikes: flume::Receiver<route::Strike>,
+}
+
+impl Context {
+    /// Whether the balancer may send new requests, or why not.
+    ///
+    /// # Errors
+    ///
+    /// Fails with a text for people when the daemon is stopping or has no configuration.
+    ///
+    /// # Examples
+    ///
+    /// ```no_run
+    /// # fn check(ctx: &cuminloom::kernel::Context) {
+    /// if let Err(reason) = ctx.readiness() {
+    ///     println!("not ready: {reason}");
+    /// }
+    /// # }
+    /// ```
+    pub fn readiness(&self) -> Result<(), &'static str> {
+        if self.stopping.load(Ordering::Relaxed) {
+            return Err("the daemon is stopping");
+        }
+        if self.config.load().version == 0 {
+            return Err("no configuration is in force yet");
+        }
+        Ok(())
+    }
+
+    /// Sets the gauges that are read from the machines when metrics are collected.
+    ///
+    /// # Examples
+    ///
+    /// ```no_run
+    /// # fn show(ctx: &cuminloom::kernel::Context) {
+    /// ctx.refresh_metrics();
+    /// println!("{}", ctx.metrics.render());
+    /// # }
+    /// ```
+    pub fn refresh_metrics(&self) {
+        let version = self.config.load().version;
+        self.metrics
+            .config
+            .set(i64::try_from(version).unwrap_or(i64::MAX));
+        let figures = self.node.figures();
+        self.metrics.mode.reset();
+        let mode = format!("{:?}", figures.mode).to_lowercase();
+        self.metrics.mode.with_label_values(&[&mode]).set(1);
+    }
+}
--- /dev/null
+++ b/src/kernel/daemon.rs
@@ -0,0 +1,191 @@
+//! A whole daemon: its context and its plug-ins.
+
+use std::{
+    sync::{
+        Arc,
+        Mutex,
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        }, //
+    },
+    time::Duration,
+};
+
+use error_stack::{
+    Report,
+    ResultExt, //
+};
+
+use super::{
+    Clock,
+    Context,
+    InForce,
+    Kernel,
+    Plugin,
+    Queues,
+    StartFault, //
+};
+use crate::{
+    claim::Claims,
+    config::Config,
+    node, route,
+    settings::Settings,
+    store::HttpStore,
+    telemetry::{
+        Exporter,
+        Metrics,
+        Tracer, //
+    },
+};
+
+/// A plug-in of the daemon.
+pub type DaemonPlugin = Plugin<Arc<Context>>;
+
+inventory::collect!(DaemonPlugin);
+
+/// Spans that wait for the exporter.
+const SPAN_QUEUE: usize = 4_096;
+
+/// Time for which new requests are still served after the balancer was told to send no more.
+const BALANCER_WAIT: Duration = Duration::from_secs(3);
+
+/// Longest time for which a planned stop waits for requests in progress.
+const DRAIN_LIMIT: Duration = Duration::from_secs(900);
+
+/// Longest time for which a planned stop waits for the platform.
+const STOP_LIMIT: Duration = Duration::from_secs(120);
+
+/// Wait between two looks at the requests in progress.
+const DRAIN_POLL: Duration = Duration::from_millis(100);
+
+/// A running daemon.
+#[derive(Debug)]
+pub struct Daemon {
+    context: Arc<Context>,
+    kernel: Kernel,
+}
+
+impl Daemon {
+    /// Starts a daemon with all registered plug-ins.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the fleet secret can't be read or a plug-in does not start.
+    ///
+    /// # Examples
+    ///
+    /// ```no_run
+    /// use cuminloom::{kernel::Daemon, settings::Settings};
+    /// let settings = Settings::open("examples/anod.jsonc").unwrap();
+    /// let daemon = Daemon::open(settings).unwrap();
+    /// daemon.drain();
+    /// ```
+    pub fn open(settings: Settings) -> Result<Self, Report<StartFault>> {
+        let context = Arc::new(context(settings)?);
+        let plugins = inventory::iter::<DaemonPlugin>.into_iter();
+        let kernel = Kernel::start(plugins, &context)?;
+        let daemon = &context.settings.daemon;
+        log::info!("daemon {} started in data centre {}", daemon.id, daemon.dc);
+        Ok(Self { context, kernel })
+    }
+
+    /// Stops as planned: the balancer is told to send no more, requests in progress finish, bills
+    /// are committed, shares returned and the fence row sealed. Returns whether all of that was
+    /// done in time.
+    ///
+    /// # Examples
+    ///
+    /// ```no_run
+    /// # fn stop(daemon: cuminloom::kernel::Daemon) {
+    /// assert!(daemon.drain());
+    /// # }
+    /// ```
+    pub fn drain(self) -> bool {
+        log::info!("stopping");
+        self.context.stopping.store(true, Ordering::Relaxed);
+        std::thread::sleep(BALANCER_WAIT);
+        let clock = &self.context.clock;
+        let start = clock.now();
+        while self.context.metrics.open.get() > 0 && clock.now() - start < DRAIN_LIMIT {
+            std::thread::sleep(DRAIN_POLL);
+        }
+        self.context.node.stop();
+        let mut stopped = self.context.node.wait_stopped(STOP_LIMIT);
+        stopped &= self.context.claims.flush(&self.context.store).is_ok();
+        self.kernel.stop();
+        log::info!(
+            "stopped{}",
+            if stopped {
+                ""
+            } else {
+                " before the platform confirmed it"
+            }
+        );
+        stopped
+    }
+}
+
+fn context(settings: Settings) -> Result<Context, Report<StartFault>> {
+    let secret: Arc<[u8]> = settings
+        .peer
+        .secret
+        .load()
+        .change_context(StartFault { name: "settings" })?
+        .bytes()
+        .into();
+    let clock = Clock::open();
+    let process = format!("{}.{:016x}", settings.daemon.id, rand::random::<u64>()).into();
+    let (store_out, store) = flume::unbounded();
+    let (peers_out, peers) = flume::unbounded();
+    let (changes_out, changes) = flume::unbounded();
+    let (strikes_out, strikes) = flume::unbounded();
+    let outbox = node::Outbox {
+        store: store_out,
+        peers: peers_out,
+        changes: changes_out,
+    };
+    let identity = node::Identity {
+        daemon: settings.daemon.id.clone(),
+        vm: settings.daemon.vm.clone(),
+        dc: settings.daemon.dc.clone(),
+        vm_list_lag: settings.platform.vm_list_lag,
+    };
+    let metrics = Metrics::open();
+    let routing = route::Settings {
+        queue: settings.queue.urgent.max(settings.queue.patient),
+        headroom: settings.queue.headroom,
+        ..route::Settings::new(settings.daemon.dc.clone())
+    };
+    Ok(Context {
+        claims: Claims::open(Arc::clone(&process), &secret),
+        node: node::Handle::open(identity, rand::random(), clock, outbox),
+        router: route::Handle::open(routing, rand::random(), clock, strikes_out),
+        tracer: tracer(&settings),
+        store: HttpStore::open(settings.platform.addr),
+        config: InForce::default(),
+        edits: Mutex::new(Config::default()),
+        queues: Queues {
+            store,
+            peers,
+            changes,
+            strikes,
+        },
+        stopping: AtomicBool::new(false),
+        settings,
+        secret,
+        process,
+        clock,
+        metrics,
+    })
+}
+
+/// Starts the export of traces when the settings name a collector.
+fn tracer(settings: &Settings) -> Tracer {
+    let Some(addr) = settings.trace.addr else {
+        return Tracer::disabled();
+    };
+    let (sink, spans) = flume::bounded(SPAN_QUEUE);
+    Exporter::spawn(addr, settings.daemon.id.clone(), spans);
+    Tracer::new(sink)
+}
--- /dev/null
+++ b/src/kernel/plugin.rs
@@ -0,0 +1,161 @@
+//! Plug-ins and their life cycle.
+
+use std::{
+    error::Error,
+    fmt,
+    thread::JoinHandle, //
+};
+
+use error_stack::{
+    Report,
+    ResultExt, //
+};
+
+/// Order in which plug-ins start; they stop in the reverse order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Stage {
+    /// Metrics and traces.
+    Telemetry,
+    /// Links to the platform and to other daemons.
+    Link,
+    /// Budgets, bills, routing and configuration.
+    Core,
+    /// Interfaces to callers and operators.
+    Border,
+}
+
+/// The start of a plug-in failed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StartFault {
+    /// Name of the plug-in.
+    pub name: &'static str,
+}
+
+impl fmt::Display for StartFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "the plug-in {} did not start", self.name)
+    }
+}
+
+impl Error for StartFault {}
+
+/// A part of the daemon that registers itself. `C` is the context that plug-ins share.
+#[derive(Debug)]
+pub struct Plugin<C: 'static> {
+    /// Name for logs and errors.
+    pub name: &'static str,
+    /// When it starts.
+    pub stage: Stage,
+    /// Starts it.
+    pub start: fn(&C) -> Result<Running, Report<StartFault>>,
+}
+
+/// A running plug-in: a thread that ends when its stop channel closes.
+#[derive(Debug)]
+pub struct Running {
+    stop: flume::Sender<()>,
+    thread: JoinHandle<()>,
+}
+
+impl Running {
+    /// Runs `body` in a thread called `name`. The thread has to end soon after the receiver that it
+    /// gets is disconnected.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cuminloom::kernel::Running;
+    /// let running = Running::spawn("wait", |stop| {
+    ///     let _ = stop.recv();
+    /// });
+    /// running.stop();
+    /// ```
+    pub fn spawn<F>(name: &str, body: F) -> Self
+    where
+        F: FnOnce(flume::Receiver<()>) + Send + 'static,
+    {
+        let (stop, stopped) = flume::bounded(0);
+        let thread = std::thread::Builder::new()
+            .name(name.into())
+            .spawn(move || body(stopped))
+            .expect("the system can start a thread");
+        Self { stop, thread }
+    }
+
+    /// Stops the plug-in and waits for its end.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cuminloom::kernel::Running;
+    /// Running::spawn("short", |_| ()).stop();
+    /// ```
+    pub fn stop(self) {
+        drop(self.stop);
+        if self.thread.join().is_err() {
+            log::error!("a plug-in panicked");
+        }
+    }
+}
+
+/// All running plug-ins of a daemon.
+#[derive(Debug)]
+pub struct Kernel {
+    running: Vec<(&'static str, Running)>,
+}
+
+impl Kernel {
+    /// Starts `plugins` in the order of their stages.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a plug-in does not start; those that were started are stopped again.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cuminloom::kernel::{Kernel, Plugin, Running, Stage};
+    /// static WAIT: Plugin<u32> = Plugin {
+    ///     name: "wait",
+    ///     stage: Stage::Core,
+    ///     start: |_| Ok(Running::spawn("wait", |stop| { let _ = stop.recv(); })),
+    /// };
+    /// let kernel = Kernel::start([&WAIT], &7).unwrap();
+    /// kernel.stop();
+    /// ```
+    pub fn start<C: 'static>(
+        plugins: impl IntoIterator<Item = &'static Plugin<C>>,
+        context: &C,
+    ) -> Result<Self, Report<StartFault>> {
+        let mut plugins: Vec<_> = plugins.into_iter().collect();
+        plugins.sort_by_key(|plugin| (plugin.stage, plugin.name));
+        let mut kernel = Self {
+            running: Vec::new(),
+        };
+        for plugin in plugins {
+            match (plugin.start)(context).change_context(StartFault { name: plugin.name }) {
+                Ok(running) => kernel.running.push((plugin.name, running)),
+                Err(report) => {
+                    kernel.stop();
+                    return Err(report);
+                }
+            }
+        }
+        Ok(kernel)
+    }
+
+    /// Stops all plug-ins in the reverse order of their start.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let none: [&cuminloom::kernel::Plugin<()>; 0] = [];
+    /// cuminloom::kernel::Kernel::start(none, &()).unwrap().stop();
+    /// ```
+    pub fn stop(mut self) {
+        while let Some((name, running)) = self.running.pop() {
+            log::debug!("stopping {name}");
+            running.stop();
+        }
+    }
+}
--- /dev/null
+++ b/src/node/handle.rs
@@ -0,0 +1,324 @@
+//! The node shared by the threads that serve requests, and the workers of its platform operations.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc,
+        Condvar,
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+    time::Duration,
+};
+
+use super::{
+    Action,
+    Admission,
+    Admit,
+    Change,
+    Event,
+    Figures,
+    Identity,
+    Node, //
+};
+use crate::{
+    kernel::Clock,
+    mirror::{
+        Message,
+        Request, //
+    },
+    model::{
+        BudgetId,
+        Code,
+        Fault,
+        Incarnation,
+        Seq,
+        Tokens,
+        Verdict, //
+    },
+};
+
+/// Longest wait between two tries to admit a request that waits for its budget. It only matters
+/// when a wake-up is missed.
+const RETRY_WAIT: Duration = Duration::from_millis(250);
+
+/// What the node wants done outside of it.
+#[derive(Debug)]
+pub struct Outbox {
+    /// Platform operations with their tokens.
+    pub store: flume::Sender<(u64, Request)>,
+    /// Messages to peers.
+    pub peers: flume::Sender<(Incarnation, Message)>,
+    /// State changes for the log.
+    pub changes: flume::Sender<Change>,
+}
+
+#[derive(Debug)]
+struct State {
+    node: Node,
+    outbox: Outbox,
+    ready: HashMap<Seq, flume::Sender<Result<(), Fault>>>,
+    waiting: HashMap<BudgetId, Vec<flume::Sender<()>>>,
+    stopped: bool,
+}
+
+#[derive(Debug)]
+struct Shared {
+    state: Mutex<State>,
+    stopped: Condvar,
+}
+
+/// The node of a daemon, shared by its threads.
+#[derive(Clone, Debug)]
+pub struct Handle {
+    clock: Clock,
+    shared: Arc<Shared>,
+}
+
+impl Handle {
+    /// Starts a node whose wishes go to `outbox`.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use cuminloom::{
+    ///     kernel::Clock,
+    ///     node::{Handle, Identity, Outbox},
+    /// };
+    /// let (store, _store) = flume::unbounded();
+    /// let (peers, _peers) = flume::unbounded();
+    /// let (changes, _changes) = flume::unbounded();
+    /// let identity = Identity {
+    ///     daemon: "vm-1".into(),
+    ///     vm: "vm-1".into(),
+    ///     dc: "cebu-north".into(),
+    ///     vm_list_lag: Duration::from_secs(600),
+    /// };
+    /// let outbox = Outbox { store, peers, changes };
+    /// let handle = Handle::open(identity, 1, Clock::open(), outbox);
+    /// assert_eq!(handle.figures().open, 0);
+    /// ```
+    pub fn open(identity: Identity, seed: u64, clock: Clock, outbox: Outbox) -> Self {
+        let node = Node::start(clock.now(), identity, seed);
+        let state = State {
+            node,
+            outbox,
+            ready: HashMap::new(),
+            waiting: HashMap::new(),
+            stopped: false,
+        };
+        let shared = Shared {
+            state: Mutex::new(state),
+            stopped: Condvar::new(),
+        };
+        Self {
+            clock,
+            shared: Arc::new(shared),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.shared
+            .state
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Admits a request and waits until it may be sent. `deadline` is on the daemon's clock.
+    ///
+    /// # Errors
+    ///
+    /// Fails with verdict not-run when the budget can't pay or the request can't be mirrored in
+    /// time.
+    pub(crate) fn admit(&self, admission: Admission, deadline: Duration) -> Result<Seq, Fault> {
+        loop {
+            let waiter = match self.try_admit(&admission)? {
+                Tried::Ready(seq) => return Ok(seq),
+                Tried::Mirroring(seq, ready) => return self.wait_ready(seq, &ready, deadline),
+                Tried::Waiting(waiter) => waiter,
+            };
+            let left = deadline.saturating_sub(self.clock.now());
+            if left.is_zero() {
+                let detail = "the budget could not be drawn on in time";
+                return Err(Fault::not_run(Code::BudgetUnavailable, detail));
+            }
+            let _ = waiter.recv_timeout(left.min(RETRY_WAIT));
+        }
+    }
+
+    fn try_admit(&self, admission: &Admission) -> Result<Tried, Fault> {
+        let mut state = self.lock();
+        let now = self.clock.now();
+        let tried = match state.node.admit(now, admission.clone()) {
+            Admit::Admitted { seq, ready: true } => Tried::Ready(seq),
+            Admit::Admitted { seq, ready: false } => {
+                let (sender, receiver) = flume::bounded(1);
+                state.ready.insert(seq, sender);
+                Tried::Mirroring(seq, receiver)
+            }
+            Admit::Wait => {
+                let (sender, receiver) = flume::bounded(1);
+                state
+                    .waiting
+                    .entry(admission.budget.clone())
+                    .or_default()
+                    .push(sender);
+                Tried::Waiting(receiver)
+            }
+            Admit::Refused(fault) => return Err(fault),
+        };
+        self.pump(&mut state, now);
+        Ok(tried)
+    }
+
+    fn wait_ready(
+        &self,
+        seq: Seq,
+        ready: &flume::Receiver<Result<(), Fault>>,
+        deadline: Duration,
+    ) -> Result<Seq, Fault> {
+        let left = deadline.saturating_sub(self.clock.now());
+        if let Ok(outcome) = ready.recv_timeout(left) {
+            return outcome.map(|()| seq);
+        }
+        let mut state = self.lock();
+        if state.ready.remove(&seq).is_none() {
+            // The answer arrived between the timeout and the lock.
+            return ready.recv().unwrap_or_else(|_| Err(late())).map(|()| seq);
+        }
+        let now = self.clock.now();
+        state.node.finish(now, seq, 0, Verdict::NotRun);
+        self.pump(&mut state, now);
+        Err(late())
+    }
+
+    /// Reports the end of a request and the tokens that it is charged.
+    pub(crate) fn finish(&self, seq: Seq, tokens: Tokens, verdict: Verdict) {
+        let mut state = self.lock();
+        let now = self.clock.now();
+        state.node.finish(now, seq, tokens, verdict);
+        self.pump(&mut state, now);
+    }
+
+    /// Feeds an event to the node.
+    pub(crate) fn handle(&self, event: Event) {
+        let mut state = self.lock();
+        let now = self.clock.now();
+        state.node.handle(now, event);
+        self.pump(&mut state, now);
+    }
+
+    /// Executes what is due.
+    pub(crate) fn tick(&self) {
+        let mut state = self.lock();
+        let now = self.clock.now();
+        self.pump(&mut state, now);
+    }
+
+    /// Current incarnation.
+    ///
+    /// # Examples
+    ///
+    /// ```no_run
+    /// # fn show(handle: &cuminloom::node::Handle) {
+    /// println!("{}", handle.incarnation());
+    /// # }
+    /// ```
+    pub fn incarnation(&self) -> Incarnation {
+        self.lock().node.incarnation().clone()
+    }
+
+    /// Figures for metrics.
+    ///
+    /// # Examples
+    ///
+    /// ```no_run
+    /// # fn show(handle: &cuminloom::node::Handle) {
+    /// println!("{} open requests", handle.figures().open);
+    /// # }
+    /// ```
+    pub fn figures(&self) -> Figures {
+        self.lock().node.snapshot()
+    }
+
+    /// Begins the planned stop: no new requests; all bills are committed and all shares returned.
+    pub(crate) fn stop(&self) {
+        let mut state = self.lock();
+        let now = self.clock.now();
+        state.node.stop();
+        self.pump(&mut state, now);
+    }
+
+    /// Waits until the planned stop is complete, at most for `limit`; returns whether it is.
+    pub(crate) fn wait_stopped(&self, limit: Duration) -> bool {
+        let state = self.lock();
+        let waited = self
+            .shared
+            .stopped
+            .wait_timeout_while(state, limit, |state| !state.stopped);
+        waited.is_ok_and(|(state, _)| state.stopped)
+    }
+
+    fn pump(&self, state: &mut State, now: Duration) {
+        loop {
+            let actions = state.node.poll(now);
+            if actions.is_empty() {
+                return;
+            }
+            for action in actions {
+                state.execute(action);
+            }
+            if state.stopped {
+                self.shared.stopped.notify_all();
+            }
+        }
+    }
+}
+
+enum Tried {
+    Ready(Seq),
+    Mirroring(Seq, flume::Receiver<Result<(), Fault>>),
+    Waiting(flume::Receiver<()>),
+}
+
+fn late() -> Fault {
+    Fault::not_run(
+        Code::BudgetUnavailable,
+        "the request could not be mirrored in time",
+    )
+}
+
+impl State {
+    /// Carries out an action. The channels are unbounded and their receivers end after the node, so
+    /// a failed send only happens while the process ends.
+    fn execute(&mut self, action: Action) {
+        match action {
+            Action::Store { token, request } => {
+                let _ = self.outbox.store.send((token, request));
+            }
+            Action::Send { to, message } => {
+                let _ = self.outbox.peers.send((to, message));
+            }
+            Action::Ready { seq } => self.answer(seq, Ok(())),
+            Action::Refuse { seq, fault } => self.answer(seq, Err(fault)),
+            Action::Retry { budget } => {
+                let waiters = self.waiting.remove(&budget).unwrap_or_default();
+                for waiter in waiters {
+                    let _ = waiter.try_send(());
+                }
+            }
+            Action::Change(change) => {
+                let _ = self.outbox.changes.send(change);
+            }
+            Action::Stopped => self.stopped = true,
+        }
+    }
+
+    fn answer(&mut self, seq: Seq, outcome: Result<(), Fault>) {
+        if let Some(waiter) = self.ready.remove(&seq) {
+            let _ = waiter.try_send(outcome);
+        }
+    }
+}
--- /dev/null
+++ b/src/node/plugin.rs
@@ -0,0 +1,124 @@
+//! Threads that feed the node: platform operations, the list of VMs, time, and its log.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use super::{
+    Change,
+    Event, //
+};
+use crate::{
+    kernel::{
+        Context,
+        DaemonPlugin,
+        Plugin,
+        Running,
+        Stage, //
+    },
+    mirror,
+    store::Vms, //
+};
+
+/// Platform operations that run at the same time.
+const WORKERS: usize = 6;
+
+/// Interval at which the node looks at its timers.
+const TICK: Duration = Duration::from_millis(25);
+
+/// Interval at which the list of VMs is read.
+const VMS_EVERY: Duration = Duration::from_secs(5);
+
+inventory::submit! {
+    Plugin { name: "node", stage: Stage::Core, start: |ctx| Ok(spawn(ctx)) } as DaemonPlugin
+}
+
+inventory::submit! {
+    Plugin { name: "node-store", stage: Stage::Link, start: |ctx| Ok(spawn_workers(ctx)) } as DaemonPlugin
+}
+
+inventory::submit! {
+    Plugin { name: "vm-list", stage: Stage::Link, start: |ctx| Ok(spawn_vms(ctx)) } as DaemonPlugin
+}
+
+fn spawn(ctx: &Arc<Context>) -> Running {
+    let ctx = ctx.clone();
+    Running::spawn("node", move |stop| {
+        while stop.recv_timeout(TICK) == Err(flume::RecvTimeoutError::Timeout) {
+            ctx.node.tick();
+            ctx.queues
+                .changes
+                .try_iter()
+                .for_each(|change| log_change(&change));
+        }
+        ctx.queues
+            .changes
+            .try_iter()
+            .for_each(|change| log_change(&change));
+    })
+}
+
+fn spawn_workers(ctx: &Arc<Context>) -> Running {
+    let ctx = ctx.clone();
+    Running::spawn("node-store", move |stop| {
+        std::thread::scope(|scope| {
+            for _ in 0..WORKERS {
+                scope.spawn(|| work(&ctx, &stop));
+            }
+        });
+    })
+}
+
+fn work(ctx: &Context, stop: &flume::Receiver<()>) {
+    while !stop.is_disconnected() {
+        let Ok((token, request)) = ctx.queues.store.recv_timeout(TICK) else {
+            continue;
+        };
+        let reply = mirror::run(&ctx.store, &request);
+        let result = match &reply {
+            mirror::Reply::Failed(fault) => format!("{fault:?}").to_lowercase(),
+            _ => "ok".into(),
+        };
+        ctx.metrics
+            .store
+            .with_label_values(&[operation(&request), &result])
+            .inc();
+        ctx.node.handle(Event::Answer { token, reply });
+    }
+}
+
+fn operation(request: &mirror::Request) -> &'static str {
+    match request {
+        mirror::Request::Read(_) => "read",
+        mirror::Request::List(..) => "list",
+        mirror::Request::Commit(_) => "commit",
+        mirror::Request::Get(_) => "get",
+        mirror::Request::Put(..) => "put",
+    }
+}
+
+fn spawn_vms(ctx: &Arc<Context>) -> Running {
+    let ctx = ctx.clone();
+    Running::spawn("vm-list", move |stop| {
+        loop {
+            if let Ok(vms) = ctx.store.vms() {
+                ctx.node.handle(Event::Vms(vms));
+            }
+            if stop.recv_timeout(VMS_EVERY) != Err(flume::RecvTimeoutError::Timeout) {
+                return;
+            }
+        }
+    })
+}
+
+fn log_change(change: &Change) {
+    match change {
+        Change::Started(inc) => log::info!("incarnation {inc} started"),
+        Change::Mode(inc, mode) => log::info!("incarnation {inc} is now {mode:?}"),
+        Change::Platform(true) => log::info!("the platform responds"),
+        Change::Platform(false) => log::warn!("the platform does not respond"),
+        Change::SealedPeer(inc) => log::warn!("sealed the lost incarnation {inc}"),
+        Change::Retired(inc) => log::info!("incarnation {inc} is accounted for"),
+    }
+}
--- /dev/null
+++ b/src/route/handle.rs
@@ -0,0 +1,265 @@
+//! The router shared by the threads that serve requests.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+};
+
+use super::{
+    Action,
+    Ended,
+    Figures,
+    Job,
+    Load,
+    Router,
+    Settings,
+    Strike, //
+};
+use crate::{
+    kernel::Clock,
+    model::{
+        Code,
+        Configuration,
+        Fault,
+        TargetId, //
+    },
+};
+
+/// A target that is to run a request now.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Slot {
+    /// Number of the request at the router.
+    pub ticket: u64,
+    /// Target that runs the request.
+    pub target: TargetId,
+    /// Where the target listens.
+    pub addr: SocketAddr,
+    /// Whether the request was on a target when that crashed.
+    pub struck: bool,
+}
+
+type Waiter = (
+    flume::Sender<Result<Slot, Fault>>,
+    flume::Receiver<Result<Slot, Fault>>,
+);
+
+#[derive(Debug)]
+struct State {
+    router: Router,
+    waiters: HashMap<u64, Waiter>,
+    next: u64,
+}
+
+/// The router of a daemon, shared by its threads.
+#[derive(Clone, Debug)]
+pub struct Handle {
+    clock: Clock,
+    state: Arc<Mutex<State>>,
+    strikes: flume::Sender<Strike>,
+}
+
+impl Handle {
+    /// Opens a router; strikes to be sent to peers go to `strikes`.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cuminloom::{
+    ///     kernel::Clock,
+    ///     route::{Handle, Settings},
+    /// };
+    /// let (strikes, _) = flume::unbounded();
+    /// let handle = Handle::open(Settings::new("cebu-north".into()), 1, Clock::open(), strikes);
+    /// assert_eq!(handle.figures().queued, 0);
+    /// ```
+    pub fn open(
+        settings: Settings,
+        seed: u64,
+        clock: Clock,
+        strikes: flume::Sender<Strike>,
+    ) -> Self {
+        let router = Router::new(settings, seed);
+        let state = State {
+            router,
+            waiters: HashMap::new(),
+            next: 1,
+        };
+        Self {
+            clock,
+            state: Arc::new(Mutex::new(state)),
+            strikes,
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Queues a request, whose ticket is set here, and waits for a target.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no target can take the request before its deadline.
+    pub(crate) fn enqueue(&self, mut job: Job) -> Result<Slot, Fault> {
+        let ticket = {
+            let mut state = self.lock();
+            let now = self.clock.now();
+            let ticket = state.next;
+            state.next += 1;
+            job.ticket = ticket;
+            state.router.offer(now, job)?;
+            state.waiters.insert(ticket, flume::bounded(1));
+            state.pump(now);
+            ticket
+        };
+        self.wait(ticket)
+    }
+
+    /// Waits for a target of a request that is queued.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no target can take the request before its deadline.
+    pub(crate) fn wait(&self, ticket: u64) -> Result<Slot, Fault> {
+        let waiter = self
+            .lock()
+            .waiters
+            .get(&ticket)
+            .map(|(_, receiver)| receiver.clone());
+        let slot = waiter.and_then(|receiver| receiver.recv().ok());
+        let lost = || Fault::not_run(Code::Internal, "the request is not queued");
+        let slot = slot.ok_or_else(lost).flatten();
+        if slot.is_err() {
+            self.lock().waiters.remove(&ticket);
+        }
+        slot
+    }
+
+    /// Reports the first byte of an answer.
+    pub(crate) fn first_byte(&self, ticket: u64) {
+        let now = self.clock.now();
+        self.lock().router.first_byte(now, ticket);
+    }
+
+    /// Reports how a request ended; returns whether it was queued again. A strike is handed to the
+    /// peer links before this returns, so that peers learn of it before the caller can send again.
+    pub(crate) fn finish(&self, ticket: u64, ended: Ended) -> bool {
+        let mut state = self.lock();
+        let now = self.clock.now();
+        let after = state.router.finished(now, ticket, ended);
+        if let Some(strike) = after.strike {
+            let _ = self.strikes.send(strike);
+        }
+        if !after.retry {
+            state.waiters.remove(&ticket);
+        }
+        state.pump(now);
+        after.retry
+    }
+
+    /// Takes a load report of a target.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cuminloom::{
+    ///     kernel::Clock,
+    ///     route::{Handle, Load, Settings},
+    /// };
+    /// let (strikes, _) = flume::unbounded();
+    /// let handle = Handle::open(Settings::new("cebu-north".into()), 1, Clock::open(), strikes);
+    /// let load = Load { running: 1, waiting: 0, capacity: 8, leaving: false };
+    /// handle.report(&"runner-1".into(), load);
+    /// ```
+    pub fn report(&self, target: &TargetId, load: Load) {
+        let mut state = self.lock();
+        let now = self.clock.now();
+        state.router.report(now, target, load);
+        state.pump(now);
+    }
+
+    /// Stops new work for a target that is leaving.
+    pub(crate) fn leaving(&self, target: &TargetId) {
+        let now = self.clock.now();
+        self.lock().router.leaving(now, target);
+    }
+
+    /// Takes a strike from a peer.
+    pub(crate) fn strike(&self, strike: &Strike) {
+        let now = self.clock.now();
+        self.lock()
+            .router
+            .strike(now, strike.fingerprint, &strike.target);
+    }
+
+    /// Takes the services and customers of a configuration.
+    pub(crate) fn configure(&self, config: &Configuration) {
+        let mut state = self.lock();
+        let now = self.clock.now();
+        for service in config.services.values() {
+            state.router.set_service(now, service);
+        }
+        for customer in config.customers.values() {
+            state
+                .router
+                .set_weight(customer.id.clone(), customer.weight);
+        }
+        state.pump(now);
+    }
+
+    /// Executes what is due.
+    pub(crate) fn tick(&self) {
+        let now = self.clock.now();
+        self.lock().pump(now);
+    }
+
+    /// Counts for metrics.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cuminloom::{
+    ///     kernel::Clock,
+    ///     route::{Handle, Settings},
+    /// };
+    /// let (strikes, _) = flume::unbounded();
+    /// let handle = Handle::open(Settings::new("cebu-north".into()), 1, Clock::open(), strikes);
+    /// assert_eq!(handle.figures().offered, 0);
+    /// ```
+    pub fn figures(&self) -> Figures {
+        self.lock().router.figures()
+    }
+}
+
+impl State {
+    fn pump(&mut self, now: std::time::Duration) {
+        for action in self.router.poll(now) {
+            let (ticket, outcome) = match action {
+                Action::Dispatch {
+                    ticket,
+                    target,
+                    addr,
+                    struck,
+                } => (
+                    ticket,
+                    Ok(Slot {
+                        ticket,
+                        target,
+                        addr,
+                        struck,
+                    }),
+                ),
+                Action::Refuse { ticket, fault } => (ticket, Err(fault)),
+            };
+            if let Some((sender, _)) = self.waiters.get(&ticket) {
+                let _ = sender.try_send(outcome);
+            }
+        }
+    }
+}
--- a/src/target/event.rs
+++ b/src/target/event.rs
@@ -6,7 +6,10 @@
     Read, //
 };
 
-use serde::Deserialize;
+use serde::{
+    Deserialize,
+    de::IgnoredAny, //
+};
 
 use crate::{
     model::{
@@ -32,6 +35,8 @@
         data: Vec<u8>,
         /// Tokens of prompt and answer so far or in total.
         usage: Option<Tokens>,
+        /// Whether the chunk holds no part of the answer, as the one that only reports the usage.
+        bare: bool,
     },
     /// The stream is complete.
     Done,
@@ -41,6 +46,7 @@
 #[derive(Deserialize)]
 struct Chunk {
     usage: Option<Usage>,
+    choices: Option<Vec<IgnoredAny>>,
 }
 
 /// Iterator over the events of a stream. It ends after [`Event::Done`] or the first failure.
@@ -97,12 +103,15 @@
         return Event::Done;
     }
     let chunk: Option<Chunk> = serde_json::from_slice(data).ok();
+    let choices = chunk.as_ref().and_then(|chunk| chunk.choices.as_ref());
+    let bare = choices.is_some_and(Vec::is_empty);
     let usage = chunk
         .and_then(|chunk| chunk.usage)
         .map(|usage| usage.total_tokens);
     Event::Chunk {
         data: data.to_vec(),
         usage,
+        bare,
     }
 }
 
--- a/src/target/load.rs
+++ b/src/target/load.rs
@@ -2,24 +2,14 @@
 
 use std::net::SocketAddr;
 
-use crate::wire::target as wire;
+use crate::{
+    route::Load,
+    wire::target as wire, //
+};
 
 /// Deadline of a load report, in seconds.
 const TIMEOUT_S: u64 = 1;
 
-/// Load report of a target.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Load {
-    /// Requests that run.
-    pub running: u32,
-    /// Requests that wait in the target.
-    pub waiting: u32,
-    /// Requests that can run at once.
-    pub capacity: u32,
-    /// Whether the target takes no new work.
-    pub leaving: bool,
-}
-
 /// Asks a target for its load; `None` when it does not answer with a report.
 ///
 /// # Examples
--- a/src/target/mod.rs
+++ b/src/target/mod.rs
@@ -12,10 +12,7 @@
     Event,
     Events, //
 };
-pub use load::{
-    Load,
-    fetch_load, //
-};
+pub use load::fetch_load;
 pub use order::{
     Obeyed,
     Order,
