Add stand-ins for the platform, engines, services and links

Tests of the daemon need a platform, engines, plain services and links between data centres whose faults they control, and counters that prove that a request took effect once.

The servers use tiny_http. It gives out no socket, so it can neither close a connection without an answer nor tell that a client has gone; a relay in front of each server holds the client's socket and does both. The same relay is the stand-in for links between data centres. A cut closes the listener before the connections, because a client that reconnected at once was accepted otherwise.

The platform test found that minreq makes up a reply with status 503 when the connection closes without an answer. HttpStore took it for a refusal, so a write that had been applied was reported as certainly not applied. A reply without headers is now StoreFault::Unknown.

--- a/src/store/http.rs
+++ b/src/store/http.rs
@@ -57,6 +57,11 @@
             .with_follow_redirects(false)
             .send()
             .map_err(|err| fault_of(&err))?;
+        // `minreq` makes up a 503 when the connection closes without an answer; such a reply has no
+        // headers, and a write may have been applied.
+        if reply.headers.is_empty() {
+            return Err(StoreFault::Unknown);
+        }
         match reply.status_code {
             200 | 201 | 404 | 409 | 412 => Ok(reply),
             // The platform answers 503 before it looks at the request.
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,3 +1,11 @@
 //! Stand-ins for the platform, the model engines and the plain services, for tests and the demo.
 
+pub mod cli;
+pub mod engine;
+pub mod platform;
+pub mod process;
+mod queue;
+pub mod relay;
+pub mod server;
+pub mod service;
 pub mod store;
