Add the administration API and cuminloomctl

Operators need to edit the configuration, budgets and orders from any daemon, and no change may take effect twice when an answer is lost.

Items take If-Match and an ETag; a conflict shows the other edit. A POST needs an idempotency-key; its result is recorded in the row request/<key>, in the same commit as its effect. Keeping the record inside the budget row was ruled out, because drawers replace that row as a whole. An order counts as uncertain in its record until its answer is known, so a repeated one is never sent again. Request and answer types are generated from schema/admin.json. cuminloomctl is a thin client in admin::ctl that carries one request id through all attempts and ends with documented codes.

tiny_http reserves the declared length of a body that was not read; a length of 2^60 without a token ended the process (signal 6, seen in the new test before the fix). Such a request is now abandoned.

--- /dev/null
+++ b/src/admin/reply.rs
@@ -0,0 +1,158 @@
+//! Answers and failures of the administration API.
+
+use std::sync::Arc;
+
+use serde::Serialize;
+
+use crate::{
+    budget,
+    config::{
+        Edit,
+        ItemFault,
+        JobFault,
+        Refusal, //
+    },
+    model::{
+        Code,
+        Fault, //
+    },
+    store::StoreFault,
+    wire::admin as wire,
+};
+
+/// An answer with its ETag.
+#[derive(Debug)]
+pub(super) struct Reply {
+    pub(super) status: u16,
+    pub(super) etag: Option<u64>,
+    pub(super) body: Vec<u8>,
+}
+
+impl Reply {
+    pub(super) fn ok<T: Serialize>(body: &T) -> Self {
+        Self {
+            status: 200,
+            etag: None,
+            body: serde_json::to_vec(body).expect("wire types have string keys"),
+        }
+    }
+
+    pub(super) fn tagged<T: Serialize>(body: &T, etag: u64) -> Self {
+        Self {
+            etag: Some(etag),
+            ..Self::ok(body)
+        }
+    }
+}
+
+/// Why a request was refused or failed.
+#[derive(Debug)]
+pub(super) struct Failure {
+    fault: Fault,
+    fields: Vec<ItemFault>,
+    conflict: Option<Arc<Edit>>,
+}
+
+pub(super) type Answer = Result<Reply, Failure>;
+
+pub(super) fn refuse(code: Code, detail: impl Into<Arc<str>>) -> Failure {
+    Fault::not_run(code, detail).into()
+}
+
+impl From<Fault> for Failure {
+    fn from(fault: Fault) -> Self {
+        Self {
+            fault,
+            fields: Vec::new(),
+            conflict: None,
+        }
+    }
+}
+
+impl From<ItemFault> for Failure {
+    fn from(fault: ItemFault) -> Self {
+        Refusal::Invalid(vec![fault]).into()
+    }
+}
+
+/// A read without answer.
+impl From<StoreFault> for Failure {
+    fn from(fault: StoreFault) -> Self {
+        refuse(Code::StoreUnavailable, fault.to_string())
+    }
+}
+
+impl From<budget::Refusal> for Failure {
+    fn from(refusal: budget::Refusal) -> Self {
+        let code = match refusal {
+            budget::Refusal::NoShare => Code::NotFound,
+            budget::Refusal::Malformed(_) => Code::Internal,
+            _ => Code::BadRequest,
+        };
+        refuse(code, refusal.to_string())
+    }
+}
+
+impl From<Refusal> for Failure {
+    fn from(refusal: Refusal) -> Self {
+        let detail = refusal.to_string();
+        let (code, fields, conflict) = match refusal {
+            Refusal::Conflict(edit) => (Code::Conflict, Vec::new(), edit),
+            Refusal::Missing => (Code::NotFound, Vec::new(), None),
+            Refusal::Invalid(fields) => (Code::BadRequest, fields, None),
+            Refusal::Reused(edit) => (Code::KeyReused, Vec::new(), Some(edit)),
+            Refusal::Behind => (Code::Internal, Vec::new(), None),
+        };
+        Self {
+            fault: Fault::not_run(code, detail),
+            fields,
+            conflict,
+        }
+    }
+}
+
+impl From<JobFault> for Failure {
+    fn from(fault: JobFault) -> Self {
+        let detail = fault.to_string();
+        match fault {
+            JobFault::Refused(refusal) => refusal.into(),
+            JobFault::Unavailable => refuse(Code::StoreUnavailable, detail),
+            JobFault::Uncertain => Fault::may_have_run(Code::StoreUnavailable, detail).into(),
+            JobFault::Corrupt(_) => refuse(Code::Internal, detail),
+        }
+    }
+}
+
+impl From<Failure> for Reply {
+    fn from(failure: Failure) -> Self {
+        let fields = failure.fields.into_iter().map(|field| wire::Field {
+            path: field.path,
+            message: field.message,
+        });
+        let body = wire::Failure {
+            error: wire::Problem {
+                message: failure.fault.detail.to_string(),
+                code: failure.fault.code.as_str().into(),
+                verdict: failure.fault.verdict.to_string(),
+                fields: fields.collect(),
+                conflict: failure.conflict.as_deref().map(edited),
+            },
+        };
+        Self {
+            status: failure.fault.code.status(),
+            ..Self::ok(&body)
+        }
+    }
+}
+
+/// An edit as the API shows it; the request id of another operator is not shown.
+pub(super) fn edited(edit: &Edit) -> wire::Edited {
+    wire::Edited {
+        version: edit.version,
+        kind: edit.kind.to_string(),
+        name: edit.name.to_string(),
+        value: edit.value.as_ref().map(crate::config::body_of),
+        operator: edit.operator.to_string(),
+        time: edit.time,
+    }
+}
--- /dev/null
+++ b/src/admin/server.rs
@@ -0,0 +1,254 @@
+//! The listener of the administration API.
+
+use std::{
+    collections::BTreeSet,
+    error::Error,
+    fmt,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        Mutex, //
+    },
+    thread::{
+        self,
+        JoinHandle, //
+    },
+};
+
+use error_stack::Report;
+use tiny_http::{
+    Header,
+    Method,
+    Response,
+    Server, //
+};
+
+use super::{
+    fleet::Fleet,
+    reply::{
+        Answer,
+        Reply,
+        refuse, //
+    },
+    request::Request,
+};
+use crate::{
+    config::{
+        Config,
+        Kind, //
+    },
+    model::{
+        Code,
+        DaemonId,
+        TargetId, //
+    },
+    settings::Operator,
+    store::{
+        Objects,
+        Table, //
+    },
+};
+
+/// Requests that are answered at the same time.
+const WORKERS: usize = 8;
+/// Longest declared body, in bytes, that tiny_http may discard: it reserves the whole length, and a
+/// length that cannot be reserved ends the process.
+const DISCARDED: usize = 64 << 20;
+
+/// What the administration API needs from the settings.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// Address to listen on.
+    pub listen: SocketAddr,
+    /// Who may administer.
+    pub operators: Vec<Operator>,
+    /// Name of this daemon.
+    pub daemon: DaemonId,
+    /// Longest accepted body, in bytes.
+    pub body_limit: usize,
+    /// Seconds since the Unix epoch, for the history.
+    pub now: fn() -> u64,
+}
+
+/// The listener could not be opened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BindError;
+
+impl fmt::Display for BindError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the administration API cannot listen")
+    }
+}
+
+impl Error for BindError {}
+
+/// State that all workers share.
+pub(super) struct Shared<S, F> {
+    pub(super) setup: Setup,
+    pub(super) store: S,
+    pub(super) fleet: F,
+    pub(super) config: Arc<Mutex<Config>>,
+    /// Targets to which an order is being sent.
+    pub(super) sending: Mutex<BTreeSet<TargetId>>,
+}
+
+/// The running administration API; it stops when it is dropped.
+pub struct Admin {
+    addr: SocketAddr,
+    server: Arc<Server>,
+    workers: Vec<JoinHandle<()>>,
+}
+
+impl fmt::Debug for Admin {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Admin").field("addr", &self.addr).finish()
+    }
+}
+
+/// Opens the listener and answers operators. Accepted edits are applied to `config`.
+///
+/// # Errors
+///
+/// Fails with [`BindError`] when the address cannot be listened on.
+///
+/// # Examples
+///
+/// ```
+/// # use std::{collections::BTreeMap, sync::Arc};
+/// # use cuminloom::{budget::Bills, model::*, store::{HttpStore, StoreFault}};
+/// use cuminloom::admin::{self, Confirmed, Fleet, Setup, Standing};
+///
+/// struct Alone;
+///
+/// impl Fleet for Alone {
+///     fn peers(&self) -> Vec<Confirmed> { Vec::new() }
+///     fn standing(&self) -> Standing { Standing::default() }
+///     fn notice(&self, _version: Version) {}
+///     fn bills(&self) -> Result<BTreeMap<BudgetId, Bills>, StoreFault> { Ok(BTreeMap::new()) }
+/// }
+///
+/// let setup = Setup {
+///     listen: "127.0.0.1:0".parse().unwrap(),
+///     operators: Vec::new(),
+///     daemon: "vm-1".into(),
+///     body_limit: 1 << 20,
+///     now: || 0,
+/// };
+/// let store = HttpStore::open("127.0.0.1:1".parse().unwrap());
+/// let admin = admin::bind(setup, store, Alone, Arc::default()).unwrap();
+/// let url = format!("http://{}/admin/v1/status", admin.addr());
+/// assert_eq!(minreq::get(url).send().unwrap().status_code, 401);
+/// ```
+pub fn bind<S, F>(
+    setup: Setup,
+    store: S,
+    fleet: F,
+    config: Arc<Mutex<Config>>,
+) -> Result<Admin, Report<BindError>>
+where
+    S: Table + Objects + Send + Sync + 'static,
+    F: Fleet,
+{
+    let server = Server::http(setup.listen)
+        .map_err(|err| Report::new(BindError).attach(format!("{}: {err}", setup.listen)))?;
+    let addr = server.server_addr().to_ip().unwrap_or(setup.listen);
+    let server = Arc::new(server);
+    let shared = Arc::new(Shared {
+        setup,
+        store,
+        fleet,
+        config,
+        sending: Mutex::default(),
+    });
+    let worker = |_| {
+        let (server, shared) = (server.clone(), shared.clone());
+        thread::spawn(move || {
+            while let Ok(http) = server.recv() {
+                serve(&*shared, http);
+            }
+        })
+    };
+    Ok(Admin {
+        addr,
+        workers: (0..WORKERS).map(worker).collect(),
+        server,
+    })
+}
+
+impl Admin {
+    /// Address that is listened on; its port is the chosen one when the settings name port 0.
+    ///
+    /// # Examples
+    ///
+    /// See [`bind`].
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+}
+
+impl Drop for Admin {
+    /// Waits for the requests in progress.
+    fn drop(&mut self) {
+        self.workers.iter().for_each(|_| self.server.unblock());
+        for worker in self.workers.drain(..) {
+            // A worker that panicked has reported it.
+            drop(worker.join());
+        }
+    }
+}
+
+fn serve<S: Table + Objects, F: Fleet>(shared: &Shared<S, F>, mut http: tiny_http::Request) {
+    if http.body_length().is_some_and(|length| length > DISCARDED) {
+        log::warn!("a request to the administration API declares a body that is far too long");
+        // Dropping or answering it would discard its body. Its connection and thread are lost.
+        std::mem::forget(http);
+        return;
+    }
+    let setup = &shared.setup;
+    let request = Request::read(&mut http, &setup.operators, setup.body_limit);
+    let answer = request.and_then(|request| shared.answer(&request));
+    let reply = answer.unwrap_or_else(Reply::from);
+    let header = |name: &str, value: &str| {
+        Header::from_bytes(name, value).expect("header names and values are plain text")
+    };
+    let mut response = Response::from_data(reply.body)
+        .with_status_code(reply.status)
+        .with_header(header("Content-Type", "application/json"));
+    if let Some(etag) = reply.etag {
+        response.add_header(header("ETag", &format!("\"{etag}\"")));
+    }
+    if let Err(err) = http.respond(response) {
+        log::debug!("an operator did not take the answer: {err}");
+    }
+}
+
+impl<S: Table + Objects, F: Fleet> Shared<S, F> {
+    fn answer(&self, request: &Request) -> Answer {
+        let path: Vec<&str> = request.path.iter().map(String::as_str).collect();
+        match (&request.method, path.as_slice()) {
+            (Method::Get, ["config"]) => self.configuration(),
+            (Method::Get, ["config", "history"]) => self.history(request),
+            (Method::Get, ["config", "wait"]) => self.wait(request),
+            (Method::Get, ["status"]) => self.status(),
+            (Method::Get, ["audit"]) => self.audit(),
+            (Method::Get, ["budgets"]) => self.budgets(request),
+            (Method::Get, ["budgets", id]) => self.budget(id),
+            (Method::Put, ["budgets", id]) => self.create_budget(request, id),
+            (Method::Post, ["budgets", id, action]) => self.change_budget(request, id, action),
+            (Method::Post, ["orders", target]) => self.order(request, target),
+            (method, [kind]) if *method == Method::Get => self.list(&kind_of(kind)?),
+            (_, [kind, name]) => self.item(request, kind_of(kind)?, name),
+            (method, _) => {
+                let detail = format!("there is no {method} {}", request.path.join("/"));
+                Err(refuse(Code::NotFound, detail))
+            }
+        }
+    }
+}
+
+fn kind_of(text: &str) -> Result<Kind, super::reply::Failure> {
+    let mut kinds = Kind::ALL.into_iter();
+    kinds
+        .find(|kind| kind.plural() == text)
+        .ok_or_else(|| refuse(Code::NotFound, format!("there is no {text:?}")))
+}
--- a/src/bin/cuminloomctl.rs
+++ b/src/bin/cuminloomctl.rs
@@ -1,2 +1,14 @@
 //! The cuminloom command-line tool.
-fn main() {}
+
+use std::{
+    io,
+    process::ExitCode, //
+};
+
+use cuminloom::admin::ctl;
+
+fn main() -> ExitCode {
+    let token = std::env::var(ctl::TOKEN).ok();
+    let (mut out, mut err) = (io::stdout(), io::stderr());
+    ExitCode::from(ctl::run(std::env::args_os(), token, &mut out, &mut err).code())
+}
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -14,6 +14,9 @@
 mod machine;
 mod shell;
 
+pub(crate) use edit::body_of;
+pub(crate) use shell::lock;
+
 pub use check::{
     ItemFault,
     valid_name, //
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -3,6 +3,9 @@
 //! `cargo typify --no-builder schema/NAME.json -o src/wire/NAME.rs` regenerates a file after its
 //! schema changed. The generated files are committed, so the build needs no generator.
 
+#[allow(missing_docs, unreachable_pub, clippy::all)]
+#[rustfmt::skip]
+pub mod admin;
 #[allow(dead_code, missing_docs, unreachable_pub, clippy::all)]
 #[rustfmt::skip]
 pub mod budget;
