--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -15,6 +15,9 @@
 mod plugin;
 mod shell;
 
+pub(crate) use edit::body_of;
+pub(crate) use shell::lock;
+
 pub use check::{
     ItemFault,
     valid_name, //
