--- a/src/bill/mod.rs
+++ b/src/bill/mod.rs
@@ -139,7 +139,7 @@
     pub detached: bool,
     /// Uncommitted bills, and open requests charged at their bound.
     pub bills: Vec<Bill>,
-    /// Figures of each share; empty without a record.
+    /// Figures of each share; without a record only what is billed.
     pub accounts: BTreeMap<BudgetId, Account>,
 }
 
--- a/src/bill/writer.rs
+++ b/src/bill/writer.rs
@@ -239,13 +239,7 @@
         Some(Step::Late)
     }
 
-    fn conflicted(
-        &mut self,
-        now: Duration,
-        n: u64,
-        key: &str,
-        row: Option<Row>,
-    ) -> Option<Step> {
+    fn conflicted(&mut self, now: Duration, n: u64, key: &str, row: Option<Row>) -> Option<Step> {
         if key == &*fence_key(&self.inc) {
             self.retry_at = now + RETRY;
             return Some(Step::Fence(row));
--- a/src/mirror/fence.rs
+++ b/src/mirror/fence.rs
@@ -35,6 +35,9 @@
     pub witness: Option<Incarnation>,
     /// Number of the witness assignment.
     pub epoch: u64,
+    /// Whether a planned stop returns the shares and removes them from their rows, so that a share
+    /// without an entry may have been settled already.
+    pub stopping: bool,
     /// Present after the seal.
     pub sealed: Option<SealedBy>,
 }
@@ -77,6 +80,7 @@
             dc: row.dc.into(),
             witness: row.witness.map(Into::into),
             epoch: row.epoch,
+            stopping: row.stopping,
             sealed: row.sealed.map(|sealed| SealedBy {
                 by: sealed.by.into(),
                 object: sealed.object.into(),
@@ -97,6 +101,7 @@
     ///     dc: "east".into(),
     ///     witness: Some("b.1".into()),
     ///     epoch: 1,
+    ///     stopping: false,
     ///     sealed: None,
     /// };
     /// assert_eq!(Fence::from_value(&fence.to_value()), Some(fence));
@@ -108,6 +113,7 @@
             dc: self.dc.to_string(),
             witness: self.witness.as_deref().map(str::to_owned),
             epoch: self.epoch,
+            stopping: self.stopping,
             sealed: self.sealed.as_ref().map(|sealed| wire::SealedBy {
                 by: sealed.by.to_string(),
                 object: sealed.object.to_string(),
--- a/src/mirror/pair.rs
+++ b/src/mirror/pair.rs
@@ -27,7 +27,9 @@
 use crate::{
     budget::Mode,
     model::{
+        BudgetId,
         Incarnation,
+        Tokens,
         Version, //
     },
     store::{
@@ -92,7 +94,18 @@
     tried: BTreeSet<Incarnation>,
     pending: bool,
     retry_at: Duration,
-    stopping: bool,
+    /// What a planned stop wants the fence row to say.
+    stop: Stop,
+}
+
+/// Progress of a planned stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Stop {
+    No,
+    /// The row says that the daemon is stopping.
+    Announce,
+    /// The row is sealed by its own daemon.
+    Seal,
 }
 
 impl Pair {
@@ -115,7 +128,7 @@
             tried: BTreeSet::new(),
             pending: false,
             retry_at: Duration::ZERO,
-            stopping: false,
+            stop: Stop::No,
         }
     }
 
@@ -123,17 +136,27 @@
         &self.state
     }
 
+    /// Whether the next poll takes a snapshot for a new witness.
+    pub(crate) fn is_preparing(&self) -> bool {
+        matches!(self.step, Step::Preparing(_))
+    }
+
+    /// Takes the issued figures of the shares in use: without a witness, or detached, the drawer
+    /// issues without a log entry. A share that is not in use has spent all that was issued.
+    pub(crate) fn sync(&mut self, issued: BTreeMap<BudgetId, Tokens>) {
+        let billed = &self.state.book.billed;
+        for (budget, total) in &mut self.state.issued {
+            *total = billed.get(budget).copied().unwrap_or(0);
+        }
+        self.state.issued.extend(issued);
+    }
+
     /// Accounts for the batches that count after the seal; answers to their commits may be lost.
     pub(crate) fn settle(&mut self, batches: u64) {
         assert!(self.fence.sealed.is_some(), "the incarnation is sealed");
         self.state.book.commit(batches);
     }
 
-    /// Number of the last operation.
-    pub(crate) fn last(&self) -> u64 {
-        self.log.next() - 1
-    }
-
     pub(crate) fn fence(&self) -> &Fence {
         &self.fence
     }
@@ -212,9 +235,31 @@
         }
     }
 
-    /// Asks for the seal of the own fence row at the end of a planned stop.
+    /// Announces a planned stop in the fence row; returns whether the row says it.
+    pub(crate) fn announce(&mut self) -> bool {
+        self.stop = self.stop.max(Stop::Announce);
+        self.fence.stopping
+    }
+
+    /// Seals the own fence row at the end of a planned stop.
     pub(crate) fn stop(&mut self) {
-        self.stopping = true;
+        self.stop = Stop::Seal;
+    }
+
+    fn wanted_stop(&self) -> Option<Fence> {
+        let mut want = self.fence.clone();
+        match self.stop {
+            Stop::Announce if !self.fence.stopping => want.stopping = true,
+            Stop::Seal => {
+                want.sealed = Some(SealedBy {
+                    by: self.inc.clone(),
+                    object: "".into(),
+                    settled: true,
+                });
+            }
+            _ => return None,
+        }
+        Some(want)
     }
 
     /// A peer stopped responding.
@@ -341,22 +386,11 @@
         }
     }
 
-    fn propose(
-        &mut self,
-        now: Duration,
-        platform: bool,
-        peers: &BTreeMap<Incarnation, Peer>,
-    ) {
+    fn propose(&mut self, now: Duration, platform: bool, peers: &BTreeMap<Incarnation, Peer>) {
         if self.pending || self.version.is_none() || !platform || now < self.retry_at {
             return;
         }
-        if self.stopping {
-            let mut want = self.fence.clone();
-            want.sealed = Some(SealedBy {
-                by: self.inc.clone(),
-                object: "".into(),
-                settled: true,
-            });
+        if let Some(want) = self.wanted_stop() {
             return self.commit(now, want, self.log.next());
         }
         let paired = self.fence.witness.is_some();
@@ -487,8 +521,12 @@
             return;
         };
         let (want, next) = (want.clone(), *next);
+        let assigned = want.epoch != self.fence.epoch;
         self.fence = want;
         self.step = Step::Idle;
+        if !assigned {
+            return self.log.restart(now);
+        }
         self.lost = false;
         self.detach = Detach::No;
         self.state.detached = false;
--- a/src/mirror/seal.rs
+++ b/src/mirror/seal.rs
@@ -277,7 +277,9 @@
             None => (Expect::Absent, Ledger::default()),
         };
         if self.third {
-            return self.build(false);
+            // Without a record every batch is read, so that the billed figures are exact.
+            self.state = State::default();
+            return self.next_batch();
         }
         let epoch = self.fence.as_ref().expect("the fence row was read").1.epoch;
         let Some(record) = records.and_then(|records| records.get_mut(&epoch)) else {
@@ -294,7 +296,7 @@
         book.commit(book.last.min(self.ledger.1.batches));
         match book.last < self.ledger.1.batches {
             true => self.step = Step::Batch,
-            false => self.build(true),
+            false => self.build(),
         }
     }
 
@@ -307,24 +309,26 @@
     }
 
     /// Fixes the final account. The record is frozen, so the content depends on the name only.
-    fn build(&mut self, known: bool) {
+    fn build(&mut self) {
         let batches = self.ledger.1.batches;
         let epoch = self.fence.as_ref().expect("the fence row was read").1.epoch;
         self.object = format!("bills/{}/seal-{batches}-{epoch}-{}", self.inc, self.by).into();
         let bills = self.state.book.rest();
         let mut billed = self.state.book.billed.clone();
         bill::add(&mut billed, &bills);
-        let account = |budget: &BudgetId, issued: &u64| Account {
-            issued: *issued,
+        let account = |budget: &BudgetId, issued: u64| Account {
+            issued,
             sent: self.state.sent.get(budget).copied().unwrap_or(0),
             billed: billed.get(budget).copied().unwrap_or(0),
         };
-        let accounts = self.state.issued.iter();
+        let issued = self.state.issued.clone();
+        let accounts: BTreeMap<_, _> = billed.keys().map(|b| (b.clone(), 0)).collect();
+        let accounts = accounts.into_iter().chain(issued);
         self.seal = bill::Seal {
             batches,
-            known,
+            known: !self.third,
             detached: self.state.detached,
-            accounts: accounts.map(|(b, i)| (b.clone(), account(b, i))).collect(),
+            accounts: accounts.map(|(b, i)| (b.clone(), account(&b, i))).collect(),
             bills,
         };
         self.step = Step::Put;
@@ -357,14 +361,19 @@
     }
 
     fn settle(&mut self) {
-        self.budgets = self.seal.accounts.keys().cloned().collect();
-        match self.seal.known {
-            true => self.next_budget(),
-            false => self.step = Step::List("".into()),
+        self.budgets.clear();
+        if self.seal.known {
+            self.budgets.extend(self.seal.accounts.keys().cloned());
+            return self.next_budget();
         }
+        self.step = Step::List("".into());
     }
 
     fn listed(&mut self, rows: &[Row]) {
+        // Shares that exist on transfers only have no entry yet.
+        if matches!(&self.step, Step::List(after) if after.is_empty()) {
+            self.budgets.extend(self.seal.accounts.keys().cloned());
+        }
         for row in rows {
             let share = row.value["shares"].get(&*self.inc);
             if let (Some(budget), true) = (row.key.strip_prefix("budget/"), share.is_some()) {
@@ -389,6 +398,11 @@
         let account = self.seal.accounts.get(budget).copied().unwrap_or_default();
         let next = row.and_then(|row| {
             let old = budget::Row::try_from(row.value).ok()?;
+            let fence = &self.fence.as_ref().expect("the fence row was read").1;
+            // A planned stop removed the share after all its bills were committed.
+            if fence.stopping && !old.shares.contains_key(&self.inc) {
+                return None;
+            }
             let new = settle_row(&self.inc, &old, &self.seal, account)?;
             (new != old).then_some((row.version, new))
         });
@@ -422,10 +436,6 @@
     seal: &bill::Seal,
     account: Account,
 ) -> Option<budget::Row> {
-    // A share without an entry and with nothing left was removed, or never written.
-    if !old.shares.contains_key(inc) && account.issued <= account.billed {
-        return None;
-    }
     let exact = seal.known && !seal.detached;
     let record = budget::Record {
         issued: exact.then_some(account.issued),
--- a/src/mirror/state.rs
+++ b/src/mirror/state.rs
@@ -23,7 +23,7 @@
 pub struct State {
     /// Open requests and uncommitted bills.
     pub book: Book,
-    /// Issued tokens per budget, cumulative.
+    /// Issued tokens per budget, cumulative. The sealer settles the rows of these budgets.
     pub issued: BTreeMap<BudgetId, Tokens>,
     /// Tokens sent to other daemons per budget, cumulative.
     pub sent: BTreeMap<BudgetId, Tokens>,
@@ -43,7 +43,9 @@
 impl State {
     pub(crate) fn apply(&mut self, op: &Op) {
         match op {
-            Op::Issue { budget, total } => self.issue(budget, *total),
+            Op::Issue { budget, total } => {
+                self.issued.insert(budget.clone(), *total);
+            }
             Op::Open {
                 seq,
                 customer,
@@ -74,14 +76,4 @@
             Op::Detach => self.detached = true,
         }
     }
-
-    /// An issue of 0 starts a share: its figures count from its creation. The entry stays, because
-    /// the sealer visits the rows of all budgets in `issued`.
-    fn issue(&mut self, budget: &BudgetId, total: Tokens) {
-        if total == 0 {
-            self.book.billed.remove(budget);
-            self.sent.remove(budget);
-        }
-        self.issued.insert(budget.clone(), total);
-    }
 }
--- a/src/node/life.rs
+++ b/src/node/life.rs
@@ -100,8 +100,8 @@
     open: BTreeMap<Seq, (Reservation, bool)>,
     /// Waiters by the number of the operation.
     waiters: BTreeMap<u64, Vec<Waiter>>,
-    /// Operation that told the witness of a budget or of the start of its current share. The row is
-    /// written only after it, so that the sealer visits the row.
+    /// Operation that told the witness of a budget. The row is written only after it, so that the
+    /// sealer visits the row.
     known: BTreeMap<BudgetId, u64>,
     probe_at: Duration,
     pub(super) retire: Option<Retire>,
@@ -141,6 +141,10 @@
         self.open.contains_key(&seq)
     }
 
+    pub(super) fn statements(&self) -> Vec<budget::Statement> {
+        self.drawer.statements().collect()
+    }
+
     /// Requests that wait for an acknowledgement.
     pub(super) fn unready(&self) -> Vec<Seq> {
         let unready = self.open.iter().filter(|(_, (_, ready))| !ready);
@@ -383,9 +387,7 @@
             total,
         };
         let number = self.pair.append(now, op);
-        if total == 0 {
-            self.known.insert(budget.clone(), number);
-        }
+        self.known.entry(budget.clone()).or_insert(number);
         self.wait(number, Waiter::Issued(budget, total));
     }
 
@@ -395,11 +397,7 @@
                 budget: budget.clone(),
                 total: 0,
             };
-            // Issued tokens before the first draw come from transfers; their figure stays.
-            let number = match self.pair.state().issued.contains_key(&budget) {
-                true => self.pair.last(),
-                false => self.pair.append(now, op),
-            };
+            let number = self.pair.append(now, op);
             self.known.insert(budget.clone(), number);
         }
         let number = self.known[&budget];
@@ -428,6 +426,9 @@
     }
 
     fn poll_pair(&mut self, now: Duration, around: &Around<'_>) {
+        if self.pair.is_preparing() {
+            self.pair.sync(self.issued());
+        }
         for out in self.pair.poll(now, around.platform, around.peers) {
             match out {
                 Out::Send(to, message) => self.send(to, message),
@@ -436,6 +437,19 @@
         }
     }
 
+    /// Issued figures for a snapshot. The snapshot stands for the log entries before it, so a figure
+    /// that waits for the witness is the one that will count.
+    fn issued(&self) -> BTreeMap<BudgetId, Tokens> {
+        let statements = self.drawer.statements();
+        let mut issued: BTreeMap<_, _> = statements.map(|s| (s.budget, s.issued)).collect();
+        for waiter in self.waiters.values().flatten() {
+            if let Waiter::Issued(budget, total) = waiter {
+                issued.insert(budget.clone(), *total);
+            }
+        }
+        issued
+    }
+
     fn poll_writer(&mut self, now: Duration, daemons: usize) {
         let book = &self.pair.state().book;
         if self.mode != Mode::Sealed
@@ -454,7 +468,7 @@
     }
 
     fn poll_stop(&mut self, now: Duration) {
-        if !self.stopping || !self.open.is_empty() {
+        if !self.stopping || !self.open.is_empty() || !self.pair.announce() {
             return;
         }
         self.drawer.handle(now, budget::Event::Stop);
@@ -485,8 +499,9 @@
                 let mut tokens = BTreeMap::new();
                 bill::add(&mut tokens, &self.pair.state().book.cut[&batch]);
                 self.pair.append(now, Op::Committed { batch });
-                for (budget, tokens) in tokens {
-                    self.handle(now, budget::Event::Billed { budget, tokens });
+                for budget in tokens.into_keys() {
+                    let total = self.pair.state().book.billed[&budget];
+                    self.handle(now, budget::Event::Billed { budget, total });
                 }
             }
             Some(bill::Step::Fence(row)) => self.pair.observe(now, row.as_ref()),
--- a/src/node/machine.rs
+++ b/src/node/machine.rs
@@ -129,6 +129,7 @@
             dc: self.identity.dc.clone(),
             witness: None,
             epoch: 0,
+            stopping: false,
             sealed: None,
         };
         let pair = Pair::new(inc.clone(), fence);
@@ -268,9 +269,12 @@
             Origin::Scan => {
                 let me = (self.incarnation().clone(), self.home());
                 let found = self.scan.answer(now, reply, &self.peers, (&me.0, &me.1));
-                for inc in found {
+                for inc in found.stuck {
                     self.witness.start(Seal::third(inc, me.0.clone()));
                 }
+                for inc in found.sealed {
+                    self.current().handle(now, budget::Event::Gone(inc));
+                }
             }
         }
     }
@@ -341,9 +345,10 @@
     }
 
     fn peer_up(&mut self, now: Duration, inc: Incarnation, peer: Peer) {
-        let old = self.peers.keys().find(|old| {
-            **old != inc && daemon_of(old) == daemon_of(&inc)
-        });
+        let old = self
+            .peers
+            .keys()
+            .find(|old| **old != inc && daemon_of(old) == daemon_of(&inc));
         if let Some(old) = old.cloned() {
             self.peer_down(now, &old);
         }
@@ -453,6 +458,24 @@
         self.actions.push(Action::Store { token, request });
     }
 
+    /// Figures of the shares of the current incarnation, for an audit.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use cuminloom::node::{Identity, Node};
+    /// # let now = std::time::Duration::ZERO;
+    /// # let id = Identity { daemon: "a".into(), vm: "v".into(), dc: "d".into(), vm_list_lag: now };
+    /// let node = Node::start(now, id, 7);
+    /// assert!(node.statements().is_empty());
+    /// ```
+    pub fn statements(&self) -> Vec<budget::Statement> {
+        self.lives
+            .last()
+            .expect("there is always a life")
+            .statements()
+    }
+
     /// Figures for metrics.
     ///
     /// # Examples
--- a/src/node/retire.rs
+++ b/src/node/retire.rs
@@ -9,7 +9,10 @@
 };
 use crate::{
     bill::Seal,
-    budget::Row,
+    budget::{
+        Row,
+        Share, //
+    },
     mirror::{
         Fence,
         Reply,
@@ -18,6 +21,7 @@
     },
     model::{
         BudgetId,
+        Tokens,
         Version, //
     },
     store::{
@@ -54,8 +58,19 @@
     budgets: Vec<BudgetId>,
     /// Whether billed totals changed since the last pass over the budget rows.
     dirty: bool,
-    /// Whether the pass under way is the last one: nothing can be spent any more.
-    last: bool,
+    pass: Pass,
+}
+
+/// What a pass over the budget rows does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Pass {
+    /// Raises the billed figures to the late bills.
+    Bill,
+    /// The same, and returns what is left, because nothing can be spent any more.
+    Return,
+    /// Removes the empty shares. It inserts none, so an earlier removal whose answer was lost is
+    /// not undone.
+    Remove,
 }
 
 impl Retire {
@@ -88,7 +103,7 @@
                 retry_at: now,
                 budgets: Vec::new(),
                 dirty: true,
-                last: false,
+                pass: Pass::Bill,
             });
         }
         self.start_pass();
@@ -115,18 +130,26 @@
 
     fn start_pass(&mut self) {
         let last = self.open() == 0 && self.writer.is_flushed();
-        let totals = self.writer.totals();
-        let issued = self.pair.state().issued.keys();
-        let budgets: BTreeSet<BudgetId> = issued.chain(totals.keys()).cloned().collect();
+        let budgets = self.budgets();
         let retire = self.retire.as_mut().expect("the seal was found");
         if matches!(retire.step, Step::Idle) && (retire.dirty || last) {
             retire.step = Step::Fence;
             retire.dirty = false;
-            retire.last = last;
-            retire.budgets = budgets.into_iter().collect();
+            retire.pass = match last {
+                true => Pass::Return,
+                false => Pass::Bill,
+            };
+            retire.budgets = budgets;
         }
     }
 
+    fn budgets(&self) -> Vec<BudgetId> {
+        let totals = self.writer.totals();
+        let issued = self.pair.state().issued.keys();
+        let budgets: BTreeSet<BudgetId> = issued.chain(totals.keys()).cloned().collect();
+        budgets.into_iter().collect()
+    }
+
     /// Late bills were committed.
     pub(super) fn late(&mut self) {
         let retire = self.retire.as_mut().expect("the seal was found");
@@ -172,11 +195,16 @@
     }
 
     fn next_budget(&mut self) {
+        let budgets = self.budgets();
         let retire = self.retire.as_mut().expect("the seal was found");
-        retire.step = match (retire.budgets.is_empty(), retire.last) {
+        if retire.budgets.is_empty() && retire.pass == Pass::Return {
+            retire.pass = Pass::Remove;
+            retire.budgets = budgets;
+        }
+        retire.step = match (retire.budgets.is_empty(), retire.pass) {
             (false, _) => Step::Read,
-            (true, true) => Step::Done,
-            (true, false) => Step::Idle,
+            (true, Pass::Bill) => Step::Idle,
+            (true, _) => Step::Done,
         };
     }
 
@@ -194,25 +222,41 @@
         self.set_step(Step::Idle);
     }
 
-    /// The budget row with the late bills, and without outstanding tokens after the last request;
-    /// `None` when nothing changes.
+    /// The budget row after the pass; `None` when nothing changes.
     fn statement(&self, row: Option<Stored>) -> Option<(Version, Row)> {
         let retire = self.retire.as_ref().expect("the seal was found");
         let budget = retire.budgets.last().expect("a budget is left");
         let row = row?;
         let old = Row::try_from(row.value).ok()?;
         let mut new = old.clone();
-        if let Some(total) = self.writer.totals().get(budget) {
-            new.bill_late(&self.inc, *total).ok()?;
+        if retire.pass == Pass::Remove {
+            new.remove(&self.inc).ok()?;
+            return Some((row.version, new));
         }
-        if retire.last {
-            let share = new.shares.get(&self.inc)?;
-            let left = share.outstanding()?;
+        let total = self.writer.totals().get(budget).copied().unwrap_or(0);
+        self.bill_late(&mut new, total);
+        if retire.pass == Pass::Return
+            && let Some(left) = new.shares.get(&self.inc).and_then(Share::outstanding)
+        {
             // Refused while another share's figures are behind; an operator settles the rest.
-            if new.release(&self.inc, left).is_ok() {
-                new.remove(&self.inc).ok()?;
-            }
+            let _ = new.release(&self.inc, left);
         }
         (new != old).then_some((row.version, new))
     }
+
+    /// Raises the billed figure. Bills beyond what the row shows were paid by transfers that this
+    /// incarnation received and could not write to the row before the seal.
+    fn bill_late(&self, row: &mut Row, total: Tokens) {
+        if total == 0 {
+            return;
+        }
+        let share = row.shares.entry(self.inc.clone()).or_insert(Share {
+            sealed: true,
+            ..Share::default()
+        });
+        let left = share.outstanding().expect("rows that are read are sound");
+        share.received += total.saturating_sub(share.billed + left);
+        row.bill_late(&self.inc, total)
+            .expect("the share has the tokens");
+    }
 }
--- a/src/node/scan.rs
+++ b/src/node/scan.rs
@@ -27,6 +27,15 @@
 /// Rows per page.
 const PAGE: usize = 256;
 
+/// Result of a scan.
+#[derive(Debug, Default)]
+pub(super) struct Found {
+    /// Incarnations that this daemon has to seal or settle.
+    pub(super) stuck: Vec<Incarnation>,
+    /// Incarnations that are sealed.
+    pub(super) sealed: Vec<Incarnation>,
+}
+
 /// Finds incarnations that nobody seals: those whose VM and whose witness's VM are both lost, and
 /// those whose sealer was lost before it settled the budget rows.
 #[derive(Debug)]
@@ -83,18 +92,18 @@
         Some(Request::List("fence/".into(), after, PAGE))
     }
 
-    /// Takes a page; returns the incarnations that `me` has to seal or settle after the last one.
+    /// Takes a page, and judges the rows after the last one.
     pub(super) fn answer(
         &mut self,
         now: Duration,
         reply: Reply,
         peers: &BTreeMap<Incarnation, Peer>,
         me: (&Incarnation, &Peer),
-    ) -> Vec<Incarnation> {
+    ) -> Found {
         self.pending = false;
         self.due = now + INTERVAL;
         let Reply::Rows(page) = reply else {
-            return Vec::new();
+            return Found::default();
         };
         for row in &page {
             let inc = row.key.strip_prefix("fence/");
@@ -105,7 +114,7 @@
         if page.len() == PAGE {
             self.after = page.last().map(|row| row.key.clone());
             self.due = now;
-            return Vec::new();
+            return Found::default();
         }
         self.after = None;
         let rows = std::mem::take(&mut self.rows);
@@ -131,6 +140,10 @@
             };
             choose(inc, &home, &all, |_| true).as_ref() == Some(me.0)
         });
-        mine.map(|(inc, _)| inc.clone()).collect()
+        let sealed = rows.iter().filter(|(_, fence)| fence.sealed.is_some());
+        Found {
+            stuck: mine.map(|(inc, _)| inc.clone()).collect(),
+            sealed: sealed.map(|(inc, _)| inc.clone()).collect(),
+        }
     }
 }
--- a/src/wire/bill.rs
+++ b/src/wire/bill.rs
@@ -67,7 +67,7 @@
 #[doc = "Final account of a sealed incarnation."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
 pub struct Seal {
-    #[doc = "Figures of each share; empty without a record."]
+    #[doc = "Figures of each share; without a record only what is billed."]
     pub accounts: ::std::vec::Vec<Account>,
     #[doc = "Batches that count."]
     pub batches: u64,
--- a/src/wire/fence.rs
+++ b/src/wire/fence.rs
@@ -15,6 +15,9 @@
     #[doc = "Present after the seal."]
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub sealed: ::std::option::Option<SealedBy>,
+    #[doc = "Whether a planned stop returns and removes the shares."]
+    #[serde(default)]
+    pub stopping: bool,
     #[doc = "VM on which it runs."]
     pub vm: ::std::string::String,
     #[doc = "Incarnation of the witness; absent when there is none."]
