--- a/src/budget/change.rs
+++ b/src/budget/change.rs
@@ -112,21 +112,45 @@
     /// assert_eq!((figures.billed, figures.orphaned, figures.free), (30, 10, 960));
     /// ```
     pub fn settle_sealed(&mut self, inc: &str, record: Record) -> Result<(), Refusal> {
-        let Some(old) = self.shares.get(inc).copied() else {
-            // A share that lived on transfers only may have no row entry; what it spent must then
-            // be in transit. Otherwise the share was removed by a planned stop.
-            let spent = record.issued.unwrap_or(0).max(record.billed) + record.sent;
-            if spent == 0 || self.transit() < i128::from(spent) {
-                return Err(Refusal::NoShare);
-            }
-            return self.insert_sealed(inc, Share::default(), record);
-        };
+        let old = self.shares.get(inc).copied().ok_or(Refusal::NoShare)?;
         if old.sealed {
             return Ok(());
         }
         self.insert_sealed(inc, old, record)
     }
 
+    /// Writes a sealed share for a daemon that lived on transfers only and had not written its share
+    /// yet. Must not be called for a share that a planned stop has removed: such an incarnation has
+    /// issued 0 in the record, or without a record is marked as stopping in its fence row.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal::NoShare`] when the record names no tokens, and [`Refusal::TooMany`] when neither
+    /// tokens in transit nor orphans of a sender without a record can be their source.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cuminloom::budget::{Record, Row, Share};
+    /// let mut row = Row::create("anod".into(), 1_000);
+    /// row.post("vm-1.0a", Share { drawn: 100, sent: 40, ..Share::default() }).unwrap();
+    /// row.adopt_sealed("vm-2.0b", Record { issued: Some(40), sent: 0, billed: 30 }).unwrap();
+    /// assert_eq!((row.transit(), row.figures().orphaned), (0, 10));
+    /// ```
+    pub fn adopt_sealed(&mut self, inc: &str, record: Record) -> Result<(), Refusal> {
+        if self.shares.contains_key(inc) {
+            return self.settle_sealed(inc, record);
+        }
+        let issued = record.issued.unwrap_or(record.billed);
+        if issued == 0 {
+            return Err(Refusal::NoShare);
+        }
+        if self.unclaimed() < i128::from(issued.max(record.billed)) {
+            return Err(Refusal::TooMany);
+        }
+        self.insert_sealed(inc, Share::default(), record)
+    }
+
     fn insert_sealed(&mut self, inc: &str, old: Share, record: Record) -> Result<(), Refusal> {
         let mut share = Share {
             sent: old.sent.max(record.sent),
@@ -150,11 +174,15 @@
         Ok(())
     }
 
-    /// Raises the billed figure of a sealed share to the tokens of its late batches.
+    /// Raises the billed figure of a sealed share to the tokens of its bills including its late
+    /// batches. What exceeds the outstanding tokens came from a transfer that the share had not
+    /// written, and is taken from what is in transit.
     ///
     /// # Errors
     ///
-    /// [`Refusal::NoShare`], [`Refusal::Live`], or [`Refusal::TooMany`] beyond what is orphaned.
+    /// [`Refusal::NoShare`], [`Refusal::Live`], or [`Refusal::TooMany`] beyond what is orphaned and
+    /// in transit; the sender of a transfer may not have written it yet. On `NoShare` the share
+    /// lived on transfers only, and [`Row::adopt_sealed`] writes it.
     ///
     /// # Examples
     ///
@@ -167,13 +195,15 @@
     /// assert_eq!((row.figures().billed, row.figures().orphaned), (25, 15));
     /// ```
     pub fn bill_late(&mut self, inc: &str, billed: Tokens) -> Result<(), Refusal> {
+        let unclaimed = self.unclaimed();
         let share = self.sealed_share(inc)?;
-        let next = Share {
-            billed: share.billed.max(billed),
-            ..*share
-        };
-        next.outstanding().ok_or(Refusal::TooMany)?;
-        *share = next;
+        let left = share.outstanding().ok_or(Refusal::Backwards)?;
+        let missing = billed.saturating_sub(share.billed + left);
+        if i128::from(missing) > (unclaimed - i128::from(left)).max(0) {
+            return Err(Refusal::TooMany);
+        }
+        share.received += missing;
+        share.billed = share.billed.max(billed);
         Ok(())
     }
 
@@ -208,6 +238,36 @@
         Ok(())
     }
 
+    /// Counts orphaned tokens of a share as sent, after its holder was sealed without a record of its
+    /// transfers and a receiver has written them.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal::NoShare`], [`Refusal::Live`], or [`Refusal::TooMany`] beyond what is orphaned or
+    /// what was received and not sent.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cuminloom::budget::{Record, Row, Share};
+    /// let mut row = Row::create("anod".into(), 1_000);
+    /// row.post("vm-1.0a", Share { drawn: 100, ..Share::default() }).unwrap();
+    /// row.post("vm-2.0b", Share { received: 40, ..Share::default() }).unwrap();
+    /// row.settle_sealed("vm-1.0a", Record::default()).unwrap();
+    /// row.attribute("vm-1.0a", 40).unwrap();
+    /// assert_eq!((row.transit(), row.figures().orphaned), (0, 60));
+    /// ```
+    pub fn attribute(&mut self, inc: &str, tokens: Tokens) -> Result<(), Refusal> {
+        let unsent = -self.transit();
+        let share = self.sealed_share(inc)?;
+        let left = share.outstanding().ok_or(Refusal::Backwards)?;
+        if tokens > left || i128::from(tokens) > unsent.max(0) {
+            return Err(Refusal::TooMany);
+        }
+        share.sent += tokens;
+        Ok(())
+    }
+
     /// Returns tokens in transit to free, on proof that sender and receiver can no longer spend.
     ///
     /// # Errors
@@ -259,6 +319,11 @@
         Ok(())
     }
 
+    /// Tokens that some share may have received without writing it.
+    fn unclaimed(&self) -> i128 {
+        self.transit() + self.figures().orphaned
+    }
+
     fn sealed_share(&mut self, inc: &str) -> Result<&mut Share, Refusal> {
         let share = self.shares.get_mut(inc).ok_or(Refusal::NoShare)?;
         match share.sealed {
--- a/src/budget/drawer.rs
+++ b/src/budget/drawer.rs
@@ -3,6 +3,7 @@
 use std::{
     cmp::Reverse,
     collections::{
+        BTreeMap,
         BinaryHeap,
         HashMap, //
     },
@@ -62,7 +63,7 @@
     pub(super) slots: Vec<Option<Box<Slot>>>,
     pub(super) vacant: Vec<u32>,
     /// Figures of shares that are empty and have left the memory otherwise.
-    pub(super) closed: HashMap<BudgetId, Box<Share>>,
+    pub(super) closed: BTreeMap<BudgetId, Box<Share>>,
     /// Slots to be looked at in the next poll.
     pub(super) queue: Vec<u32>,
     pub(super) timers: BinaryHeap<Reverse<(Millis, u32)>>,
@@ -91,7 +92,7 @@
             index: HashMap::new(),
             slots: Vec::new(),
             vacant: Vec::new(),
-            closed: HashMap::new(),
+            closed: BTreeMap::new(),
             queue: Vec::new(),
             timers: BinaryHeap::new(),
             members: Vec::new(),
@@ -301,7 +302,9 @@
             .remove(budget)
             .map_or_else(Share::default, |s| *s);
         let drawer = self.draws(budget);
-        let slot = Some(Box::new(Slot::open(budget.clone(), share, now, drawer)));
+        let mut slot = Box::new(Slot::open(budget.clone(), share, now, drawer));
+        slot.returns = self.stopping && share == Share::default();
+        let slot = Some(slot);
         let i = match self.vacant.pop() {
             Some(i) => {
                 self.slots[i as usize] = slot;
--- a/src/budget/event.rs
+++ b/src/budget/event.rs
@@ -130,7 +130,9 @@
         /// Acknowledged figure.
         total: Tokens,
     },
-    /// The mode changed. On `Detached` the witness has acknowledged the detachment.
+    /// The mode changed, or the witness was replaced in the same mode; figures and transfers that
+    /// no witness acknowledged are logged again. On `Detached` the witness has acknowledged the
+    /// detachment; on `Attached` it has the snapshot of [`Statement`]s.
     Mode(Mode),
     /// Bills of the budget were committed.
     Billed {
@@ -184,8 +186,9 @@
         /// New content.
         row: Row,
     },
-    /// Log the issued figure at the witness. It is lower than the last one before a return. Each
-    /// budget has at most one unacknowledged figure; it is repeated after a change of the mode.
+    /// Log the issued figure at the witness. It is lower than the last one before a return, and
+    /// 0 before a planned stop removes the share. Each budget has at most one unacknowledged
+    /// figure; it is repeated after [`Event::Mode`].
     Issue {
         /// Budget of the share.
         budget: BudgetId,
--- a/src/budget/slot.rs
+++ b/src/budget/slot.rs
@@ -32,6 +32,15 @@
     Commit(Box<Pending>),
 }
 
+/// Before a planned stop removes a share, the witness learns that its issued figure is 0. A sealer
+/// that comes later would otherwise take the missing share for one that was never written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Retire {
+    No,
+    Proposed,
+    Logged,
+}
+
 /// A commit without an answer.
 #[derive(Debug)]
 pub(super) struct Pending {
@@ -96,6 +105,11 @@
     pub(super) fresh: bool,
     /// Another drawer is short.
     pub(super) yields: bool,
+    /// The share was opened by a transfer after the planned stop began. It is returned unspent, and
+    /// the bills of this budget belong to the share that was removed before.
+    pub(super) returns: bool,
+    /// Progress of the entry that tells the witness that the share is about to be removed.
+    pub(super) retire: Retire,
 }
 
 impl Slot {
@@ -139,6 +153,8 @@
             queued: false,
             fresh: false,
             yields: false,
+            returns: false,
+            retire: Retire::No,
         }
     }
 
@@ -334,15 +350,32 @@
         self.logged = self.issued;
     }
 
-    /// Whether nothing but the closed figures has to be remembered.
-    pub(super) fn is_closed(&self) -> bool {
+    /// Whether no request is open and all finished ones are billed.
+    pub(super) fn is_settled(&self) -> bool {
         self.reserved == 0
             && self.need == 0
-            && self.asked == 0
             && self.proposed.is_none()
-            && self.share == self.posted
             && self.spent == self.share.billed
+    }
+
+    /// The witness knows that nothing is issued any more.
+    pub(super) fn retired(&mut self) {
+        self.retire = Retire::Logged;
+        self.issued = self.spent;
+        self.logged = self.spent;
+    }
+
+    /// Whether the budget never had a share.
+    pub(super) fn is_unused(&self) -> bool {
+        self.share == Share::default() && self.is_closed()
+    }
+
+    /// Whether nothing but the closed figures has to be remembered.
+    pub(super) fn is_closed(&self) -> bool {
+        self.is_settled()
             && self.capacity() == self.spent
+            && self.asked == 0
+            && self.share == self.posted
             && matches!(self.flight, Flight::None)
     }
 
--- a/src/budget/transfer.rs
+++ b/src/budget/transfer.rs
@@ -1,6 +1,9 @@
 //! Transfers of tokens between the shares of two daemons.
 
-use std::collections::HashMap;
+use std::collections::{
+    BTreeMap,
+    HashMap, //
+};
 
 use super::{
     Action,
@@ -48,7 +51,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Transfers {
     asks: Vec<Ask>,
-    sending: HashMap<Incarnation, Sending>,
+    sending: BTreeMap<Incarnation, Sending>,
     numbers: HashMap<Incarnation, u64>,
     seen: HashMap<Incarnation, u64>,
 }
--- a/src/budget/work.rs
+++ b/src/budget/work.rs
@@ -8,7 +8,8 @@
         Flight,
         IDLE_MS,
         Millis,
-        Pending, //
+        Pending,
+        Retire, //
     },
 };
 use crate::model::{
@@ -69,6 +70,7 @@
             return self.wake(i);
         }
         self.slot(i).sample(now);
+        self.retire(i);
         self.issue(i);
         self.serve(now, i);
         self.seek(now, i);
@@ -105,7 +107,7 @@
             Mode::Detached => slot.issue_all(),
             Mode::Attached | Mode::Unpaired => {
                 let changed = match slot.keep {
-                    Some(keep) => slot.lower(keep),
+                    Some(keep) => slot.retire == Retire::No && slot.lower(keep),
                     None => !stopping && slot.raise(),
                 };
                 let Some(total) = slot.proposed.filter(|_| changed) else {
@@ -122,6 +124,25 @@
         }
     }
 
+    /// Tells the witness that the share is about to be removed.
+    fn retire(&mut self, i: u32) {
+        let (mode, stopping) = (self.mode, self.stopping);
+        let slot = self.slot(i);
+        if !stopping || slot.retire != Retire::No || !slot.is_settled() || slot.is_unused() {
+            return;
+        }
+        match mode {
+            Mode::Attached => {
+                slot.retire = Retire::Proposed;
+                slot.issued = slot.spent;
+                let budget = slot.id.clone();
+                self.out.push(Action::Issue { budget, total: 0 });
+            }
+            Mode::Unpaired => slot.retired(),
+            Mode::Detached | Mode::Frozen | Mode::Sealed => {}
+        }
+    }
+
     /// Starts an exchange with the table, or asks another daemon.
     fn seek(&mut self, now: Millis, i: u32) {
         let (mode, online, stopping) = (self.mode, self.online(), self.stopping);
@@ -129,11 +150,10 @@
         let draws = online && slot.drawer && !stopping;
         let wants = draws && now >= slot.dry_until && slot.wants_draw(mode);
         let gives = slot.keep.is_some_and(|keep| slot.returnable(keep) > 0);
+        let gives = gives && slot.retire != Retire::Proposed;
         let idle = matches!(slot.flight, Flight::None) && now >= slot.retry_at;
-        let ends = stopping
-            && slot.reserved == 0
-            && slot.spent == slot.share.billed
-            && slot.proposed.is_none();
+        // The commit that removes the share waits for the witness; the one before does not.
+        let ends = stopping && (slot.retire == Retire::Logged || slot.is_unused());
         if online && idle && (wants || gives || slot.fresh || ends) {
             slot.flight = Flight::Read;
             let budget = slot.id.clone();
@@ -181,7 +201,7 @@
             Some((version, row)) => self.on_content(now, i, version, row),
             None if self.slot(i).posted == Share::default() => {
                 self.slot(i).fresh = false;
-                if self.stopping && self.slot(i).is_closed() {
+                if self.stopping && self.slot(i).is_unused() {
                     return self.close(i, true);
                 }
                 self.refuse(now, i, Code::NotFound);
@@ -254,7 +274,11 @@
         }
         let mut next = slot.share;
         next.drawn += draw;
-        let removes = stopping && slot.reserved == 0 && next.outstanding() == Some(0);
+        // A share is written before it is removed. Otherwise a removal whose answer was lost would
+        // look the same as one that was not applied.
+        let removes = slot.retire == Retire::Logged
+            && slot.posted != Share::default()
+            && next.outstanding() == Some(0);
         if slot.need > 0 && slot.avail() + draw < slot.least && slot.drawer {
             self.short(now, i, &row);
         } else if draw > 0 {
@@ -262,7 +286,7 @@
         }
         let slot = self.slot(i);
         if next == slot.posted && !removes {
-            return self.written(i, removes, draw);
+            return self.written(i, draw);
         }
         row.post(&inc, next).expect("the figures never fall");
         if removes {
@@ -284,7 +308,7 @@
     }
 
     /// Nothing had to be written.
-    fn written(&mut self, i: u32, removes: bool, draw: Tokens) {
+    fn written(&mut self, i: u32, draw: Tokens) {
         let slot = self.slot(i);
         slot.asked = 0;
         if draw == 0 {
@@ -292,7 +316,7 @@
         }
         let stopping = self.stopping;
         let slot = self.slot(i);
-        if stopping && !removes && slot.share == Share::default() && slot.is_closed() {
+        if stopping && slot.is_unused() {
             self.close(i, true);
         }
     }
@@ -372,10 +396,14 @@
     }
 
     pub(super) fn on_issued(&mut self, budget: &str, total: Tokens) {
-        if let Some(i) = self.find(budget)
-            && self.mode != Mode::Sealed
-            && self.slot(i).acknowledge(total)
-        {
+        let Some(i) = self.find(budget).filter(|_| self.mode != Mode::Sealed) else {
+            return;
+        };
+        let slot = self.slot(i);
+        if total == 0 && slot.retire == Retire::Proposed {
+            slot.retired();
+            self.mark(i);
+        } else if slot.acknowledge(total) {
             self.mark(i);
         }
     }
@@ -383,6 +411,9 @@
     pub(super) fn on_billed(&mut self, budget: &str, total: Tokens) {
         let Some(i) = self.find(budget) else { return };
         let slot = self.slot(i);
+        if slot.returns {
+            return;
+        }
         slot.share.billed = slot.share.billed.max(total);
         assert!(slot.share.billed <= slot.spent, "billed <= spent");
         if self.stopping {
@@ -402,7 +433,7 @@
     }
 
     pub(super) fn on_mode(&mut self, mode: Mode) {
-        if self.mode == Mode::Sealed || self.mode == mode {
+        if self.mode == Mode::Sealed {
             return;
         }
         self.mode = mode;
@@ -412,6 +443,8 @@
             if !matches!(mode, Mode::Frozen | Mode::Sealed) {
                 slot.retry_at = 0;
             }
+            // Detaching issues everything again, and a new witness has not seen the entry.
+            slot.retire = Retire::No;
             let Some(total) = slot.proposed else { continue };
             let budget = slot.id.clone();
             match mode {
