Add the router: queues, target choice, limits, retries and strikes

Each target's capacity is divided among the daemons of the data centre by systematic rounding, so that the limits of all daemons add up to the capacity without a message; free slots in the load reports are borrowed slowly (over 5 s, the assumed lag). Half of the score of a target is extrapolated from the daemon's own requests, which are known exactly.

--- /dev/null
+++ b/src/route/ended.rs
@@ -0,0 +1,100 @@
+//! What follows from the end of a request: health, strikes, retries.
+
+use std::time::Duration;
+
+use super::{
+    Ended,
+    Router,
+    Strike,
+    router::service_of,
+    running::Ticket,
+    service::Service,
+    strikes::Standing, //
+};
+use crate::model::{
+    Repeat,
+    TargetId,
+    Urgency,
+    Verdict, //
+};
+
+impl Router {
+    /// Updates the view of the target by how a request on it ended.
+    pub(super) fn judge(
+        &mut self,
+        now: Duration,
+        open: &Ticket,
+        target: &TargetId,
+        sent: Duration,
+        ended: Ended,
+    ) {
+        let service = service_of(&mut self.services, &open.job);
+        if matches!(ended, Ended::Success | Ended::Cancelled) {
+            service.completions.add(now, now.saturating_sub(sent));
+        }
+        let view = service
+            .views
+            .get_mut(target)
+            .expect("view of a running request");
+        match ended {
+            Ended::Success => view.answered(),
+            Ended::Refused => view.refused(now, &self.settings),
+            Ended::Unreachable | Ended::Crashed(_) => view.failed(now, &self.settings),
+            Ended::Cancelled => {}
+        }
+        service.purge();
+    }
+
+    pub(super) fn strike_for(
+        &mut self,
+        now: Duration,
+        open: &Ticket,
+        target: &TargetId,
+        ended: Ended,
+    ) -> Option<Strike> {
+        let Ended::Crashed(verdict) = ended else {
+            return None;
+        };
+        self.figures.crashes += 1;
+        if verdict == Verdict::NotRun {
+            return None;
+        }
+        let fingerprint = open.job.fingerprint;
+        self.strikes.add(now, fingerprint, target);
+        Some(Strike {
+            fingerprint,
+            target: target.clone(),
+        })
+    }
+
+    pub(super) fn may_retry(&mut self, now: Duration, open: &Ticket, ended: Ended) -> bool {
+        let allowed = match ended {
+            Ended::Success | Ended::Cancelled | Ended::Crashed(Verdict::Ran) => false,
+            Ended::Refused | Ended::Unreachable | Ended::Crashed(Verdict::NotRun) => true,
+            Ended::Crashed(Verdict::MayHaveRun) => {
+                open.job.repeat == Repeat::Idempotent && !open.crashed
+            }
+        };
+        let standing = self.strikes.standing(now, open.job.fingerprint);
+        if !allowed || now >= open.job.deadline || standing == Standing::Blocked {
+            return false;
+        }
+        let granted = service_of(&mut self.services, &open.job).retries.take();
+        self.figures.denied += u64::from(!granted);
+        granted
+    }
+}
+
+/// Frees the slot of a request.
+pub(super) fn release(service: &mut Service, open: &Ticket, target: &TargetId, sent: Duration) {
+    let view = service
+        .views
+        .get_mut(target)
+        .expect("view of a running request");
+    assert!(
+        view.running.remove(&open.job.ticket),
+        "a slot is freed once"
+    );
+    view.pending.remove(&(sent, open.job.ticket));
+    view.patient -= u32::from(open.job.urgency == Urgency::Patient);
+}
--- /dev/null
+++ b/src/route/view.rs
@@ -0,0 +1,281 @@
+//! What a daemon knows of one target: load, limit, health.
+
+use std::{
+    collections::BTreeSet,
+    time::Duration, //
+};
+
+use super::{
+    Load,
+    Settings,
+    hash_name,
+    mix, //
+};
+use crate::model::{
+    Target,
+    Urgency, //
+};
+
+/// Longest lag of load reports that the limits are made for, in seconds.
+const LAG_S: f64 = 5.0;
+/// Weight of a new report in the estimate of other daemons' load.
+const FOREIGN_ALPHA: f64 = 0.3;
+/// Weight of a first byte in the estimate of a target's slowness.
+const SLOW_ALPHA: f64 = 0.35;
+/// Ratio of a target's time to first byte to the service's average from which it is degraded.
+pub(super) const DEGRADED: f64 = 2.5;
+/// Ratio to the average from which a single late first byte reduces the limit.
+const LATE: f64 = 4.0;
+/// Consecutive refusals by a target after which it is treated as failed.
+const MAX_REFUSALS: u32 = 3;
+
+/// Whether a target takes work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Health {
+    /// It answers.
+    Up,
+    /// It failed; the next probe is due at `until`.
+    Down {
+        /// Time of the next probe.
+        until: Duration,
+        /// Time from the failure to the probe.
+        backoff: Duration,
+    },
+}
+
+/// The daemons that share the targets of a data centre.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Fleet {
+    /// Number of this daemon, from 0.
+    pub(super) rank: u32,
+    /// Number of daemons, at least 1.
+    pub(super) daemons: u32,
+}
+
+/// One target as seen by this daemon.
+#[derive(Debug)]
+pub(super) struct View {
+    pub(super) target: Target,
+    pub(super) local: bool,
+    /// A plan or the VM list says that the target is leaving.
+    pub(super) planned: bool,
+    /// The target's own report says that it is leaving.
+    pub(super) reported: bool,
+    /// No longer in the configuration.
+    pub(super) removed: bool,
+    pub(super) health: Health,
+    /// Own requests in flight.
+    pub(super) running: BTreeSet<u64>,
+    /// Own patient requests in flight.
+    pub(super) patient: u32,
+    /// Own requests without a first byte, by time of dispatch.
+    pub(super) pending: BTreeSet<(Duration, u64)>,
+    /// Moving average of the time to first byte, relative to the service's average.
+    pub(super) slow: f64,
+    capacity: Option<u32>,
+    /// Estimated load from other daemons.
+    foreign: f64,
+    /// Slots above (or below) this daemon's fair part of the capacity, from reported free slots.
+    borrow: f64,
+    /// Adaptive limit.
+    limit: f64,
+    last_report: Duration,
+    last_cut: Duration,
+    refusals: u32,
+    /// Position of the target in the rounding of fractional limits, equal on all daemons.
+    phase: f64,
+}
+
+impl View {
+    pub(super) fn new(target: Target, settings: &Settings) -> Self {
+        let phase = mix(hash_name(&target.id), 1) as f64 / u64::MAX as f64;
+        Self {
+            local: target.dc == settings.dc,
+            target,
+            planned: false,
+            reported: false,
+            removed: false,
+            health: Health::Up,
+            running: BTreeSet::new(),
+            patient: 0,
+            pending: BTreeSet::new(),
+            slow: 1.0,
+            capacity: None,
+            foreign: 0.0,
+            borrow: 0.0,
+            limit: f64::from(settings.initial_limit.max(1)),
+            last_report: Duration::ZERO,
+            last_cut: Duration::ZERO,
+            refusals: 0,
+            phase,
+        }
+    }
+
+    pub(super) fn own(&self) -> u32 {
+        self.running.len() as u32
+    }
+
+    pub(super) fn leaving(&self) -> bool {
+        self.planned || self.reported || self.removed
+    }
+
+    pub(super) fn up(&self) -> bool {
+        !self.leaving() && self.health == Health::Up
+    }
+
+    /// Whether a probe may be sent: the backoff passed and nothing is in flight.
+    pub(super) fn probe_due(&self, now: Duration) -> bool {
+        let Health::Down { until, .. } = self.health else {
+            return false;
+        };
+        !self.leaving() && now >= until && self.running.is_empty() && self.capacity != Some(0)
+    }
+
+    /// Time of the next probe of a failed target.
+    pub(super) fn probe_at(&self) -> Option<Duration> {
+        match self.health {
+            Health::Down { until, .. } if !self.leaving() => Some(until),
+            _ => None,
+        }
+    }
+
+    /// Takes in a load report. The daemons of `fleet` share the target.
+    pub(super) fn report(&mut self, now: Duration, load: Load, fleet: Fleet, headroom: f64) {
+        let total = f64::from(load.running) + f64::from(load.waiting);
+        let foreign = (total - f64::from(self.own())).max(0.0);
+        match self.capacity {
+            None => {
+                self.foreign = foreign;
+                self.limit = f64::from(load.capacity.max(1));
+            }
+            Some(_) => self.foreign += FOREIGN_ALPHA * (foreign - self.foreign),
+        }
+        self.capacity = Some(load.capacity);
+        self.reported = load.leaving;
+        let elapsed = now
+            .saturating_sub(self.last_report)
+            .as_secs_f64()
+            .min(LAG_S);
+        self.last_report = now;
+        // Each daemon takes its part of the free slots, spread over the lag: until its own
+        // requests show up in the reports it must not take the same slots again.
+        let usable = f64::from(load.capacity) * (1.0 - headroom);
+        let free = usable - total;
+        let part = if free > 0.0 {
+            free / f64::from(fleet.daemons)
+        } else {
+            free
+        };
+        self.borrow = (self.borrow + part * elapsed / LAG_S).clamp(0.0, usable.max(0.0));
+        self.limit = self.limit.min(f64::from(load.capacity)).max(1.0);
+    }
+
+    /// Number of own requests that may be in flight, for work of this urgency.
+    pub(super) fn limit(&self, urgency: Urgency, fleet: Fleet, headroom: f64) -> u32 {
+        if self.leaving() || self.capacity == Some(0) {
+            return 0;
+        }
+        let part = match self.capacity {
+            Some(capacity) => f64::from(capacity) / f64::from(fleet.daemons),
+            None => self.limit,
+        };
+        let limit = match urgency {
+            Urgency::Urgent => (part + self.borrow).min(self.limit).max(1.0),
+            Urgency::Patient => {
+                (part * (1.0 - headroom) + self.borrow).min(self.limit * (1.0 - headroom))
+            }
+        };
+        // Systematic rounding: the rounded parts of all daemons add up to the capacity.
+        let turn = f64::from(fleet.rank) / f64::from(fleet.daemons);
+        let rounded = (limit + (self.phase + turn).fract()).floor().max(0.0) as u32;
+        let max = self.capacity.unwrap_or(self.limit as u32);
+        rounded.min(max)
+    }
+
+    /// Estimated load relative to capacity, weighted by slowness; lower is better. `average` is
+    /// the service's mean time to first byte in seconds.
+    pub(super) fn score(&self, now: Duration, fleet: Fleet, average: Option<f64>) -> f64 {
+        let own = f64::from(self.own());
+        let capacity = self.capacity.map_or(self.limit, f64::from).max(1.0);
+        // The reports lag and vary, the own requests are known exactly and the other daemons
+        // balance theirs in the same way, so half of the estimate extrapolates from the own ones.
+        let reported = self.foreign + own + 1.0;
+        let extrapolated = (own + 1.0) * f64::from(fleet.daemons);
+        let load = (reported + extrapolated) / 2.0 / capacity;
+        load * self.slowness(now, average).max(1.0)
+    }
+
+    /// Slowness including requests that still wait for their first byte.
+    pub(super) fn slowness(&self, now: Duration, average: Option<f64>) -> f64 {
+        let oldest = self
+            .pending
+            .first()
+            .map(|(sent, _)| now.saturating_sub(*sent));
+        match (oldest, average) {
+            (Some(age), Some(average)) if average > 0.0 => {
+                // Half of the age: a single request with a long prompt is not a slow target.
+                self.slow.max(age.as_secs_f64() / average / 2.0)
+            }
+            _ => self.slow,
+        }
+    }
+
+    /// Takes in a time to first byte, as a ratio to the service's average.
+    pub(super) fn first_byte(&mut self, now: Duration, ratio: f64, max: u32) {
+        self.slow += SLOW_ALPHA * (ratio.min(2.0 * LATE) - self.slow);
+        if ratio > LATE {
+            self.cut(now);
+        } else {
+            let max = f64::from(self.capacity.unwrap_or(max)).max(1.0);
+            // One more per full round of the limit, as in TCP; a recovering target doubles.
+            self.limit = (self.limit + 1.0 / self.limit.max(1.0)).min(max);
+        }
+        self.answered();
+    }
+
+    /// Notes that the target answered, which ends a failure.
+    pub(super) fn answered(&mut self) {
+        self.refusals = 0;
+        if self.health != Health::Up {
+            self.health = Health::Up;
+            self.slow = 1.0;
+            self.limit = self.capacity.map_or(self.limit, f64::from).max(1.0);
+        }
+    }
+
+    /// Takes in a refusal by the target.
+    pub(super) fn refused(&mut self, now: Duration, settings: &Settings) {
+        self.cut(now);
+        self.refusals += 1;
+        if self.refusals >= MAX_REFUSALS || self.health != Health::Up {
+            self.failed(now, settings);
+        }
+    }
+
+    /// Marks the target as failed; a failed probe doubles the backoff.
+    pub(super) fn failed(&mut self, now: Duration, settings: &Settings) {
+        let backoff = match self.health {
+            Health::Up => settings.backoff_min,
+            Health::Down { until, backoff } if now >= until => {
+                (backoff * 2).min(settings.backoff_max)
+            }
+            // One failure ends many requests; only the first counts.
+            Health::Down { .. } => return,
+        };
+        // The phase spreads the probes of the daemons.
+        let until = now + backoff.mul_f64(1.0 + self.phase / 2.0);
+        self.health = Health::Down { until, backoff };
+        self.borrow = 0.0;
+        self.slow = 1.0;
+    }
+
+    /// Reduces the limit, at most once per second: all requests sent before the reduction may
+    /// still report the same congestion.
+    fn cut(&mut self, now: Duration) {
+        if now.saturating_sub(self.last_cut) >= Duration::from_secs(1) {
+            self.last_cut = now;
+            self.limit = (self.limit * 0.7).max(1.0);
+            self.borrow /= 2.0;
+        }
+    }
+}
