--- a/src/budget/slot.rs
+++ b/src/budget/slot.rs
@@ -68,8 +68,9 @@
     pub(super) reserved: Tokens,
     /// An admission that leaves less than this triggers an issue or a draw.
     pub(super) low: Tokens,
-    /// Bound of the last request.
+    /// Largest bound of recent requests, and of those since the last review.
     pub(super) bound: Tokens,
+    peak: Tokens,
     /// Sum of the bounds of waiting requests, and the smallest of them.
     pub(super) need: Tokens,
     pub(super) least: Tokens,
@@ -125,6 +126,7 @@
             reserved: 0,
             low: 0,
             bound: 0,
+            peak: 0,
             need: 0,
             least: 0,
             asked: 0,
@@ -197,7 +199,8 @@
         self.reserved += bound;
         assert!(self.taken() <= self.issued, "spent + reserved <= issued");
         self.tally += signed(bound);
-        self.bound = bound;
+        self.peak = self.peak.max(bound);
+        self.bound = self.bound.max(bound);
         self.used = now;
         true
     }
@@ -218,10 +221,17 @@
             _ => self.least.min(bound),
         };
         self.need = self.need.saturating_add(bound);
-        self.bound = bound;
+        self.peak = self.peak.max(bound);
+        self.bound = self.bound.max(bound);
         self.used = now;
     }
 
+    /// Lets the bound follow smaller requests.
+    pub(super) fn review(&mut self) {
+        self.bound = self.peak.max(self.bound - self.bound / 8);
+        self.peak = 0;
+    }
+
     /// Brings the demand estimate up to date.
     pub(super) fn sample(&mut self, now: Millis) {
         let age = Millis::min(now - self.sampled, 3_600_000);
@@ -235,9 +245,10 @@
         (self.recent / DEMAND_S * seconds) as Tokens
     }
 
-    /// Wanted size of an issue.
+    /// Wanted size of an issue. It is renewed when half of it is left, which must still be enough
+    /// for a request.
     pub(super) fn issue_size(&self) -> Tokens {
-        self.demand(ISSUE_S).max(self.bound)
+        self.demand(ISSUE_S).max(2 * self.bound)
     }
 
     /// Wanted size of the share.
--- a/src/budget/work.rs
+++ b/src/budget/work.rs
@@ -48,6 +48,7 @@
         let (mode, online) = (self.mode, self.online());
         let slot = self.slot(i);
         slot.sample(now);
+        slot.review();
         let idle = now >= slot.used + IDLE_MS && slot.reserved == 0 && slot.need == 0;
         let want = slot.want(mode);
         if idle && slot.is_closed() && !self.stopping {
