Keep strangers from holding the workers, and document cuminloomctl

tiny_http waits for the rest of a body before a refused request is dropped, so eight connections without a token that announce a body held all workers of the administration API. Reading with a timeout was ruled out: tiny_http gives no access to its sockets. Refusals of unread requests are now answered on a thread of their own, as tiny_http keeps one per connection too.

--- a/src/admin/ctl/cli.rs
+++ b/src/admin/ctl/cli.rs
@@ -38,6 +38,7 @@
 fn name(help: &'static str) -> Arg {
     Arg::new("name")
         .required(true)
+        .value_name("NAME")
         .value_parser(NonEmptyStringValueParser::new())
         .help(help)
 }
@@ -47,7 +48,7 @@
 }
 
 fn option(id: &'static str, help: &'static str) -> Arg {
-    number(id, help).long(id)
+    number(id, help).long(id).value_name("N")
 }
 
 fn file(help: &'static str) -> Arg {
@@ -190,6 +191,7 @@
             option("reserve", "Seconds of demand that a share covers"),
             Arg::new("fraction")
                 .long("fraction")
+                .value_name("X")
                 .value_parser(value_parser!(f64))
                 .help("Largest part of the free tokens that one draw takes"),
         ]
@@ -202,6 +204,7 @@
             .arg(
                 Arg::new("customer")
                     .long("customer")
+                    .value_name("NAME")
                     .required(true)
                     .help("Customer that prepaid it"),
             )
@@ -209,10 +212,18 @@
             .args(sizing()),
         sub("top-up", "Adds tokens to the limit")
             .arg(name("Name of the budget"))
-            .arg(number("tokens", "Tokens to add").required(true)),
+            .arg(
+                number("tokens", "Tokens to add")
+                    .value_name("TOKENS")
+                    .required(true),
+            ),
         sub("lower", "Lowers the limit")
             .arg(name("Name of the budget"))
-            .arg(number("limit", "Wanted limit, in tokens").required(true)),
+            .arg(
+                number("limit", "Wanted limit, in tokens")
+                    .value_name("TOKENS")
+                    .required(true),
+            ),
         sub("size", "Changes how large shares are")
             .arg(name("Name of the budget"))
             .args(sizing())
@@ -232,6 +243,7 @@
         .arg(
             Arg::new("incarnation")
                 .long("incarnation")
+                .value_name("INCARNATION")
                 .help("Incarnation of the sealed share"),
         )
         .arg(
@@ -258,8 +270,11 @@
         ),
         sub("history", "Shows the last edits")
             .arg(option("limit", "Number of edits").default_value("20")),
-        sub("wait", "Waits until a version is in force everywhere")
-            .arg(number("version", "Version of the configuration").required(true)),
+        sub("wait", "Waits until a version is in force everywhere").arg(
+            number("version", "Version of the configuration")
+                .value_name("VERSION")
+                .required(true),
+        ),
         sub("apply", "Makes the edits that lead to the items of a file")
             .arg(file("JSON in the form that get prints; \"-\" is standard input").required(true))
             .after_help(
--- a/src/admin/ctl/client.rs
+++ b/src/admin/ctl/client.rs
@@ -1,6 +1,7 @@
 //! Connection to the administration API.
 
 use std::{
+    io::ErrorKind,
     net::SocketAddr,
     thread,
     time::{
@@ -54,8 +55,10 @@
 
 enum Attempt {
     Answer(minreq::Response),
-    /// The request may have arrived, or the daemon is not there.
-    Again(String),
+    /// The daemon is not there.
+    Away(String),
+    /// The request may have arrived.
+    Lost(String),
 }
 
 impl Client {
@@ -122,7 +125,7 @@
         part: &str,
         body: Vec<u8>,
     ) -> Result<Tagged<T>, Failed> {
-        let mut last = String::new();
+        let (mut last, mut lost) = (String::new(), false);
         for daemon in self
             .daemons
             .iter()
@@ -135,11 +138,16 @@
                 .with_body(body.clone());
             match self.attempt(with_seen(request, seen)) {
                 Attempt::Answer(reply) => return decode(&reply),
-                Attempt::Again(why) => last = format!("{daemon}: {why}"),
+                Attempt::Away(why) => last = format!("{daemon}: {why}"),
+                Attempt::Lost(why) => {
+                    last = format!("{daemon}: {why}");
+                    lost = true;
+                }
             }
         }
         let message = match method {
             minreq::Method::Get => format!("no daemon answered; {last}"),
+            _ if !lost => format!("no daemon was reached, nothing was changed; {last}"),
             _ => format!(
                 "no daemon answered, and the change may have been made; repeat the command with \
                  --request {} to learn its result; {last}",
@@ -170,12 +178,15 @@
             Ok(reply) if reply.status_code == 503 => {
                 let text = String::from_utf8_lossy(reply.as_bytes()).into_owned();
                 match text.contains("may-have-run") {
-                    true => Attempt::Again(text),
+                    true => Attempt::Lost(text),
                     false => Attempt::Answer(reply),
                 }
             }
             Ok(reply) => Attempt::Answer(reply),
-            Err(err) => Attempt::Again(err.to_string()),
+            Err(minreq::Error::IoError(io)) if io.kind() == ErrorKind::ConnectionRefused => {
+                Attempt::Away(io.to_string())
+            }
+            Err(err) => Attempt::Lost(err.to_string()),
         }
     }
 
--- a/src/admin/ctl/items.rs
+++ b/src/admin/ctl/items.rs
@@ -3,6 +3,10 @@
 use std::io::Read;
 
 use clap::ArgMatches;
+use jsonc_parser::{
+    CollectOptions,
+    parse_to_ast, //
+};
 use serde_json::{
     Map,
     Value, //
@@ -18,6 +22,7 @@
 };
 use crate::{
     config::Kind,
+    settings,
     wire::admin as wire, //
 };
 
@@ -33,7 +38,11 @@
         path => std::fs::read_to_string(path).map(|read| text = read),
     };
     read.map_err(|err| Failed::usage(format!("{path}: {err}")))?;
-    serde_json::from_str(&text).map_err(|err| Failed::usage(format!("{path}: {err}")))
+    // "get" prints the version as a comment, so what it prints can be put again.
+    let parsed = parse_to_ast(&text, &CollectOptions::default(), &settings::dialect())
+        .map_err(|err| Failed::usage(format!("{path}: {err}")))?;
+    let value = parsed.value.map(Value::from);
+    value.ok_or_else(|| Failed::usage(format!("{path}: the file is empty")))
 }
 
 pub(super) fn run(context: &mut Context<'_>, kind: &str, matches: &ArgMatches) -> Ended {
--- a/src/admin/server.rs
+++ b/src/admin/server.rs
@@ -205,9 +205,23 @@
         return;
     }
     let setup = &shared.setup;
-    let request = Request::read(&mut http, &setup.operators, setup.body_limit);
-    let answer = request.and_then(|request| shared.answer(&request));
-    let reply = answer.unwrap_or_else(Reply::from);
+    match Request::read(&mut http, &setup.operators, setup.body_limit) {
+        Ok(request) => {
+            let answer = shared.answer(&request);
+            respond(http, answer.unwrap_or_else(Reply::from));
+        }
+        // tiny_http then waits for the rest of the body. A thread per connection, as tiny_http has
+        // too, keeps strangers from holding the workers.
+        Err(failure) => {
+            let refuse = move || respond(http, failure.into());
+            if let Err(err) = thread::Builder::new().spawn(refuse) {
+                log::warn!("a request to the administration API was dropped: {err}");
+            }
+        }
+    }
+}
+
+fn respond(http: tiny_http::Request, reply: Reply) {
     let header = |name: &str, value: &str| {
         Header::from_bytes(name, value).expect("header names and values are plain text")
     };
--- a/src/settings/kind.rs
+++ b/src/settings/kind.rs
@@ -14,6 +14,7 @@
 use log::LevelFilter;
 
 use super::read::Kind;
+use crate::config::valid_name;
 
 /// Stands in for a faulty address until the faults are reported.
 pub(super) const NO_ADDR: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
@@ -31,10 +32,7 @@
 }
 
 fn name(value: &Value<'_>) -> Option<Arc<str>> {
-    let text = text(value)?;
-    let plain = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
-    let fits = (1..=64).contains(&text.len()) && text.chars().all(plain);
-    fits.then(|| text.into())
+    text(value).filter(|text| valid_name(text)).map(Into::into)
 }
 
 pub(super) const NAME: Kind<Arc<str>> = Kind {
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -24,6 +24,7 @@
 };
 
 pub use read::SettingFault;
+pub(crate) use read::dialect;
 pub use secret::{
     Secret,
     SecretSource, //
--- a/src/settings/read.rs
+++ b/src/settings/read.rs
@@ -69,9 +69,9 @@
     }
 }
 
-/// Parses JSON with comments and trailing commas.
-pub(super) fn parse<'a>(text: &'a str, faults: &mut Faults<'a>) -> Option<ast::Value<'a>> {
-    let options = ParseOptions {
+/// JSON with comments and trailing commas, and nothing else that the parser would let pass.
+pub(crate) fn dialect() -> ParseOptions {
+    ParseOptions {
         allow_comments: true,
         allow_trailing_commas: true,
         allow_loose_object_property_names: false,
@@ -82,8 +82,12 @@
         allow_bare_decimal_point_numbers: false,
         allow_non_finite_numbers: false,
         allow_extended_string_escapes: false,
-    };
-    match parse_to_ast(text, &CollectOptions::default(), &options) {
+    }
+}
+
+/// Parses the text of the file.
+pub(super) fn parse<'a>(text: &'a str, faults: &mut Faults<'a>) -> Option<ast::Value<'a>> {
+    match parse_to_ast(text, &CollectOptions::default(), &dialect()) {
         Ok(parsed) => {
             if parsed.value.is_none() {
                 faults.add(
--- a/tests/admin_api.rs
+++ b/tests/admin_api.rs
@@ -2,7 +2,10 @@
 
 use std::{
     collections::BTreeMap,
-    io::Write as _,
+    io::{
+        Read as _,
+        Write as _, //
+    },
     net::{
         Shutdown,
         SocketAddr,
@@ -316,6 +319,23 @@
     }
 }
 
+/// Guards against strangers who announce a body and never send it, and so hold every worker.
+#[test]
+fn strangers_do_not_hold_the_workers() {
+    let bench = bench();
+    let open = |_| {
+        let mut stream = TcpStream::connect(bench.admin.addr()).unwrap();
+        let head = "POST /admin/v1/status HTTP/1.1\r\nHost: x\r\nContent-Length: 2000\r\n\r\n";
+        stream.write_all(head.as_bytes()).unwrap();
+        // The refusal has arrived, so the request is out of the queue.
+        assert_eq!(stream.read(&mut [0; 12]).unwrap(), 12);
+        stream
+    };
+    let strangers: Vec<TcpStream> = (0..20).map(open).collect();
+    assert_eq!(bench.get("status")["mode"], "attached");
+    drop(strangers);
+}
+
 /// Guards against an edit that overwrites one its operator never saw, and against a conflict that
 /// does not show whose edit it was.
 #[test]
@@ -495,6 +515,7 @@
     let (mut out, mut err) = (Vec::new(), Vec::new());
     let exit = ctl::run(away, Some("t".into()), &mut out, &mut err);
     assert_eq!(exit, Exit::Unreachable);
+    assert!(String::from_utf8(err).unwrap().contains("127.0.0.1:1"));
 }
 
 /// Guards against a file that `config get` prints and `config apply` does not take, and against an
@@ -523,4 +544,15 @@
         "{text}"
     );
     assert_eq!(bench.get("customers/lamps")["value"]["weight"], 8);
+    // What "get" prints can be put again.
+    let (_, text) = bench.ctl(&["customer", "get", "lamps"]);
+    std::fs::write(&path, text).unwrap();
+    let put = |seen| bench.ctl(&["customer", "put", "lamps", "-f", file, "--if-match", seen]);
+    let (first, second) = (put("4"), put("4"));
+    std::fs::remove_file(&path).unwrap();
+    assert_eq!(
+        (first.0, second.0),
+        (Exit::Done, Exit::Conflict),
+        "{first:?}"
+    );
 }
--- a/tests/config_run.rs
+++ b/tests/config_run.rs
@@ -34,7 +34,7 @@
 
 const DAEMONS: usize = 4;
 const STEPS: usize = 4_000;
-const SEEDS: u64 = 40;
+const SEEDS: u64 = 150;
 
 /// What an operator was told.
 type Told = Result<Arc<Edit>, JobFault>;
