--- a/src/budget/slot.rs
+++ b/src/budget/slot.rs
@@ -32,6 +32,15 @@
     Commit(Box<Pending>),
 }
 
+/// Before a planned stop removes a share, the witness learns that its issued figure is 0. A sealer
+/// that comes later would otherwise take the missing share for one that was never written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Retire {
+    No,
+    Proposed,
+    Logged,
+}
+
 /// A commit without an answer.
 #[derive(Debug)]
 pub(super) struct Pending {
@@ -59,8 +68,9 @@
     pub(super) reserved: Tokens,
     /// An admission that leaves less than this triggers an issue or a draw.
     pub(super) low: Tokens,
-    /// Bound of the last request.
+    /// Largest bound of recent requests, and of those since the last review.
     pub(super) bound: Tokens,
+    peak: Tokens,
     /// Sum of the bounds of waiting requests, and the smallest of them.
     pub(super) need: Tokens,
     pub(super) least: Tokens,
@@ -96,6 +106,11 @@
     pub(super) fresh: bool,
     /// Another drawer is short.
     pub(super) yields: bool,
+    /// The share was opened by a transfer after the planned stop began. It is returned unspent, and
+    /// the bills of this budget belong to the share that was removed before.
+    pub(super) returns: bool,
+    /// Progress of the entry that tells the witness that the share is about to be removed.
+    pub(super) retire: Retire,
 }
 
 impl Slot {
@@ -111,6 +126,7 @@
             reserved: 0,
             low: 0,
             bound: 0,
+            peak: 0,
             need: 0,
             least: 0,
             asked: 0,
@@ -139,6 +155,8 @@
             queued: false,
             fresh: false,
             yields: false,
+            returns: false,
+            retire: Retire::No,
         }
     }
 
@@ -181,7 +199,8 @@
         self.reserved += bound;
         assert!(self.taken() <= self.issued, "spent + reserved <= issued");
         self.tally += signed(bound);
-        self.bound = bound;
+        self.peak = self.peak.max(bound);
+        self.bound = self.bound.max(bound);
         self.used = now;
         true
     }
@@ -202,10 +221,17 @@
             _ => self.least.min(bound),
         };
         self.need = self.need.saturating_add(bound);
-        self.bound = bound;
+        self.peak = self.peak.max(bound);
+        self.bound = self.bound.max(bound);
         self.used = now;
     }
 
+    /// Lets the bound follow smaller requests.
+    pub(super) fn review(&mut self) {
+        self.bound = self.peak.max(self.bound - self.bound / 8);
+        self.peak = 0;
+    }
+
     /// Brings the demand estimate up to date.
     pub(super) fn sample(&mut self, now: Millis) {
         let age = Millis::min(now - self.sampled, 3_600_000);
@@ -219,9 +245,10 @@
         (self.recent / DEMAND_S * seconds) as Tokens
     }
 
-    /// Wanted size of an issue.
+    /// Wanted size of an issue. It is renewed when half of it is left, which must still be enough
+    /// for a request.
     pub(super) fn issue_size(&self) -> Tokens {
-        self.demand(ISSUE_S).max(self.bound)
+        self.demand(ISSUE_S).max(2 * self.bound)
     }
 
     /// Wanted size of the share.
@@ -334,15 +361,32 @@
         self.logged = self.issued;
     }
 
-    /// Whether nothing but the closed figures has to be remembered.
-    pub(super) fn is_closed(&self) -> bool {
+    /// Whether no request is open and all finished ones are billed.
+    pub(super) fn is_settled(&self) -> bool {
         self.reserved == 0
             && self.need == 0
-            && self.asked == 0
             && self.proposed.is_none()
-            && self.share == self.posted
             && self.spent == self.share.billed
+    }
+
+    /// The witness knows that nothing is issued any more.
+    pub(super) fn retired(&mut self) {
+        self.retire = Retire::Logged;
+        self.issued = self.spent;
+        self.logged = self.spent;
+    }
+
+    /// Whether the budget never had a share.
+    pub(super) fn is_unused(&self) -> bool {
+        self.share == Share::default() && self.is_closed()
+    }
+
+    /// Whether nothing but the closed figures has to be remembered.
+    pub(super) fn is_closed(&self) -> bool {
+        self.is_settled()
             && self.capacity() == self.spent
+            && self.asked == 0
+            && self.share == self.posted
             && matches!(self.flight, Flight::None)
     }
 
