--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -12,6 +12,7 @@
 mod items;
 mod orders;
 mod overview;
+mod plugin;
 mod recent;
 mod reply;
 mod request;
--- /dev/null
+++ b/src/admin/plugin.rs
@@ -0,0 +1,121 @@
+//! Registers the administration API.
+
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc,
+        PoisonError, //
+    },
+    time::{
+        SystemTime,
+        UNIX_EPOCH, //
+    },
+};
+
+use error_stack::{
+    Report,
+    ResultExt, //
+};
+
+use super::{
+    Confirmed,
+    Fleet,
+    Setup,
+    Standing,
+    bind, //
+};
+use crate::{
+    bill,
+    budget::Bills,
+    config::put_in_force,
+    kernel::{
+        Context,
+        DaemonPlugin,
+        Plugin,
+        Running,
+        Stage,
+        StartFault, //
+    },
+    model::{
+        BudgetId,
+        Version, //
+    },
+    store::StoreFault,
+};
+
+/// Longest body of a request of an operator, in bytes.
+const BODY_LIMIT: usize = 4 << 20;
+
+inventory::submit! {
+    Plugin { name: "admin", stage: Stage::Border, start: spawn } as DaemonPlugin
+}
+
+/// This daemon as the administration API sees it.
+struct Local(Arc<Context>);
+
+impl Fleet for Local {
+    fn peers(&self) -> Vec<Confirmed> {
+        self.0
+            .versions
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .values()
+            .cloned()
+            .collect()
+    }
+
+    fn standing(&self) -> Standing {
+        let figures = self.0.node.figures();
+        let routing = self.0.router.figures();
+        let count = |name: &str, value: usize| (Arc::from(name), value as f64);
+        Standing {
+            mode: format!("{:?}", figures.mode).to_lowercase().into(),
+            figures: BTreeMap::from([
+                count("open_requests", figures.open),
+                count("unbilled_requests", figures.unbilled),
+                count("mirror_backlog", figures.backlog),
+                count("watched_daemons", figures.watched),
+                count(
+                    "queued_requests",
+                    usize::try_from(routing.queued).unwrap_or(usize::MAX),
+                ),
+            ]),
+        }
+    }
+
+    fn notice(&self, version: Version) {
+        put_in_force(&self.0);
+        let _ = self.0.notices.send(version);
+    }
+
+    fn bills(&self) -> Result<BTreeMap<BudgetId, Bills>, StoreFault> {
+        bill::count(&self.0.store)
+    }
+}
+
+fn spawn(ctx: &Arc<Context>) -> Result<Running, Report<StartFault>> {
+    let setup = Setup {
+        listen: ctx.settings.admin.listen,
+        operators: ctx.settings.admin.operators.clone(),
+        daemon: ctx.settings.daemon.id.clone(),
+        body_limit: BODY_LIMIT,
+        now: || {
+            SystemTime::now()
+                .duration_since(UNIX_EPOCH)
+                .unwrap_or_default()
+                .as_secs()
+        },
+    };
+    let admin = bind(
+        setup,
+        ctx.store.clone(),
+        Local(ctx.clone()),
+        ctx.edits.clone(),
+    )
+    .change_context(StartFault { name: "admin" })?;
+    log::info!("listening for operators on {}", admin.addr());
+    Ok(Running::spawn("admin", move |stop| {
+        let _ = stop.recv();
+        drop(admin);
+    }))
+}
--- /dev/null
+++ b/src/bill/count.rs
@@ -0,0 +1,104 @@
+//! Sums of the bills that count, for an audit.
+
+use std::{
+    collections::BTreeMap,
+    sync::Arc, //
+};
+
+use super::{
+    Bill,
+    Ledger,
+    Seal,
+    decode_batch, //
+};
+use crate::{
+    budget::Bills,
+    mirror::{
+        Fence,
+        fence_key, //
+    },
+    model::{
+        BudgetId,
+        Incarnation, //
+    },
+    store::{
+        Objects,
+        StoreFault,
+        Table, //
+    },
+};
+
+/// Rows read in one exchange.
+const PAGE: usize = 500;
+
+/// Prefix of the keys of ledger rows.
+const LEDGERS: &str = "ledger/";
+
+/// Reads all bills that count and sums them by budget and incarnation. An object that is missing or
+/// unreadable counts as unknown, because its bills can't be known.
+///
+/// # Errors
+///
+/// Fails with a [`StoreFault`] when the platform does not answer or an object that counts is
+/// missing.
+///
+/// # Examples
+///
+/// ```
+/// use cuminloom::{
+///     bill,
+///     store::{HttpStore, StoreFault},
+/// };
+/// let store = HttpStore::open("127.0.0.1:1".parse().unwrap());
+/// assert_eq!(bill::count(&store), Err(StoreFault::Unavailable));
+/// ```
+pub fn count<S: Table + Objects>(store: &S) -> Result<BTreeMap<BudgetId, Bills>, StoreFault> {
+    let mut sums = BTreeMap::new();
+    let mut after = Arc::from("");
+    loop {
+        let rows = store.list(LEDGERS, &after, PAGE)?;
+        let Some(last) = rows.last() else {
+            return Ok(sums);
+        };
+        after = last.key.clone();
+        for row in &rows {
+            let inc: Incarnation = row.key[LEDGERS.len()..].into();
+            let ledger = Ledger::from_value(&row.value).ok_or(StoreFault::Unknown)?;
+            count_one(store, &inc, ledger, &mut sums)?;
+        }
+    }
+}
+
+fn count_one<S: Table + Objects>(
+    store: &S,
+    inc: &Incarnation,
+    ledger: Ledger,
+    sums: &mut BTreeMap<BudgetId, Bills>,
+) -> Result<(), StoreFault> {
+    let batches = (1..=ledger.batches).map(|n| format!("bills/{inc}/{n}"));
+    let late = (1..=ledger.late).map(|n| format!("bills/{inc}/late-{n}"));
+    for name in batches.chain(late) {
+        let body = store.get(&name)?.ok_or(StoreFault::Unknown)?;
+        let bills = decode_batch(&body).ok_or(StoreFault::Unknown)?;
+        bills.iter().for_each(|bill| add(sums, inc, bill));
+    }
+    let fence = store.read(&fence_key(inc))?;
+    let sealed = fence
+        .and_then(|row| Fence::from_value(&row.value))
+        .and_then(|f| f.sealed);
+    let Some(name) = sealed
+        .map(|sealed| sealed.object)
+        .filter(|name| !name.is_empty())
+    else {
+        return Ok(());
+    };
+    let body = store.get(&name)?.ok_or(StoreFault::Unknown)?;
+    let seal = Seal::decode(&body).ok_or(StoreFault::Unknown)?;
+    seal.bills.iter().for_each(|bill| add(sums, inc, bill));
+    Ok(())
+}
+
+fn add(sums: &mut BTreeMap<BudgetId, Bills>, inc: &Incarnation, bill: &Bill) {
+    let budget = sums.entry(bill.budget.clone()).or_default();
+    *budget.entry(inc.clone()).or_default() += bill.tokens;
+}
--- a/src/bill/mod.rs
+++ b/src/bill/mod.rs
@@ -1,6 +1,7 @@
 //! Bills of finished requests, their batches, the ledger row and late batches.
 
 mod book;
+mod count;
 mod writer;
 
 use std::collections::BTreeMap;
@@ -25,6 +26,7 @@
 
 pub use book::Book;
 pub(crate) use book::add;
+pub use count::count;
 pub(crate) use writer::{
     Step,
     Writer, //
--- a/src/caller/exchange.rs
+++ b/src/caller/exchange.rs
@@ -8,7 +8,6 @@
         Code,
         Fault,
         Profile,
-        Repeat,
         TargetKind,
         Tokens,
         Urgency,
@@ -327,8 +326,3 @@
         .with_label_values(&labels)
         .observe(waited.as_secs_f64());
 }
-
-/// Whether a profile's requests need an idempotency key.
-pub(crate) fn needs_key(profile: &Profile) -> bool {
-    profile.repeat == Repeat::Once
-}
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -40,6 +40,7 @@
     Config,
     Received, //
 };
+pub(crate) use plugin::put_in_force;
 pub use shell::{
     poll,
     propose, //
--- a/src/kernel/context.rs
+++ b/src/kernel/context.rs
@@ -1,24 +1,27 @@
 //! What the plug-ins of a daemon share.
 
-use std::sync::{
-    Arc,
-    Mutex,
-    PoisonError,
-    RwLock,
-    atomic::{
-        AtomicBool,
-        Ordering, //
-    }, //
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc, Mutex, PoisonError, RwLock,
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        },
+    },
 };
 
 use crate::{
+    admin::Confirmed,
     claim::Claims,
     config,
     kernel::Clock,
     mirror,
     model::{
         Configuration,
-        Incarnation, //
+        DaemonId,
+        Incarnation,
+        Version, //
     },
     node, route,
     settings::Settings,
@@ -99,7 +102,11 @@
     /// Queues and target choice.
     pub router: route::Handle,
     /// Accepted edits and the configuration that they make.
-    pub edits: Mutex<config::Config>,
+    pub edits: Arc<Mutex<config::Config>>,
+    /// What the other daemons have confirmed.
+    pub versions: Mutex<BTreeMap<DaemonId, Confirmed>>,
+    /// Versions of which peers are to be told.
+    pub notices: flume::Sender<Version>,
     /// Work that one plug-in leaves for another.
     pub queues: Queues,
     /// Whether the daemon was told to stop.
@@ -117,6 +124,8 @@
     pub changes: flume::Receiver<node::Change>,
     /// Strikes for peers.
     pub strikes: flume::Receiver<route::Strike>,
+    /// Accepted versions of the configuration for peers.
+    pub notices: flume::Receiver<Version>,
 }
 
 impl Context {
--- a/src/kernel/daemon.rs
+++ b/src/kernel/daemon.rs
@@ -140,6 +140,7 @@
     let (peers_out, peers) = flume::unbounded();
     let (changes_out, changes) = flume::unbounded();
     let (strikes_out, strikes) = flume::unbounded();
+    let (notices_out, notices) = flume::unbounded();
     let outbox = node::Outbox {
         store: store_out,
         peers: peers_out,
@@ -164,12 +165,15 @@
         tracer: tracer(&settings),
         store: HttpStore::open(settings.platform.addr),
         config: InForce::default(),
-        edits: Mutex::new(Config::default()),
+        edits: Arc::new(Mutex::new(Config::default())),
+        versions: Mutex::default(),
+        notices: notices_out,
         queues: Queues {
             store,
             peers,
             changes,
             strikes,
+            notices,
         },
         stopping: AtomicBool::new(false),
         settings,
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -3,9 +3,11 @@
 //! A [`Node`] is one daemon process: its current incarnation, sealed incarnations whose requests
 //! still run, and the records and seals of the incarnations that it watches.
 
+mod handle;
 mod health;
 mod life;
 mod machine;
+mod plugin;
 mod retire;
 mod scan;
 
@@ -36,6 +38,10 @@
     store::Vm,
 };
 
+pub use handle::{
+    Handle,
+    Outbox, //
+};
 pub use machine::{
     Node,
     budget_key, //
--- a/src/route/handle.rs
+++ b/src/route/handle.rs
@@ -191,7 +191,20 @@
     }
 
     /// Takes a strike from a peer.
-    pub(crate) fn strike(&self, strike: &Strike) {
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cuminloom::{
+    ///     kernel::Clock,
+    ///     route::{Handle, Settings, Strike},
+    /// };
+    /// let (strikes, _) = flume::unbounded();
+    /// let handle = Handle::open(Settings::new("cebu-north".into()), 1, Clock::open(), strikes);
+    /// handle.strike(&Strike { fingerprint: 7, target: "runner-1".into() });
+    /// assert_eq!(handle.figures().strikes, 1);
+    /// ```
+    pub fn strike(&self, strike: &Strike) {
         let now = self.clock.now();
         self.lock()
             .router
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -8,6 +8,8 @@
 mod dispatch;
 mod ended;
 mod estimate;
+mod handle;
+mod plugin;
 mod queue;
 mod router;
 mod running;
@@ -20,6 +22,10 @@
     time::Duration, //
 };
 
+pub use handle::{
+    Handle,
+    Slot, //
+};
 pub use router::Router;
 
 use crate::model::{
--- /dev/null
+++ b/standins/src/fleet.rs
@@ -0,0 +1,458 @@
+//! A whole deployment in separate processes on loopback: the platform, engines, a plain service and
+//! daemons in several data centres.
+//!
+//! Every daemon has a loopback address of its own, as a VM has, so that fixed ports never collide
+//! between tests that run at the same time.
+
+use std::{
+    io,
+    net::{
+        Ipv4Addr,
+        SocketAddr, //
+    },
+    path::PathBuf,
+    sync::{
+        Mutex,
+        atomic::{
+            AtomicU8,
+            Ordering, //
+        },
+    },
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use cuminloom::{
+    budget,
+    config::{
+        self,
+        Change,
+        Config,
+        Kind, //
+    },
+    model::Tokens,
+    store::{
+        self,
+        Expect,
+        HttpStore,
+        Table,
+        Write, //
+    },
+    wire::item::Item,
+};
+use serde_json::{
+    Value,
+    json, //
+};
+use sha2::{
+    Digest,
+    Sha256, //
+};
+
+use crate::process::{
+    Process,
+    binary, //
+};
+
+/// Ports of every daemon.
+const CALLER_PORT: u16 = 8080;
+const ADMIN_PORT: u16 = 8090;
+const PEER_PORT: u16 = 8070;
+
+/// Key that the customer of the deployment presents.
+pub const KEY: &str = "anod-key";
+/// Token of the operator of the deployment.
+pub const TOKEN: &str = "board-token";
+
+/// Longest wait for a daemon to become ready.
+const READY_LIMIT: Duration = Duration::from_secs(30);
+
+/// Deployments started by this process.
+static FLEETS: AtomicU8 = AtomicU8::new(0);
+
+/// What to start.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Data centres and the number of daemons in each.
+    pub dcs: Vec<(&'static str, usize)>,
+    /// Limit of the only budget, `lamps`, in tokens.
+    pub limit: Tokens,
+    /// Arguments of each engine; every data centre has one engine.
+    pub engine: Vec<&'static str>,
+    /// Level of the daemons' logs.
+    pub log: &'static str,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            dcs: vec![("cebu-north", 2), ("cebu-south", 1)],
+            limit: 1_000_000,
+            engine: vec!["--ttft-ms", "5", "--tokens-per-second", "500"],
+            log: "warn",
+        }
+    }
+}
+
+/// One daemon of the deployment.
+#[derive(Debug)]
+pub struct Member {
+    /// Name of the daemon.
+    pub id: String,
+    /// Data centre of the daemon.
+    pub dc: &'static str,
+    /// Its process; `None` after it was killed.
+    pub process: Option<Process>,
+    /// Where callers send requests.
+    pub caller: SocketAddr,
+    /// Where operators send requests.
+    pub admin: SocketAddr,
+    settings: PathBuf,
+}
+
+/// A running deployment. Dropping it ends all its processes.
+#[derive(Debug)]
+pub struct Fleet {
+    /// The platform.
+    pub platform: Process,
+    /// The engines, one in each data centre.
+    pub engines: Vec<Process>,
+    /// The plain service.
+    pub service: Process,
+    /// The daemons.
+    pub members: Vec<Member>,
+    plan: Plan,
+    net: u8,
+    folder: PathBuf,
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+impl Fleet {
+    /// Starts everything, writes the configuration and the budget, and waits until every daemon is
+    /// ready.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a process does not start or a daemon does not become ready.
+    ///
+    /// # Examples
+    ///
+    /// ```no_run
+    /// use cuminloom_standins::fleet::{Fleet, Plan};
+    /// let fleet = Fleet::start(Plan::default()).unwrap();
+    /// println!("{}", fleet.members[0].caller);
+    /// ```
+    pub fn start(plan: Plan) -> io::Result<Self> {
+        let net = FLEETS.fetch_add(1, Ordering::Relaxed);
+        let folder = std::env::temp_dir().join(format!("cuminloom-{}-{net}", std::process::id()));
+        std::fs::create_dir_all(&folder)?;
+        std::fs::write(folder.join("secret"), "fleet secret of the tests")?;
+        let mut fleet = Self {
+            platform: start_platform(&plan)?,
+            engines: start_engines(&plan)?,
+            service: Process::standin(
+                "service-standin",
+                &["--listen", "127.0.0.1:0"],
+                &["service", "control"],
+            )?,
+            members: Vec::new(),
+            plan,
+            net,
+            folder,
+        };
+        fleet.seed()?;
+        fleet.start_members()?;
+        fleet.wait_ready()?;
+        Ok(fleet)
+    }
+
+    /// Client of the platform as an observer in the first data centre sees it.
+    ///
+    /// # Examples
+    ///
+    /// ```no_run
+    /// # fn show(fleet: &cuminloom_standins::fleet::Fleet) {
+    /// use cuminloom::store::Table;
+    /// println!("{:?}", fleet.store().read("budget/lamps"));
+    /// # }
+    /// ```
+    pub fn store(&self) -> HttpStore {
+        HttpStore::open(self.platform.addr(self.plan.dcs[0].0))
+    }
+
+    /// The budget row as the platform has it.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the platform does not answer.
+    ///
+    /// # Examples
+    ///
+    /// ```no_run
+    /// # fn show(fleet: &cuminloom_standins::fleet::Fleet) {
+    /// println!("{:?}", fleet.budget().figures());
+    /// # }
+    /// ```
+    pub fn budget(&self) -> budget::Row {
+        let row = self
+            .store()
+            .read("budget/lamps")
+            .expect("the platform answers");
+        let row = row.expect("the budget exists");
+        budget::Row::try_from(row.value).expect("the row is a budget")
+    }
+
+    /// Starts a daemon again after its process ended.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process does not start.
+    ///
+    /// # Examples
+    ///
+    /// ```no_run
+    /// # fn restart(fleet: &mut cuminloom_standins::fleet::Fleet) {
+    /// fleet.restart(0).unwrap();
+    /// # }
+    /// ```
+    pub fn restart(&mut self, index: usize) -> io::Result<()> {
+        let member = &mut self.members[index];
+        member.process = Some(start_daemon(&member.settings)?);
+        Ok(())
+    }
+
+    /// Waits until every running daemon reports that it is ready.
+    ///
+    /// # Errors
+    ///
+    /// Fails when that takes too long.
+    ///
+    /// # Examples
+    ///
+    /// ```no_run
+    /// # fn wait(fleet: &cuminloom_standins::fleet::Fleet) {
+    /// fleet.wait_ready().unwrap();
+    /// # }
+    /// ```
+    pub fn wait_ready(&self) -> io::Result<()> {
+        let start = Instant::now();
+        for member in self
+            .members
+            .iter()
+            .filter(|member| member.process.is_some())
+        {
+            while !is_ready(member.caller) {
+                if start.elapsed() > READY_LIMIT {
+                    return Err(io::Error::other(format!("{} is not ready", member.id)));
+                }
+                std::thread::sleep(Duration::from_millis(20));
+            }
+        }
+        Ok(())
+    }
+
+    fn seed(&self) -> io::Result<()> {
+        let store = self.store();
+        let edits = Mutex::new(Config::default());
+        for (kind, name, item) in self.items() {
+            let item: Item = serde_json::from_value(item).map_err(io::Error::other)?;
+            let change = Change {
+                kind,
+                name: name.into(),
+                value: Some(item),
+                if_match: None,
+                operator: "board".into(),
+                time: 0,
+                request: format!("seed-{name}").into(),
+            };
+            config::propose(&edits, &store, change).map_err(|fault| {
+                io::Error::other(format!("the item {name:?} was not accepted: {fault:?}"))
+            })?;
+        }
+        let row = budget::Row::create("anod".into(), self.plan.limit);
+        let write = Write {
+            key: "budget/lamps".into(),
+            expect: Expect::Absent,
+            change: store::Change::Put((&row).into()),
+        };
+        store.commit(&[write]).map_err(io::Error::other)?;
+        let vms: Vec<Value> = self
+            .places()
+            .map(|(id, dc, _)| json!({ "name": id, "dc": dc, "state": "live" }))
+            .collect();
+        let url = format!("http://{}/vms", self.platform.addr("control"));
+        let body = json!({ "vms": vms }).to_string();
+        minreq::put(url)
+            .with_body(body)
+            .send()
+            .map_err(io::Error::other)?;
+        Ok(())
+    }
+
+    fn items(&self) -> Vec<(Kind, &'static str, Value)> {
+        let hash = hex::encode(Sha256::digest(KEY));
+        let other = hex::encode(Sha256::digest("hsin-key"));
+        let engines: Vec<Value> = self
+            .engines
+            .iter()
+            .zip(&self.plan.dcs)
+            .map(|(engine, (dc, _))| {
+                let addr = engine.addr("engine").to_string();
+                json!({ "id": format!("runner-{dc}"), "addr": addr, "dc": dc })
+            })
+            .collect();
+        let desk = json!({
+            "id": "desk-1",
+            "addr": self.service.addr("service").to_string(),
+            "dc": self.plan.dcs[0].0,
+        });
+        let profile = |service: &str, urgency: &str, repeat: &str, charge: u64| {
+            json!({ "profile": {
+                "customers": ["anod"], "service": service, "budget": "lamps",
+                "urgency": urgency, "repeat": repeat, "output": 64, "charge": charge,
+            } })
+        };
+        vec![
+            (
+                Kind::Customer,
+                "anod",
+                json!({ "customer": { "keys": [hash] } }),
+            ),
+            (
+                Kind::Customer,
+                "hsin",
+                json!({ "customer": { "keys": [other] } }),
+            ),
+            (
+                Kind::Service,
+                "loom-writers",
+                json!({ "service": { "kind": "engine", "model": "small", "targets": engines } }),
+            ),
+            (
+                Kind::Service,
+                "order-desk",
+                json!({ "service": { "kind": "plain", "targets": [desk] } }),
+            ),
+            (
+                Kind::Profile,
+                "chat",
+                profile("loom-writers", "urgent", "idempotent", 0),
+            ),
+            (
+                Kind::Profile,
+                "write-up",
+                profile("loom-writers", "patient", "idempotent", 0),
+            ),
+            (
+                Kind::Profile,
+                "deposit",
+                profile("order-desk", "urgent", "once", 3),
+            ),
+            (
+                Kind::Profile,
+                "stock",
+                profile("order-desk", "urgent", "idempotent", 1),
+            ),
+        ]
+    }
+
+    /// Name, data centre and address of each daemon.
+    fn places(&self) -> impl Iterator<Item = (String, &'static str, Ipv4Addr)> + '_ {
+        let process = (std::process::id() % 200) as u8;
+        let dcs = self
+            .plan
+            .dcs
+            .iter()
+            .flat_map(|&(dc, count)| (1..=count).map(move |n| (dc, n)));
+        dcs.zip(10_u8..).map(move |((dc, n), host)| {
+            let ip = Ipv4Addr::new(127, 20 + process, self.net, host);
+            (format!("{dc}-{n}"), dc, ip)
+        })
+    }
+
+    fn start_members(&mut self) -> io::Result<()> {
+        let places: Vec<_> = self.places().collect();
+        let peers: Vec<Value> = places
+            .iter()
+            .map(|(id, dc, ip)| json!({ "id": id, "addr": format!("{ip}:{PEER_PORT}"), "dc": dc }))
+            .collect();
+        for (id, dc, ip) in places {
+            let settings = self.folder.join(format!("{id}.jsonc"));
+            let text = self.settings(&id, dc, ip, &peers);
+            std::fs::write(&settings, text.to_string())?;
+            self.members.push(Member {
+                process: Some(start_daemon(&settings)?),
+                id,
+                dc,
+                caller: (ip, CALLER_PORT).into(),
+                admin: (ip, ADMIN_PORT).into(),
+                settings,
+            });
+        }
+        Ok(())
+    }
+
+    fn settings(&self, id: &str, dc: &str, ip: Ipv4Addr, peers: &[Value]) -> Value {
+        let token = hex::encode(Sha256::digest(TOKEN));
+        let others: Vec<_> = peers.iter().filter(|peer| peer["id"] != id).collect();
+        json!({
+            "daemon": { "id": id, "vm": id, "dc": dc },
+            "caller": { "listen": format!("{ip}:{CALLER_PORT}") },
+            "admin": {
+                "listen": format!("{ip}:{ADMIN_PORT}"),
+                "operators": [{ "name": "board", "token_sha256": token }],
+            },
+            "platform": { "addr": self.platform.addr(dc).to_string() },
+            "peer": {
+                "listen": format!("{ip}:{PEER_PORT}"),
+                "secret": { "file": self.folder.join("secret") },
+                "peers": others,
+            },
+            "bill": { "interval_ms": 500 },
+            "log": { "level": self.plan.log },
+        })
+    }
+}
+
+fn start_platform(plan: &Plan) -> io::Result<Process> {
+    let listen: Vec<String> = plan
+        .dcs
+        .iter()
+        .map(|(dc, _)| format!("{dc}=127.0.0.1:0"))
+        .collect();
+    let mut args = Vec::new();
+    for address in &listen {
+        args.extend(["--listen", address]);
+    }
+    let names: Vec<&str> = plan
+        .dcs
+        .iter()
+        .map(|(dc, _)| *dc)
+        .chain(["control"])
+        .collect();
+    Process::standin("platform-standin", &args, &names)
+}
+
+fn start_engines(plan: &Plan) -> io::Result<Vec<Process>> {
+    let start = |_| Process::standin("engine-standin", &plan.engine, &["engine", "control"]);
+    plan.dcs.iter().map(start).collect()
+}
+
+fn start_daemon(settings: &std::path::Path) -> io::Result<Process> {
+    let path = settings.to_str().ok_or(io::ErrorKind::InvalidInput)?;
+    Process::spawn(&binary("cuminloomd"), &["--settings", path], &[])
+}
+
+fn is_ready(addr: SocketAddr) -> bool {
+    let reply = minreq::get(format!("http://{addr}/readyz"))
+        .with_timeout(1)
+        .send();
+    reply.is_ok_and(|reply| reply.status_code == 200)
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod cli;
 pub mod engine;
+pub mod fleet;
 pub mod platform;
 pub mod process;
 mod queue;
