Bound the attempts of administration requests to the client's deadline

Each lost answer of the platform takes the store's deadline of 3 s, so 8 or 32 lost answers held a worker long after the operator's client had given up at 10 s. Three lost answers now end a request with the verdict may-have-run, and the client repeats it with the same id; lost races are counted apart. Setup::of takes what the API needs from the settings.

--- a/src/admin/recent.rs
+++ b/src/admin/recent.rs
@@ -44,8 +44,11 @@
 
 /// Requests that are remembered for each row.
 const REMEMBERED: usize = 16;
-/// Attempts after lost races and lost answers.
+/// Attempts after lost races; each one means that the row was changed by somebody else.
 const ATTEMPTS: u32 = 32;
+/// Lost answers after which a request ends. Each one takes the store's deadline of 3 s, and the
+/// operator's client waits for 10 s by default.
+const MOST_LOST: u32 = 3;
 
 /// One request and its result.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -137,26 +140,25 @@
         store: &T,
         mut effect: impl FnMut(Option<Row>) -> Result<Effect, Failure>,
     ) -> Result<Told, Failure> {
-        let mut unsure = false;
+        let mut lost = 0;
         for _ in 0..ATTEMPTS {
             match self.attempt(store, &mut effect) {
                 Ok(Some(told)) => return Ok(told),
                 Ok(None) => {}
-                Err(Stopped::Store(StoreFault::Unknown)) => unsure = true,
-                Err(Stopped::Store(StoreFault::Unavailable)) => break,
+                Err(Stopped::Store(StoreFault::Unknown)) if lost < MOST_LOST => lost += 1,
+                Err(Stopped::Store(_)) => break,
                 // A commit without an answer cannot apply any more: the row has changed since, or
                 // the effect would not be refused now.
                 Err(Stopped::Refused(failure)) => return Err(failure),
             }
         }
-        let detail = match unsure {
-            true => "the platform's store stopped answering; repeat the request with its key",
-            false => "the platform's store does not answer; nothing was changed",
-        };
-        Err(match unsure {
-            true => Fault::may_have_run(Code::StoreUnavailable, detail).into(),
-            false => refuse(Code::StoreUnavailable, detail),
-        })
+        if lost == 0 {
+            let detail = "the platform's store is unavailable, or others change the row all the \
+                          time; nothing was changed";
+            return Err(refuse(Code::StoreUnavailable, detail));
+        }
+        let detail = "the platform's store stopped answering; repeat the request with its key";
+        Err(Fault::may_have_run(Code::StoreUnavailable, detail).into())
     }
 
     fn attempt<T: Table>(
--- a/src/admin/server.rs
+++ b/src/admin/server.rs
@@ -13,6 +13,7 @@
         self,
         JoinHandle, //
     },
+    time::UNIX_EPOCH,
 };
 
 use error_stack::Report;
@@ -42,7 +43,10 @@
         DaemonId,
         TargetId, //
     },
-    settings::Operator,
+    settings::{
+        Operator,
+        Settings, //
+    },
     store::{
         Objects,
         Table, //
@@ -51,6 +55,8 @@
 
 /// Requests that are answered at the same time.
 const WORKERS: usize = 8;
+/// Longest accepted body, in bytes; a service with 1,700 targets fits, at 616 bytes for each.
+const BODY_LIMIT: usize = 1 << 20;
 /// Longest declared body, in bytes, that tiny_http may discard: it reserves the whole length, and a
 /// length that cannot be reserved ends the process.
 const DISCARDED: usize = 64 << 20;
@@ -70,6 +76,29 @@
     pub now: fn() -> u64,
 }
 
+impl Setup {
+    /// What the settings of a daemon say.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cuminloom::{admin::Setup, settings::Settings};
+    /// let setup = Setup::of(&Settings::open("examples/anod.jsonc").unwrap());
+    /// assert_eq!(setup.operators.len(), 2);
+    /// assert!((setup.now)() > 0);
+    /// ```
+    pub fn of(settings: &Settings) -> Self {
+        Self {
+            listen: settings.admin.listen,
+            operators: settings.admin.operators.clone(),
+            daemon: settings.daemon.id.clone(),
+            body_limit: BODY_LIMIT,
+            // A clock before the epoch is wrong anyway; the time is for people only.
+            now: || UNIX_EPOCH.elapsed().map_or(0, |time| time.as_secs()),
+        }
+    }
+}
+
 /// The listener could not be opened.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct BindError;
--- a/src/config/job.rs
+++ b/src/config/job.rs
@@ -36,8 +36,9 @@
     },
 };
 
-/// Lost answers after which a job gives up.
-const MOST_LOST: u32 = 8;
+/// Lost answers after which a job gives up. Each one takes the store's deadline of 3 s, and the
+/// operator's client waits for 10 s by default.
+const MOST_LOST: u32 = 3;
 /// Lost races after which a job gives up; each one means that another edit was accepted.
 const MOST_RACES: u32 = 64;
 
