Add links between daemons and membership

Daemons need to find each other, notice lost peers, spread configuration versions and exchange the messages of the mirror and of budgets.

Members is a pure machine: it keeps links to the own data centre and to two peers elsewhere by rendezvous hash, with a substitute for each of these that is down, closes a link after 3 s of silence, and spreads versions as changes only. A daemon passes an entry that it learned inside its data centre only to links outside, so an entry crosses each link about once. Dialling the whole list while cut off was ruled out: at 340 daemons each would dial hundreds of peers.

Peers runs the machine and the WebSocket links in one thread. Both sides prove the fleet secret over both greetings before any message. Queues are bounded by messages and bytes; the oldest heartbeat, gossip, notice or load report goes first, payload is refused and never waits.

--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -1,1 +1,74 @@
 //! Links between daemons, and membership.
+//!
+//! [`Members`] decides which links a daemon keeps and spreads the configuration versions in force;
+//! it is a pure state machine. [`Peers`] runs it in a thread of its own, with WebSocket links that
+//! carry [`Message`]s in CBOR. A wrong view of the fleet may waste work but never breaks an
+//! invariant, because only conditional commits are authoritative.
+
+mod auth;
+mod bind;
+mod link;
+mod members;
+mod message;
+mod outbox;
+mod shared;
+mod versions;
+mod view;
+
+pub use bind::{
+    BindFault,
+    Counts,
+    Event,
+    Peers,
+    Settings, //
+};
+pub use members::Members;
+pub use message::{
+    Bytes,
+    CodecFault,
+    Edit,
+    Entry,
+    Heartbeat,
+    Ident,
+    LoadReport,
+    Message,
+    decode,
+    encode, //
+};
+pub use versions::Versions;
+pub use view::{
+    Action,
+    Input,
+    State,
+    View, //
+};
+
+use sha2::{
+    Digest,
+    Sha256, //
+};
+
+/// Rendezvous weight of `id` for `key`: the candidate with the highest weight comes first. All
+/// daemons compute the same weight.
+///
+/// # Examples
+///
+/// ```
+/// use cuminloom::peer::rank;
+/// let mut ids = ["vm-1", "vm-2", "vm-3"];
+/// ids.sort_by_key(|id| std::cmp::Reverse(rank("budget-7", id)));
+/// let first = ids[0];
+/// // Removing another candidate doesn't change the first one.
+/// let rest = ids.iter().filter(|id| **id != ids[1]);
+/// assert_eq!(rest.max_by_key(|id| rank("budget-7", id)), Some(&first));
+/// ```
+pub fn rank(key: &str, id: &str) -> u64 {
+    let mut hasher = Sha256::new();
+    // The length keeps ("ab", "c") and ("a", "bc") apart.
+    hasher.update((key.len() as u64).to_be_bytes());
+    hasher.update(key);
+    hasher.update(id);
+    let digest = hasher.finalize();
+    let head: [u8; 8] = digest[..8].try_into().expect("a digest has 32 bytes");
+    u64::from_be_bytes(head)
+}
--- /dev/null
+++ b/src/peer/outbox.rs
@@ -0,0 +1,95 @@
+//! Bounded queue of the messages that a link has yet to send.
+
+use std::{
+    collections::VecDeque,
+    sync::{
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+};
+
+use tokio::sync::Notify;
+use tokio_tungstenite::tungstenite::Bytes;
+
+/// Messages and bytes that wait at most; 20 links that are all stuck stay within 32 MB.
+const MAX_MESSAGES: usize = 1024;
+const MAX_BYTES: usize = 1 << 20;
+
+/// An encoded message.
+#[derive(Clone, Debug)]
+pub(crate) struct Frame {
+    pub(crate) bytes: Bytes,
+    pub(crate) is_droppable: bool,
+}
+
+#[derive(Debug, Default)]
+struct Queue {
+    frames: VecDeque<Frame>,
+    bytes: usize,
+    is_closed: bool,
+}
+
+impl Queue {
+    fn has_room(&self, size: usize) -> bool {
+        self.frames.is_empty()
+            || (self.frames.len() < MAX_MESSAGES && self.bytes + size <= MAX_BYTES)
+    }
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct Outbox {
+    queue: Mutex<Queue>,
+    changed: Notify,
+}
+
+impl Outbox {
+    fn lock(&self) -> MutexGuard<'_, Queue> {
+        self.queue.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Queues a message. A full queue drops its oldest droppable messages, or else the new one.
+    /// Returns the number of dropped messages and whether the new one is queued.
+    pub(crate) fn push(&self, frame: Frame) -> (u64, bool) {
+        let mut queue = self.lock();
+        let size = frame.bytes.len();
+        let mut dropped = 0;
+        while !queue.has_room(size) {
+            let Some(oldest) = queue.frames.iter().position(|old| old.is_droppable) else {
+                return (dropped + 1, false);
+            };
+            let old = queue.frames.remove(oldest).expect("found at this place");
+            queue.bytes -= old.bytes.len();
+            dropped += 1;
+        }
+        queue.bytes += size;
+        queue.frames.push_back(frame);
+        drop(queue);
+        self.changed.notify_one();
+        (dropped, true)
+    }
+
+    /// Takes all messages.
+    pub(crate) fn drain(&self) -> VecDeque<Frame> {
+        let mut queue = self.lock();
+        queue.bytes = 0;
+        std::mem::take(&mut queue.frames)
+    }
+
+    /// Waits for messages; an empty result means that the queue was closed and all were taken.
+    pub(crate) async fn next(&self) -> VecDeque<Frame> {
+        loop {
+            let frames = self.drain();
+            if !frames.is_empty() || self.lock().is_closed {
+                return frames;
+            }
+            self.changed.notified().await;
+        }
+    }
+
+    /// Ends the link once all messages were sent.
+    pub(crate) fn close(&self) {
+        self.lock().is_closed = true;
+        self.changed.notify_one();
+    }
+}
--- /dev/null
+++ b/tests/peer_links.rs
@@ -0,0 +1,251 @@
+//! Links on loopback between several daemons of one process.
+
+use std::{
+    io::{
+        Read,
+        Write, //
+    },
+    net::{
+        SocketAddr,
+        TcpStream, //
+    },
+};
+
+use cuminloom::{
+    peer::{
+        Counts,
+        Event,
+        Ident,
+        Input,
+        Message,
+        Peers,
+        Settings,
+        State, //
+    },
+    settings::Peer,
+};
+use cuminloom_standins::relay::{
+    Mode,
+    Relay, //
+};
+
+type Payload = (u32, String);
+type Daemon = (Peers<Payload>, flume::Receiver<Event<Payload>>);
+
+const ANY: &str = "127.0.0.1:0";
+
+fn settings(id: &str, inc: &str, peers: &[(&str, SocketAddr)]) -> Settings {
+    let peers = peers.iter().map(|(id, addr)| Peer {
+        id: (*id).into(),
+        addr: *addr,
+        dc: "east".into(),
+    });
+    Settings {
+        ident: Ident {
+            id: id.into(),
+            inc: format!("{id}.{inc}").into(),
+            dc: "east".into(),
+            vm: id.into(),
+            addr: ANY.parse().unwrap(),
+            started: 1,
+        },
+        listen: ANY.parse().unwrap(),
+        peers: peers.collect(),
+        secret: b"secret of the fleet".to_vec(),
+        max_message: 64 * 1024,
+        seed: 1,
+    }
+}
+
+fn bind(settings: Settings) -> Daemon {
+    let (sender, events) = flume::unbounded();
+    (Peers::bind(settings, sender).unwrap(), events)
+}
+
+/// Waits for an event; events that `pick` returns nothing for are skipped.
+fn wait<T>(daemon: &Daemon, pick: impl Fn(Event<Payload>) -> Option<T>) -> T {
+    daemon.1.iter().find_map(pick).unwrap()
+}
+
+fn wait_up(daemon: &Daemon, id: &str) {
+    wait(daemon, |event| {
+        matches!(event, Event::Up { peer, .. } if &*peer == id).then_some(())
+    });
+}
+
+fn payload(event: Event<Payload>) -> Option<Payload> {
+    match event {
+        Event::Message {
+            message: Message::Node(payload),
+            ..
+        } => Some(payload),
+        _ => None,
+    }
+}
+
+fn wait_counts(daemon: &Daemon, is_met: impl Fn(Counts) -> bool) {
+    while !is_met(daemon.0.counts()) {
+        std::thread::yield_now();
+    }
+}
+
+fn node(number: u32, text: &str) -> Message<Payload> {
+    Message::Node((number, text.into()))
+}
+
+/// Guards against messages that are lost, swapped or delivered to another daemon while links stand,
+/// and against versions that do not reach a daemon that is linked only through another.
+#[test]
+fn messages_arrive_in_order() {
+    let b = bind(settings("b", "1", &[]));
+    let a = bind(settings("a", "1", &[("b", b.0.addr())]));
+    let c = bind(settings("c", "1", &[("b", b.0.addr())]));
+    // A message that is queued before the link stands opens it.
+    assert!(a.0.send(&"b".into(), &node(0, "early")));
+    assert!(!a.0.send(&"x".into(), &node(0, "unknown peer")));
+    assert_eq!(wait(&b, payload).0, 0);
+    for number in 1..=500 {
+        assert!(a.0.send(&"b".into(), &node(number, "text")));
+    }
+    for number in 1..=500 {
+        assert_eq!(wait(&b, payload).0, number);
+    }
+    wait_up(&c, "b");
+    while b
+        .0
+        .members(|members| members.peers().values().filter(|v| v.is_linked()).count())
+        < 2
+    {
+        std::thread::yield_now();
+    }
+    assert_eq!(b.0.broadcast(&node(7, "all")), 2);
+    assert_eq!(wait(&a, payload), (7, "all".into()));
+    assert_eq!(wait(&c, payload), (7, "all".into()));
+    a.0.tell(Input::Config(9));
+    while b.0.members(|members| members.versions().get("a")) != Some(9) {
+        std::thread::yield_now();
+    }
+    // What was queued before a stop arrives.
+    assert!(a.0.send(&"b".into(), &node(501, "last")));
+    a.0.stop();
+    assert_eq!(wait(&b, payload).0, 501);
+    wait(&b, |event| {
+        matches!(event, Event::Down { peer } if &*peer == "a").then_some(())
+    });
+}
+
+/// Guards against a daemon that accepts a link without the secret, from either side, and against one
+/// that takes another daemon for the one that it meant to reach.
+#[test]
+fn strangers_are_refused() {
+    let b = bind(settings("b", "1", &[]));
+    let mut stranger = settings("a", "1", &[("b", b.0.addr())]);
+    stranger.secret = b"another secret".to_vec();
+    let a = bind(stranger);
+    // The dialling side sees the wrong tag first.
+    wait_counts(&a, |counts| counts.refused >= 2);
+    assert_eq!(a.0.counts().received + b.0.counts().received, 0);
+    assert!(b.1.try_iter().next().is_none());
+
+    let misled = bind(settings("c", "1", &[("d", b.0.addr())]));
+    wait_counts(&b, |counts| counts.refused >= 1);
+    assert!(
+        misled
+            .1
+            .try_iter()
+            .all(|event| !matches!(event, Event::Up { .. }))
+    );
+}
+
+/// Guards against a daemon that stops serving others after malformed or oversized bytes.
+#[test]
+fn malformed_bytes_close_the_link() {
+    let b = bind(settings("b", "1", &[]));
+    let handshake = "GET / HTTP/1.1\r\nhost: x\r\nconnection: upgrade\r\nupgrade: websocket\r\n\
+                     sec-websocket-version: 13\r\nsec-websocket-key: AAAAAAAAAAAAAAAAAAAAAA==\r\n\r\n";
+    let garbage: [&[u8]; 3] = [
+        // A masked binary frame of four bytes that are no CBOR.
+        &[0x82, 0x84, 0, 0, 0, 0, 0xff, 0xff, 0xff, 0xff],
+        // A frame that announces 2^40 bytes.
+        &[0x82, 0xff, 0, 0, 1, 0, 0, 0, 0, 0, 0, 0, 0, 0],
+        // A frame with reserved bits.
+        &[0xf2, 0x80, 0, 0, 0, 0],
+    ];
+    for (number, bytes) in garbage.iter().enumerate() {
+        let mut stream = TcpStream::connect(b.0.addr()).unwrap();
+        stream.write_all(handshake.as_bytes()).unwrap();
+        stream.write_all(bytes).unwrap();
+        let _ = stream.read_to_end(&mut Vec::new());
+        wait_counts(&b, |counts| counts.malformed == number as u64 + 1);
+    }
+    // A sender with a higher limit: the receiver closes the link, and it is made again.
+    let mut settings = settings("a", "1", &[("b", b.0.addr())]);
+    settings.max_message = 1 << 20;
+    let a = bind(settings);
+    wait_up(&a, "b");
+    wait_up(&b, "a");
+    assert!(a.0.send(&"b".into(), &node(1, &"x".repeat(100_000))));
+    wait_counts(&b, |counts| counts.malformed == 4);
+    wait_up(&b, "a");
+    // A sender with the right limit refuses to queue it.
+    assert!(!b.0.send(&"a".into(), &node(1, &"x".repeat(100_000))));
+}
+
+/// Guards against a link that is not made again after a cut, and against a frozen peer that is not
+/// suspected.
+#[test]
+fn links_are_made_again() {
+    let b = bind(settings("b", "1", &[]));
+    let relay = Relay::bind(ANY.parse().unwrap(), b.0.addr()).unwrap();
+    // The other daemon cannot go round the relay by dialling back.
+    let mut settings = settings("a", "1", &[("b", relay.addr())]);
+    let dead = Relay::bind(ANY.parse().unwrap(), ANY.parse().unwrap()).unwrap();
+    dead.set(Mode::Cut);
+    settings.ident.addr = dead.addr();
+    let a = bind(settings);
+    wait_up(&a, "b");
+    relay.set(Mode::Cut);
+    wait(&a, |event| {
+        matches!(event, Event::Down { .. }).then_some(())
+    });
+    relay.set(Mode::Open);
+    wait_up(&a, "b");
+    relay.set(Mode::Frozen);
+    let suspect = |event| {
+        matches!(
+            event,
+            Event::State {
+                state: State::Suspect,
+                ..
+            }
+        )
+        .then_some(())
+    };
+    wait(&a, suspect);
+    wait(&b, suspect);
+    relay.set(Mode::Open);
+    wait_up(&a, "b");
+    assert!(a.0.send(&"b".into(), &node(1, "after")));
+    assert_eq!(wait(&b, payload).0, 1);
+}
+
+/// Guards against a queue that grows without bound, blocks, or drops payload to keep heartbeats.
+#[test]
+fn full_queues_refuse() {
+    let b = bind(settings("b", "1", &[]));
+    let relay = Relay::bind(ANY.parse().unwrap(), b.0.addr()).unwrap();
+    let a = bind(settings("a", "1", &[("b", relay.addr())]));
+    wait_up(&a, "b");
+    wait_up(&b, "a");
+    relay.set(Mode::Frozen);
+    let text = "x".repeat(60_000);
+    let queued = (0..10_000)
+        .take_while(|number| a.0.send(&"b".into(), &node(*number, &text)))
+        .count();
+    // The queue holds 1 MiB; the rest is in buffers of the sockets.
+    assert!(queued < 10_000);
+    relay.set(Mode::Open);
+    for number in 0..queued {
+        assert_eq!(wait(&b, payload).0 as usize, number);
+    }
+}
