Connect the peer links with the machines of the daemon

Cause: daemons ran unpaired, because nothing carried the mirror's messages between them.

Change: a plug-in that passes on the node's messages, strikes, load reports, notices of accepted versions and configuration content; each target is asked for its load by one daemon of its data centre; the configuration thread is woken by a notice.

--- a/src/config/plugin.rs
+++ b/src/config/plugin.rs
@@ -37,7 +37,9 @@
             // A platform that is away is counted and logged by the node; the configuration stays.
             let _ = poll(&ctx.edits, &ctx.store, round.is_multiple_of(COMPLETE_EVERY));
             put_in_force(&ctx);
-            if stop.recv_timeout(POLL_EVERY) != Err(flume::RecvTimeoutError::Timeout) {
+            // A notice from a peer shortens the wait.
+            let _ = ctx.queues.wake_config.recv_timeout(POLL_EVERY);
+            if stop.is_disconnected() {
                 return;
             }
         }
--- a/src/kernel/context.rs
+++ b/src/kernel/context.rs
@@ -21,11 +21,15 @@
         Configuration,
         DaemonId,
         Incarnation,
+        TargetId,
         Version, //
     },
     node, route,
     settings::Settings,
-    store::HttpStore,
+    store::{
+        HttpStore,
+        Vm, //
+    },
     telemetry::{
         Metrics,
         Tracer, //
@@ -105,6 +109,14 @@
     pub edits: Arc<Mutex<config::Config>>,
     /// What the other daemons have confirmed.
     pub versions: Mutex<BTreeMap<DaemonId, Confirmed>>,
+    /// The platform's list of VMs, as last read.
+    pub vms: Mutex<Arc<[Vm]>>,
+    /// Daemons of the same data centre that are alive.
+    pub near: Mutex<Vec<DaemonId>>,
+    /// Load reports for peers.
+    pub loads: flume::Sender<Vec<(TargetId, route::Load)>>,
+    /// Wakes the thread that reads the head of the configuration.
+    pub wake_config: flume::Sender<()>,
     /// Versions of which peers are to be told.
     pub notices: flume::Sender<Version>,
     /// Work that one plug-in leaves for another.
@@ -124,6 +136,10 @@
     pub changes: flume::Receiver<node::Change>,
     /// Strikes for peers.
     pub strikes: flume::Receiver<route::Strike>,
+    /// Load reports for peers.
+    pub loads: flume::Receiver<Vec<(TargetId, route::Load)>>,
+    /// Wake-ups of the thread that reads the head of the configuration.
+    pub wake_config: flume::Receiver<()>,
     /// Accepted versions of the configuration for peers.
     pub notices: flume::Receiver<Version>,
 }
--- a/src/kernel/daemon.rs
+++ b/src/kernel/daemon.rs
@@ -141,6 +141,8 @@
     let (changes_out, changes) = flume::unbounded();
     let (strikes_out, strikes) = flume::unbounded();
     let (notices_out, notices) = flume::unbounded();
+    let (loads_out, loads) = flume::unbounded();
+    let (wake_out, wake_config) = flume::bounded(1);
     let outbox = node::Outbox {
         store: store_out,
         peers: peers_out,
@@ -168,12 +170,18 @@
         edits: Arc::new(Mutex::new(Config::default())),
         versions: Mutex::default(),
         notices: notices_out,
+        vms: Mutex::new(Arc::from([])),
+        near: Mutex::default(),
+        loads: loads_out,
+        wake_config: wake_out,
         queues: Queues {
             store,
             peers,
             changes,
             strikes,
             notices,
+            loads,
+            wake_config,
         },
         stopping: AtomicBool::new(false),
         settings,
--- a/src/node/plugin.rs
+++ b/src/node/plugin.rs
@@ -1,7 +1,10 @@
 //! Threads that feed the node: platform operations, the list of VMs, time, and its log.
 
 use std::{
-    sync::Arc,
+    sync::{
+        Arc,
+        PoisonError, //
+    },
     time::Duration, //
 };
 
@@ -103,6 +106,7 @@
     Running::spawn("vm-list", move |stop| {
         loop {
             if let Ok(vms) = ctx.store.vms() {
+                *ctx.vms.lock().unwrap_or_else(PoisonError::into_inner) = vms.clone().into();
                 ctx.node.handle(Event::Vms(vms));
             }
             if stop.recv_timeout(VMS_EVERY) != Err(flume::RecvTimeoutError::Timeout) {
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -11,6 +11,7 @@
 mod members;
 mod message;
 mod outbox;
+mod plugin;
 mod shared;
 mod versions;
 mod view;
--- /dev/null
+++ b/src/peer/plugin.rs
@@ -0,0 +1,390 @@
+//! Connects the links with the machines of the daemon.
+
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc,
+        PoisonError,
+        atomic::Ordering, //
+    },
+    time::{
+        Duration,
+        SystemTime,
+        UNIX_EPOCH, //
+    },
+};
+
+use error_stack::{
+    Report,
+    ResultExt, //
+};
+
+use super::{
+    Bytes,
+    Edit,
+    Event,
+    Ident,
+    Input,
+    LoadReport,
+    Message,
+    Peers,
+    Settings,
+    State, //
+};
+use crate::{
+    admin::Confirmed,
+    config,
+    kernel::{
+        Context,
+        DaemonPlugin,
+        Plugin,
+        Running,
+        Stage,
+        StartFault, //
+    },
+    mirror,
+    model::{
+        DaemonId,
+        DataCentre,
+        Incarnation,
+        TargetId,
+        Version,
+        daemon_of, //
+    },
+    node,
+    route, //
+};
+
+/// Longest message between daemons, in bytes. A snapshot of the configuration of 4,500 customers
+/// has to fit.
+const MAX_MESSAGE: usize = 16 << 20;
+
+/// Events that wait to be handled; links wait while there are more.
+const EVENTS: usize = 4_096;
+
+/// Interval at which what changed without an event is looked at.
+const TICK: Duration = Duration::from_millis(100);
+
+type Links = Peers<mirror::Message>;
+
+inventory::submit! {
+    Plugin { name: "peers", stage: Stage::Link, start: spawn } as DaemonPlugin
+}
+
+fn spawn(ctx: &Arc<Context>) -> Result<Running, Report<StartFault>> {
+    let (sender, events) = flume::bounded(EVENTS);
+    let links = Links::bind(settings(ctx), sender).change_context(StartFault { name: "peers" })?;
+    log::info!("listening for peers on {}", links.addr());
+    let ctx = ctx.clone();
+    Ok(Running::spawn("peers-io", move |stop| {
+        std::thread::scope(|scope| {
+            scope.spawn(|| send_node(&ctx, &links, &stop));
+            scope.spawn(|| send_rest(&ctx, &links, &stop));
+            scope.spawn(|| follow(&ctx, &links, &stop));
+            receive(&ctx, &links, &events, &stop);
+        });
+        links.stop();
+    }))
+}
+
+fn settings(ctx: &Context) -> Settings {
+    let own = &ctx.settings;
+    let started = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    let peers = own
+        .peer
+        .peers
+        .iter()
+        .filter(|peer| peer.id != own.daemon.id);
+    Settings {
+        ident: Ident {
+            id: own.daemon.id.clone(),
+            inc: ctx.node.incarnation(),
+            dc: own.daemon.dc.clone(),
+            vm: own.daemon.vm.clone(),
+            addr: own.peer.listen,
+            started: u64::try_from(started.as_millis()).unwrap_or(u64::MAX),
+        },
+        listen: own.peer.listen,
+        peers: peers.cloned().collect(),
+        secret: ctx.secret.to_vec(),
+        max_message: MAX_MESSAGE,
+        seed: rand::random(),
+    }
+}
+
+/// Sends the messages of the node. A message for an incarnation that its daemon no longer has is
+/// dropped, as if it was lost.
+fn send_node(ctx: &Context, links: &Links, stop: &flume::Receiver<()>) {
+    while !stop.is_disconnected() {
+        let Ok((to, message)) = ctx.queues.peers.recv_timeout(TICK) else {
+            continue;
+        };
+        let daemon: DaemonId = daemon_of(&to).into();
+        let current = links.members(|members| {
+            members
+                .peers()
+                .get(&daemon)
+                .is_some_and(|view| view.inc.as_ref() == Some(&to))
+        });
+        if current {
+            links.send(&daemon, &Message::Node(message));
+        }
+    }
+}
+
+/// Sends strikes, notices of accepted versions, and load reports.
+fn send_rest(ctx: &Context, links: &Links, stop: &flume::Receiver<()>) {
+    while !stop.is_disconnected() {
+        flume::Selector::new()
+            .recv(&ctx.queues.strikes, |strike| {
+                if let Ok(strike) = strike {
+                    links.broadcast(&strike_message(&strike));
+                }
+            })
+            .recv(&ctx.queues.notices, |version| {
+                if let Ok(version) = version {
+                    links.broadcast(&Message::Notice { version });
+                }
+            })
+            .recv(&ctx.queues.loads, |reports| {
+                if let Ok(reports) = reports {
+                    links.broadcast(&Message::Load {
+                        reports: load_reports(reports),
+                    });
+                }
+            })
+            .wait_timeout(TICK)
+            .ok();
+    }
+}
+
+fn strike_message(strike: &route::Strike) -> Message<mirror::Message> {
+    let fingerprint = Bytes(strike.fingerprint.to_be_bytes().to_vec());
+    Message::Strike {
+        fingerprint,
+        target: strike.target.clone(),
+    }
+}
+
+fn load_reports(reports: Vec<(TargetId, route::Load)>) -> Vec<LoadReport> {
+    let convert = |(target, load): (TargetId, route::Load)| LoadReport {
+        target,
+        running: load.running,
+        waiting: load.waiting,
+        capacity: load.capacity,
+        leaving: load.leaving,
+    };
+    reports.into_iter().map(convert).collect()
+}
+
+fn receive(
+    ctx: &Context,
+    links: &Links,
+    events: &flume::Receiver<Event<mirror::Message>>,
+    stop: &flume::Receiver<()>,
+) {
+    while !stop.is_disconnected() {
+        if let Ok(Event::Message { from, message }) = events.recv_timeout(TICK) {
+            handle(ctx, links, &from, message);
+        }
+    }
+}
+
+fn handle(ctx: &Context, links: &Links, from: &DaemonId, message: Message<mirror::Message>) {
+    match message {
+        Message::Node(message) => {
+            let inc = links.members(|m| m.peers().get(from).and_then(|view| view.inc.clone()));
+            if let Some(from) = inc {
+                ctx.node.handle(node::Event::Message { from, message });
+            }
+        }
+        Message::Strike {
+            fingerprint,
+            target,
+        } => {
+            if let Ok(bytes) = fingerprint.0.try_into() {
+                let fingerprint = u64::from_be_bytes(bytes);
+                ctx.router.strike(&route::Strike {
+                    fingerprint,
+                    target,
+                });
+            }
+        }
+        Message::Load { reports } => reports.into_iter().for_each(|report| {
+            let LoadReport {
+                target,
+                running,
+                waiting,
+                capacity,
+                leaving,
+            } = report;
+            ctx.router.report(
+                &target,
+                route::Load {
+                    running,
+                    waiting,
+                    capacity,
+                    leaving,
+                },
+            );
+        }),
+        Message::Notice { version } => {
+            if config::lock(&ctx.edits).notice(version) {
+                let _ = ctx.wake_config.try_send(());
+                links.send(
+                    from,
+                    &Message::Fetch {
+                        after: config::lock(&ctx.edits).version(),
+                    },
+                );
+            }
+        }
+        Message::Fetch { after } => {
+            let batch = config::lock(&ctx.edits).since(after);
+            let body = serde_json::to_string(&batch).expect("edits can be written as JSON");
+            let edit = Edit {
+                version: batch.version,
+                body: body.into(),
+            };
+            links.send(from, &Message::Edits { edits: vec![edit] });
+        }
+        Message::Edits { edits } => edits.iter().for_each(|edit| receive_edits(ctx, edit)),
+        // Heartbeats and versions are handled by the links; requests with issued keys are refused
+        // by the caller interface as long as they are not forwarded.
+        Message::Heartbeat(_)
+        | Message::Versions(_)
+        | Message::Forward { .. }
+        | Message::Reply { .. } => {}
+    }
+}
+
+/// Takes accepted edits from a peer. They are the same objects that the platform holds, so a daemon
+/// that is cut off from the platform can put them in force.
+fn receive_edits(ctx: &Context, edit: &Edit) {
+    let Ok(batch) = serde_json::from_str(&edit.body) else {
+        log::warn!("a peer sent an unreadable configuration");
+        return;
+    };
+    if config::lock(&ctx.edits).receive(&batch).is_ok() {
+        config::put_in_force(ctx);
+    }
+}
+
+/// Tells the node which incarnations are alive, the links what this daemon has in force, and the
+/// administration API what others have confirmed.
+fn follow(ctx: &Context, links: &Links, stop: &flume::Receiver<()>) {
+    let mut known: BTreeMap<DaemonId, Incarnation> = BTreeMap::new();
+    let mut own = ctx.node.incarnation();
+    let mut version = 0;
+    let mut vms = Arc::from([]);
+    while stop.recv_timeout(TICK) == Err(flume::RecvTimeoutError::Timeout) {
+        let current = ctx.node.incarnation();
+        if current != own {
+            links.tell(Input::Restarted(current.clone()));
+            own = current;
+        }
+        let in_force = ctx.config.load().version;
+        if in_force != version {
+            links.tell(Input::Config(in_force));
+            version = in_force;
+        }
+        let list = ctx
+            .vms
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone();
+        if !Arc::ptr_eq(&list, &vms) {
+            links.tell(Input::Vms(list.to_vec()));
+            vms = list;
+        }
+        if ctx.stopping.load(Ordering::Relaxed) {
+            links.tell(Input::Stopping);
+        }
+        tell_node(ctx, links, &mut known);
+        confirm(ctx, links, version);
+    }
+}
+
+fn tell_node(ctx: &Context, links: &Links, known: &mut BTreeMap<DaemonId, Incarnation>) {
+    let alive: BTreeMap<DaemonId, (Incarnation, mirror::Peer)> = links.members(|members| {
+        let views = members.peers().iter();
+        let alive = views.filter(|(_, view)| view.state == State::Alive);
+        alive
+            .filter_map(|(id, view)| {
+                let peer = mirror::Peer {
+                    vm: view.vm.clone()?,
+                    dc: view.dc.clone(),
+                };
+                Some((id.clone(), (view.inc.clone()?, peer)))
+            })
+            .collect()
+    });
+    known.retain(|id, inc| {
+        let stays = alive.contains_key(id);
+        if !stays {
+            ctx.node.handle(node::Event::PeerDown { inc: inc.clone() });
+        }
+        stays
+    });
+    let near: Vec<DaemonId> = alive
+        .iter()
+        .filter(|(_, (_, peer))| peer.dc == ctx.settings.daemon.dc)
+        .map(|(id, _)| id.clone())
+        .collect();
+    *ctx.near.lock().unwrap_or_else(PoisonError::into_inner) = near;
+    for (id, (inc, peer)) in alive {
+        if known.get(&id) != Some(&inc) {
+            known.insert(id, inc.clone());
+            ctx.node.handle(node::Event::PeerUp { inc, peer });
+        }
+    }
+}
+
+/// Records what the other daemons have confirmed, and asks one that has a later version for it.
+fn confirm(ctx: &Context, links: &Links, own: Version) {
+    let seen: Vec<(DaemonId, DataCentre, bool, Version)> = links.members(|members| {
+        let versions = members.versions();
+        let views = members.peers().iter();
+        views
+            .map(|(id, view)| {
+                let reachable = view.state == State::Alive;
+                (
+                    id.clone(),
+                    view.dc.clone(),
+                    reachable,
+                    versions.get(id).unwrap_or(0),
+                )
+            })
+            .collect()
+    });
+    if let Some((id, ..)) = seen
+        .iter()
+        .find(|(_, _, reachable, v)| *reachable && *v > own)
+    {
+        links.send(id, &Message::Fetch { after: own });
+    }
+    let confirmed = seen.into_iter().map(|(daemon, dc, reachable, version)| {
+        (
+            daemon.clone(),
+            Confirmed {
+                daemon,
+                dc,
+                version,
+                reachable,
+            },
+        )
+    });
+    *ctx.versions.lock().unwrap_or_else(PoisonError::into_inner) = confirmed.collect();
+    let counts = links.counts();
+    let bytes = |direction: &str, count: u64| {
+        let value = i64::try_from(count).unwrap_or(i64::MAX);
+        ctx.metrics
+            .peer_bytes
+            .with_label_values(&[direction])
+            .set(value);
+    };
+    bytes("sent", counts.bytes_sent);
+    bytes("received", counts.bytes_received);
+}
--- a/src/route/plugin.rs
+++ b/src/route/plugin.rs
@@ -1,8 +1,10 @@
 //! Threads that feed the router: time, and load reports of targets.
 
 use std::{
-    net::SocketAddr,
-    sync::Arc,
+    sync::{
+        Arc,
+        PoisonError, //
+    },
     time::Duration, //
 };
 
@@ -14,7 +16,11 @@
         Running,
         Stage, //
     },
-    model::TargetId,
+    model::{
+        Configuration,
+        Target, //
+    },
+    peer::rank,
     target::fetch_load, //
 };
 
@@ -56,30 +62,54 @@
     })
 }
 
-/// Asks the targets of the own data centre for their load.
+/// Asks the targets of the own data centre that fall to this daemon for their load, and shares the
+/// reports. Each target is asked by one daemon only, so that the cost stays flat as the fleet grows.
 fn fetch_all(ctx: &Context) {
     let config = ctx.config.load();
-    let own = |target: &&crate::model::Target| target.dc == ctx.settings.daemon.dc;
-    let targets: Vec<(TargetId, SocketAddr)> = config
-        .services
-        .values()
-        .flat_map(|service| service.targets.iter().filter(own))
-        .map(|target| (target.id.clone(), target.addr))
-        .collect();
     let (work, queue) = flume::unbounded();
-    targets
-        .into_iter()
-        .for_each(|target| work.send(target).expect("the queue is open"));
+    for target in own_targets(ctx, &config) {
+        work.send((target.id.clone(), target.addr))
+            .expect("the queue is open");
+    }
     drop(work);
+    let (found, reports) = flume::unbounded();
     std::thread::scope(|scope| {
         for _ in 0..FETCHERS {
             scope.spawn(|| {
                 for (id, addr) in queue.iter() {
                     if let Some(load) = fetch_load(addr) {
                         ctx.router.report(&id, load);
+                        found.send((id, load)).expect("the queue is open");
                     }
                 }
             });
         }
     });
+    drop(found);
+    let reports: Vec<_> = reports.iter().collect();
+    if !reports.is_empty() {
+        let _ = ctx.loads.send(reports);
+    }
+}
+
+/// Targets of the own data centre for which this daemon comes first by rendezvous hash among the
+/// daemons that are alive there.
+fn own_targets<'a>(ctx: &Context, config: &'a Configuration) -> Vec<&'a Target> {
+    let me = &ctx.settings.daemon;
+    let near = ctx
+        .near
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .clone();
+    let targets = config
+        .services
+        .values()
+        .flat_map(|service| &service.targets);
+    targets
+        .filter(|target| target.dc == me.dc)
+        .filter(|target| {
+            let own = rank(&target.id, &me.id);
+            near.iter().all(|other| rank(&target.id, other) < own)
+        })
+        .collect()
 }
