--- a/src/budget/drawer.rs
+++ b/src/budget/drawer.rs
@@ -325,6 +325,7 @@
         let slot = self.slots[i as usize].take().expect("the slot is in use");
         assert!(slot.reserved == 0, "an open request keeps its slot");
         self.index.remove(&slot.id);
+        self.transfers.drop_asks(i);
         self.vacant.push(i);
         if !removed && slot.share != Share::default() {
             self.closed.insert(slot.id, Box::new(slot.share));
--- a/src/budget/slot.rs
+++ b/src/budget/slot.rs
@@ -24,6 +24,9 @@
 /// A budget without admissions for this long returns its share.
 pub(super) const IDLE_MS: Millis = 60_000;
 
+/// More tokens than any budget has, small enough that sums of a few do not overflow.
+pub(super) const HUGE: Tokens = 1 << 53;
+
 /// The exchange with the table that is in progress.
 #[derive(Debug)]
 pub(super) enum Flight {
@@ -68,8 +71,9 @@
     pub(super) reserved: Tokens,
     /// An admission that leaves less than this triggers an issue or a draw.
     pub(super) low: Tokens,
-    /// Bound of the last request.
+    /// Largest bound of recent requests, and of those since the last review.
     pub(super) bound: Tokens,
+    peak: Tokens,
     /// Sum of the bounds of waiting requests, and the smallest of them.
     pub(super) need: Tokens,
     pub(super) least: Tokens,
@@ -125,6 +129,7 @@
             reserved: 0,
             low: 0,
             bound: 0,
+            peak: 0,
             need: 0,
             least: 0,
             asked: 0,
@@ -197,7 +202,8 @@
         self.reserved += bound;
         assert!(self.taken() <= self.issued, "spent + reserved <= issued");
         self.tally += signed(bound);
-        self.bound = bound;
+        self.peak = self.peak.max(bound);
+        self.bound = self.bound.max(bound);
         self.used = now;
         true
     }
@@ -213,15 +219,23 @@
 
     /// Records a request that waits.
     pub(super) fn starve(&mut self, now: Millis, bound: Tokens) {
+        let bound = bound.min(HUGE);
         self.least = match self.need {
             0 => bound,
             _ => self.least.min(bound),
         };
-        self.need = self.need.saturating_add(bound);
-        self.bound = bound;
+        self.need = (self.need + bound).min(HUGE);
+        self.peak = self.peak.max(bound);
+        self.bound = self.bound.max(bound);
         self.used = now;
     }
 
+    /// Lets the bound follow smaller requests.
+    pub(super) fn review(&mut self) {
+        self.bound = self.peak.max(self.bound - self.bound / 8);
+        self.peak = 0;
+    }
+
     /// Brings the demand estimate up to date.
     pub(super) fn sample(&mut self, now: Millis) {
         let age = Millis::min(now - self.sampled, 3_600_000);
@@ -235,9 +249,10 @@
         (self.recent / DEMAND_S * seconds) as Tokens
     }
 
-    /// Wanted size of an issue.
+    /// Wanted size of an issue. It is renewed when half of it is left, which must still be enough
+    /// for a request.
     pub(super) fn issue_size(&self) -> Tokens {
-        self.demand(ISSUE_S).max(self.bound)
+        self.demand(ISSUE_S).max(2 * self.bound)
     }
 
     /// Wanted size of the share.
--- a/src/budget/transfer.rs
+++ b/src/budget/transfer.rs
@@ -6,13 +6,12 @@
 };
 
 use super::{
-    Action,
-    Drawer,
-    Mode,
-    Transfer,
-    TransferId,
+    Action, Drawer, Mode, Transfer, TransferId,
     choice::drawers,
-    slot::Millis, //
+    slot::{
+        HUGE,
+        Millis, //
+    },
 };
 use crate::model::{
     BudgetId,
@@ -101,7 +100,7 @@
         asks.push(Ask {
             slot,
             from,
-            tokens,
+            tokens: tokens.min(HUGE),
             until: now + SERVE_MS,
         });
         self.mark(slot);
--- a/src/budget/work.rs
+++ b/src/budget/work.rs
@@ -48,6 +48,7 @@
         let (mode, online) = (self.mode, self.online());
         let slot = self.slot(i);
         slot.sample(now);
+        slot.review();
         let idle = now >= slot.used + IDLE_MS && slot.reserved == 0 && slot.need == 0;
         let want = slot.want(mode);
         if idle && slot.is_closed() && !self.stopping {
@@ -69,6 +70,10 @@
         if self.mode == Mode::Sealed {
             return self.wake(i);
         }
+        if self.stopping || self.mode == Mode::Frozen {
+            // They are refused when they reserve again.
+            self.wake(i);
+        }
         self.slot(i).sample(now);
         self.retire(i);
         self.issue(i);
--- /dev/null
+++ b/tests/budget.rs
@@ -0,0 +1,302 @@
+//! Single rules of the drawer and the audit.
+
+use std::time::Duration;
+
+use cuminloom::{
+    budget::{
+        Action,
+        Bills,
+        Discrepancy,
+        Drawer,
+        Event,
+        Mode,
+        Reserve,
+        Row,
+        Share,
+        Transfer,
+        TransferId,
+        audit, //
+    },
+    model::BudgetId,
+    store::StoreFault,
+};
+
+const INC: &str = "vm-1.0a";
+
+/// A drawer, the row that it works on, and the time.
+struct Rig {
+    drawer: Drawer,
+    row: Row,
+    version: u64,
+    now: Duration,
+    id: BudgetId,
+    commits: u64,
+}
+
+impl Rig {
+    fn new(limit: u64) -> Self {
+        let mut drawer = Drawer::start(INC.into(), 1);
+        drawer.handle(Duration::ZERO, Event::Mode(Mode::Attached));
+        Self {
+            drawer,
+            row: Row::create("anod".into(), limit),
+            version: 1,
+            now: Duration::ZERO,
+            id: "chat".into(),
+            commits: 0,
+        }
+    }
+
+    fn reserve(&mut self, bound: u64) -> Reserve {
+        self.drawer.reserve(self.now, &self.id, bound)
+    }
+
+    fn handle(&mut self, event: Event) {
+        self.drawer.handle(self.now, event);
+    }
+
+    /// Answers reads, commits and issues until nothing is left to do; returns the other actions.
+    fn serve(&mut self) -> Vec<Action> {
+        let mut others = Vec::new();
+        loop {
+            let actions = self.drawer.poll(self.now);
+            if actions.is_empty() {
+                return others;
+            }
+            for action in actions {
+                match self.answer(action) {
+                    Ok(event) => self.handle(event),
+                    Err(action) => others.push(*action),
+                }
+            }
+        }
+    }
+
+    fn answer(&mut self, action: Action) -> Result<Event, Box<Action>> {
+        Ok(match action {
+            Action::Read { budget } => Event::Row {
+                budget,
+                row: Some((self.version, self.row.clone())),
+            },
+            Action::Commit {
+                budget,
+                expect,
+                row,
+            } => {
+                assert_eq!(expect, self.version);
+                (self.row, self.version) = (row, expect + 1);
+                self.commits += 1;
+                let version = self.version;
+                Event::Committed { budget, version }
+            }
+            Action::Issue { budget, total } => Event::Issued { budget, total },
+            other => return Err(Box::new(other)),
+        })
+    }
+
+    fn admit(&mut self, bound: u64, used: u64) -> bool {
+        let held = match self.reserve(bound) {
+            Reserve::Wait => {
+                self.serve();
+                self.reserve(bound)
+            }
+            answer => answer,
+        };
+        let Reserve::Held(held) = held else {
+            return false;
+        };
+        self.drawer.settle(self.now, held, used);
+        true
+    }
+
+    fn share(&self) -> Share {
+        self.row.shares.get(INC).copied().unwrap_or_default()
+    }
+
+    fn pass(&mut self, seconds: u64) {
+        self.now += Duration::from_secs(seconds);
+    }
+}
+
+/// Guards against drawing twice when the answer of an applied commit was lost.
+#[test]
+fn lost_answer_of_an_applied_draw_is_read_back() {
+    let mut rig = Rig::new(1_000);
+    assert_eq!(rig.reserve(10), Reserve::Wait);
+    let read = rig.drawer.poll(rig.now).remove(0);
+    let row = rig.answer(read).unwrap();
+    rig.handle(row);
+    let commit = rig.drawer.poll(rig.now).remove(0);
+    rig.answer(commit).unwrap();
+    let (budget, fault) = (rig.id.clone(), StoreFault::Unknown);
+    rig.handle(Event::Failed { budget, fault });
+    assert_eq!(rig.serve(), []);
+    rig.pass(1);
+    assert!(matches!(rig.serve()[..], [Action::Retry { .. }]));
+    assert_eq!((rig.commits, rig.share().drawn), (1, 10));
+    assert!(rig.admit(10, 10));
+}
+
+/// Guards against spending tokens whose return was committed and whose answer was lost.
+#[test]
+fn tokens_of_an_unanswered_return_stay_returned() {
+    let mut rig = Rig::new(100_000);
+    (0..100).for_each(|_| assert!(rig.admit(100, 100)));
+    rig.pass(100);
+    // The share is idle; the witness learns the lower figure, then the row is read and written.
+    let commit = loop {
+        let action = rig.drawer.poll(rig.now).remove(0);
+        if matches!(action, Action::Commit { .. }) {
+            break action;
+        }
+        let event = rig.answer(action).unwrap();
+        rig.handle(event);
+    };
+    let (budget, fault) = (rig.id.clone(), StoreFault::Unknown);
+    rig.handle(Event::Failed { budget, fault });
+    // The commit was not applied yet and may still be; nothing may be spent from the old share.
+    assert_eq!(rig.reserve(1), Reserve::Wait);
+    rig.answer(commit).unwrap();
+    rig.pass(1);
+    rig.serve();
+    assert!(rig.admit(1, 1));
+    let statement = rig.drawer.statements().next().unwrap();
+    let share = rig.share();
+    assert!(statement.issued <= share.drawn - share.returned);
+}
+
+/// Guards against a discrepancy of one token that nobody notices, in each figure.
+#[test]
+fn audit_names_a_leak_of_one_token() {
+    let id: BudgetId = "chat".into();
+    let mut row = Row::create("anod".into(), 1_000);
+    let share = |drawn, billed| Share {
+        drawn,
+        billed,
+        ..Share::default()
+    };
+    row.post("vm-1.0a", share(100, 100)).unwrap();
+    row.remove("vm-1.0a").unwrap();
+    row.post("vm-2.0b", share(50, 50)).unwrap();
+    let bills = |a: u64, b: u64| Bills::from([("vm-1.0a".into(), a), ("vm-2.0b".into(), b)]);
+    let found = |bills: &Bills| audit(&id, &row, bills, &[]).discrepancies;
+    assert_eq!(found(&bills(100, 50)), []);
+    let (settled, billed) = (101, 51);
+    assert_eq!(
+        found(&bills(settled, 50)),
+        [Discrepancy::Settled {
+            bills: 101,
+            row: 100
+        }]
+    );
+    let inc = "vm-2.0b".into();
+    assert_eq!(
+        found(&bills(100, billed)),
+        [Discrepancy::Billed {
+            inc,
+            bills: 51,
+            row: 50
+        }]
+    );
+    let mut short = row.clone();
+    short.shares.get_mut("vm-2.0b").unwrap().drawn -= 1;
+    let inc = "vm-2.0b".into();
+    assert_eq!(
+        audit(&id, &short, &bills(100, 50), &[]).discrepancies,
+        [Discrepancy::Negative { inc, missing: 1 }]
+    );
+    row.limit = 149;
+    assert_eq!(
+        audit(&id, &row, &bills(100, 50), &[]).discrepancies,
+        [Discrepancy::Overdrawn { tokens: 1 }]
+    );
+}
+
+/// Guards against a message on the path of a request whose tokens are issued.
+#[test]
+fn admission_on_issued_tokens_sends_nothing() {
+    let mut rig = Rig::new(10_000_000);
+    for _ in 0..300 {
+        assert!(rig.admit(1_000, 100));
+        rig.serve();
+        rig.pass(1);
+    }
+    for _ in 0..300 {
+        // Held without an answer to any action.
+        let held = match rig.reserve(100) {
+            Reserve::Held(held) => held,
+            other => panic!("{other:?}"),
+        };
+        rig.drawer.settle(rig.now, held, 10);
+        rig.serve();
+        rig.pass(1);
+    }
+    assert!(rig.commits <= 600 * 20 / 1_000, "{} commits", rig.commits);
+}
+
+/// Guards against a lowered limit that shares keep exceeding, and against draws below 0.
+#[test]
+fn lowered_limit_recalls_the_share() {
+    let mut rig = Rig::new(100_000);
+    (0..100).for_each(|_| assert!(rig.admit(100, 100)));
+    assert!(rig.share().outstanding() > Some(0));
+    let lowered = rig.row.lower(rig.share().billed.max(10_000)).unwrap();
+    rig.version += 1;
+    assert_eq!(lowered.in_force, rig.row.limit + lowered.pending);
+    let budget = rig.id.clone();
+    rig.handle(Event::Short { budget });
+    rig.serve();
+    assert!(rig.row.figures().free >= 0, "{:?}", rig.row.figures());
+    assert!(!rig.admit(1_000, 0));
+}
+
+/// Guards against a planned stop that leaves tokens or shares behind.
+#[test]
+fn planned_stop_returns_everything() {
+    let mut rig = Rig::new(100_000);
+    assert!(rig.admit(100, 30));
+    let Reserve::Held(open) = rig.reserve(70) else {
+        panic!("70 tokens are left");
+    };
+    rig.handle(Event::Stop);
+    rig.serve();
+    assert!(matches!(rig.reserve(1), Reserve::Refused(_)));
+    assert!(!rig.drawer.is_done());
+    rig.drawer.settle(rig.now, open, 50);
+    let (budget, total) = (rig.id.clone(), 80);
+    rig.handle(Event::Billed { budget, total });
+    rig.serve();
+    assert!(rig.drawer.is_done());
+    assert!(rig.row.shares.is_empty());
+    assert_eq!((rig.row.settled, rig.row.figures().free), (80, 99_920));
+}
+
+/// Guards against an overflow, and against a stuck request, when a bound exceeds every budget.
+#[test]
+fn enormous_bound_is_refused() {
+    let mut rig = Rig::new(1_000);
+    assert!(!rig.admit(u64::MAX, 0));
+    rig.pass(60);
+    assert!(rig.admit(1_000, 0));
+}
+
+/// Guards against a repeated transfer that adds its tokens twice, and one for another incarnation.
+#[test]
+fn transfer_counts_once() {
+    let mut rig = Rig::new(0);
+    let transfer = |to: &str, number| Transfer {
+        id: TransferId {
+            from: "vm-2.0b".into(),
+            to: to.into(),
+            number,
+        },
+        budget: "chat".into(),
+        tokens: 40,
+    };
+    rig.handle(Event::Received(transfer(INC, 1)));
+    rig.handle(Event::Received(transfer(INC, 1)));
+    rig.handle(Event::Received(transfer("vm-1.0c", 2)));
+    let confirms = rig.serve();
+    assert_eq!(confirms.len(), 2);
+    assert_eq!(rig.drawer.statements().next().unwrap().received, 40);
+}
--- a/tests/budget_run.rs
+++ b/tests/budget_run.rs
@@ -12,14 +12,14 @@
     World, //
 };
 
-/// Steps of a run in CI; `CUMINLOOM_STEPS` raises them.
+/// Steps of a run in CI; the environment variable `CUMINLOOM_STEPS` raises them.
 const STEPS: u64 = 600;
-/// Runs, each with its number as the seed.
+/// Runs in CI, each with its number as the seed; `CUMINLOOM_SEEDS` raises them.
 const SEEDS: u64 = 24;
 
-fn steps() -> u64 {
-    let steps = std::env::var("CUMINLOOM_STEPS").ok();
-    steps.and_then(|text| text.parse().ok()).unwrap_or(STEPS)
+fn setting(name: &str, default: u64) -> u64 {
+    let text = std::env::var(name).ok();
+    text.and_then(|text| text.parse().ok()).unwrap_or(default)
 }
 
 fn run(seed: u64, guard: Guard, steps: u64) -> Result<World, String> {
@@ -43,42 +43,73 @@
 /// lowered limits, crashes, planned stops, and daemons that resume after their seal.
 #[test]
 fn random_faults_never_overspend() {
-    for seed in 0..SEEDS {
-        let world = run(seed, Guard::All, steps());
-        let world = world.unwrap_or_else(|err| panic!("seed {seed}: {err}"));
-        assert!(world.admitted > 0, "seed {seed} admitted nothing");
+    for seed in 0..setting("CUMINLOOM_SEEDS", SEEDS) {
+        for rules in [Guard::All, Guard::Unmirrored] {
+            let world = run(seed, rules, setting("CUMINLOOM_STEPS", STEPS));
+            let world = world.unwrap_or_else(|err| panic!("seed {seed}, {rules:?}: {err}"));
+            assert!(world.admitted > 0, "seed {seed} admitted nothing");
+        }
     }
 }
 
-fn some_seed_fails(guard: Guard) {
-    let fails = |seed| catch_unwind(AssertUnwindSafe(|| run(seed, guard, STEPS).is_err()));
-    assert!(
-        (0..SEEDS).any(|seed| fails(seed).unwrap_or(true)),
-        "{guard:?}"
-    );
+/// What the harness says when more was spent than drawn.
+const OVERSPEND: &str = "consumed of";
+
+/// Prints the first seed that fails with `fault` when the rule is switched off.
+fn some_seed_fails(guard: Guard, fault: &str) {
+    // Without the rule an assertion of the machine may fail first; that is another fault.
+    let result = |seed| catch_unwind(AssertUnwindSafe(|| run(seed, guard, STEPS).err()));
+    let found = (0..8 * SEEDS).find_map(|seed| {
+        let text = result(seed).ok()??;
+        text.contains(fault).then_some((seed, text))
+    });
+    let (seed, fault) = found.unwrap_or_else(|| panic!("{guard:?} changes nothing"));
+    println!("{guard:?}, seed {seed}: {fault}");
 }
 
 #[test]
 fn row_version_is_needed() {
-    some_seed_fails(Guard::NoVersion);
+    some_seed_fails(Guard::NoVersion, OVERSPEND);
 }
 
 #[test]
 fn witness_acknowledgement_is_needed() {
-    some_seed_fails(Guard::NoAck);
+    some_seed_fails(Guard::NoAck, OVERSPEND);
 }
 
 #[test]
 fn transfer_numbers_are_needed() {
-    some_seed_fails(Guard::NoDedupe);
+    some_seed_fails(Guard::NoDedupe, OVERSPEND);
 }
 
 #[test]
 fn acknowledged_detach_is_needed() {
-    some_seed_fails(Guard::NoDetachAck);
+    some_seed_fails(Guard::NoDetachAck, OVERSPEND);
 }
 
 #[test]
 fn fence_check_is_needed() {
-    some_seed_fails(Guard::NoFence);
+    some_seed_fails(Guard::NoFence, "not sealed");
+}
+
+/// Guards against the last tokens of a budget moving back and forth between drawers. The platform
+/// takes several hundred writes/s at 17,000 requests/s: 20 commits per 1,000 requests.
+#[test]
+fn nearly_empty_budget_causes_few_commits() {
+    for seed in 0..4 {
+        let mut world = World::new(seed, Guard::All, &[6_000]);
+        world.calm = true;
+        world.step(100).unwrap();
+        for _ in 0..5_000 {
+            world.load(4, 60);
+            world.step(100).unwrap();
+        }
+        let requests = world.admitted + world.refused;
+        let bound = requests * 20 / 1_000;
+        assert!(world.commits <= bound, "{} > {bound}", world.commits);
+        // Each of the seven drawers may be left with less than one request's bound.
+        let left = 6_000 - world.consumed("b0");
+        assert!(left < 7 * 60, "{left}");
+        world.close().unwrap();
+    }
 }
--- a/tests/budget_world/mod.rs
+++ b/tests/budget_world/mod.rs
@@ -45,9 +45,11 @@
 pub(crate) enum Guard {
     /// All rules are kept.
     All,
+    /// Requests are sent before the witness has them. Issues alone must prevent overspend.
+    Unmirrored,
     /// Commits ignore the version of the budget row.
     NoVersion,
-    /// Issues count before the witness has them.
+    /// Issues count before the witness has them, and requests are sent before as well.
     NoAck,
     /// Repeated transfers get a new number.
     NoDedupe,
@@ -57,6 +59,10 @@
     NoFence,
 }
 
+mod account;
+mod faults;
+mod platform;
+
 const SEAL_MS: u64 = 10_000;
 const DCS: [usize; 7] = [0, 0, 0, 0, 0, 1, 1];
 
@@ -338,101 +344,8 @@
         }
     }
 
-    /// A call to the table: it may fail, its answer may be lost, and it may be applied long after
-    /// the caller gave up.
-    fn call(&mut self, d: usize, action: Action, delay: u64) {
-        let (Action::Read { budget } | Action::Commit { budget, .. }) = &action else {
-            return;
-        };
-        let failed = |fault| Event::Failed {
-            budget: budget.clone(),
-            fault,
-        };
-        if !self.reaches(d) {
-            let event = failed(StoreFault::Unavailable);
-            return self.post(d, delay, event);
-        }
-        let lost = self.chance(60);
-        if lost {
-            self.post(d, delay, failed(StoreFault::Unknown));
-        }
-        if !lost || self.below(3) > 0 {
-            let late = if lost { self.below(3_000) } else { 0 };
-            self.push(delay + late, Msg::Store(d, action, !lost, delay));
-        }
-    }
-
-    fn execute(&mut self, d: usize, action: Action, answered: bool, delay: u64) {
-        let (budget, event) = match action {
-            Action::Read { budget } => {
-                let row = self.store.read(&key(&budget));
-                let row = row.map(|r| (r.version, r.value.try_into().expect("a budget row")));
-                (budget.clone(), Some(Event::Row { budget, row }))
-            }
-            Action::Commit {
-                budget,
-                expect,
-                row,
-            } => (
-                budget.clone(),
-                self.commit(d, budget, Expect::Version(expect), &row),
-            ),
-            _ => return,
-        };
-        let event = event.unwrap_or(Event::Conflict { budget });
-        if answered {
-            self.post(d, delay, event);
-        }
-    }
-
-    fn commit(&mut self, d: usize, id: BudgetId, expect: Expect, row: &Row) -> Option<Event> {
-        self.commits += 1;
-        if self.daemons[d].sealed && self.guard != Guard::NoFence {
-            self.post(d, 1, Event::Mode(Mode::Sealed));
-            return None;
-        }
-        let write = Write {
-            key: key(&id).into(),
-            expect: match self.guard {
-                Guard::NoVersion => Expect::Any,
-                _ => expect,
-            },
-            change: Change::Put(row.into()),
-        };
-        match self.store.commit(&[write]) {
-            Outcome::Applied(versions) => Some(Event::Committed {
-                budget: id,
-                version: versions[0],
-            }),
-            Outcome::Conflict { .. } => None,
-        }
-    }
-
-    /// The witness takes a log entry.
-    fn record(&mut self, d: usize, epoch: u64, action: Action) {
-        let daemon = &mut self.daemons[d];
-        if daemon.sealed || daemon.epoch != epoch {
-            return;
-        }
-        if !daemon.witness {
-            // The daemon repeats what is not acknowledged.
-            return self.push(100, Msg::Witness(d, epoch, action));
-        }
-        let event = match action {
-            Action::Issue { budget, total } => {
-                daemon.issued.insert(budget.clone(), total);
-                Event::Issued { budget, total }
-            }
-            Action::Log { transfer, sent } => {
-                let figure = daemon.sent.entry(transfer.budget).or_default();
-                *figure = sent.max(*figure);
-                Event::Logged(transfer.id)
-            }
-            _ => return,
-        };
-        // An acknowledgement of an earlier epoch is dropped on a change, so none is in flight then.
-        let delay = 1 + self.below(20);
-        self.push(delay, Msg::Event(d, event));
+    fn mirrored(&self) -> bool {
+        !matches!(self.guard, Guard::Unmirrored | Guard::NoAck)
     }
 
     pub(crate) fn request(&mut self, d: usize, budget: BudgetId, bound: Tokens) {
@@ -440,7 +353,7 @@
         match self.daemons[d].drawer.reserve(now, &budget, bound) {
             Reserve::Held(held) => {
                 let daemon = &self.daemons[d];
-                if daemon.sealed && daemon.mode == Mode::Attached {
+                if daemon.sealed && daemon.mode == Mode::Attached && self.mirrored() {
                     // The witness does not acknowledge the request, so it is never sent.
                     return self.daemons[d].drawer.settle(now, held, 0);
                 }
@@ -486,226 +399,6 @@
         }
     }
 
-    /// Commits the bills of finished requests every 2 s, after a seal as a late batch.
-    fn bill(&mut self, d: usize) {
-        if !self.reaches(d) || self.now % 2_000 > 100 {
-            return;
-        }
-        let (inc, sealed) = (self.daemons[d].inc.clone(), self.daemons[d].sealed);
-        if sealed && !self.calm {
-            return;
-        }
-        for (budget, total) in self.daemons[d].done.clone() {
-            self.bills
-                .entry(budget.clone())
-                .or_default()
-                .insert(inc.clone(), total);
-            if sealed {
-                let mut row = self.row(&budget);
-                let record = Record {
-                    billed: total,
-                    ..Record::default()
-                };
-                let late = row.bill_late(&inc, total);
-                if late.is_ok()
-                    || (late == Err(Refusal::NoShare)
-                        && !self.daemons[d].stopping
-                        && row.adopt_sealed(&inc, record).is_ok())
-                {
-                    self.put(&budget, &row);
-                }
-            } else {
-                self.handle(d, Event::Billed { budget, total });
-            }
-        }
-    }
-
-    fn attach(&mut self, d: usize) {
-        let daemon = &mut self.daemons[d];
-        daemon.epoch += 1;
-        daemon.unrecorded = false;
-        for s in daemon.drawer.statements() {
-            daemon.issued.insert(s.budget.clone(), s.issued);
-            daemon.sent.insert(s.budget, s.sent);
-        }
-        // Acknowledgements of the earlier epoch do not count.
-        self.queue.retain(|_, msg| {
-            !matches!(msg, Msg::Event(to, Event::Issued { .. } | Event::Logged(_)) if *to == d)
-        });
-    }
-
-    /// Chooses the mode as the node does.
-    fn govern(&mut self, d: usize) {
-        let up = self.reaches(d);
-        // A sealed daemon learns of its seal some time after it resumed.
-        let learns = self.calm || self.below(10) == 0;
-        let daemon = &mut self.daemons[d];
-        let (mode, wit) = (daemon.mode, daemon.witness);
-        let lost = match up && wit {
-            true => None,
-            false => Some(daemon.lost_at.unwrap_or(self.now)),
-        };
-        daemon.lost_at = lost;
-        let long = lost.is_some_and(|at| self.now >= at + 1_500);
-        let next = match mode {
-            Mode::Sealed => return,
-            _ if daemon.sealed && up && learns => Mode::Sealed,
-            _ if daemon.sealed => return,
-            Mode::Attached if !long => return,
-            Mode::Detached | Mode::Unpaired if !(up && wit) => return,
-            _ if up && wit => Mode::Attached,
-            _ if up => Mode::Unpaired,
-            _ if wit || mode == Mode::Detached => Mode::Detached,
-            _ if mode == Mode::Frozen => return,
-            _ => Mode::Frozen,
-        };
-        if mode == next {
-            return;
-        }
-        self.daemons[d].mode = next;
-        match next {
-            Mode::Attached => self.attach(d),
-            Mode::Unpaired => self.daemons[d].unrecorded = true,
-            Mode::Detached => self.daemons[d].unrecorded |= self.guard != Guard::NoDetachAck,
-            _ => {}
-        }
-        self.handle(d, Event::Mode(next));
-        if next == Mode::Sealed {
-            self.start(self.daemons[d].name);
-        }
-    }
-
-    /// The witness, or a third daemon without a record, seals a daemon that does not respond.
-    fn watch(&mut self, d: usize) {
-        let daemon = &self.daemons[d];
-        let Some(since) = daemon.paused.filter(|_| !daemon.sealed) else {
-            return;
-        };
-        let patience = if daemon.witness { SEAL_MS } else { 3 * SEAL_MS };
-        if self.now < since + patience || !self.reaches(d) {
-            return;
-        }
-        self.daemons[d].unrecorded |= !self.daemons[d].witness;
-        self.seal(d);
-        if self.daemons[d].crashed {
-            self.daemons[d].paused = None;
-            self.start(self.daemons[d].name);
-        }
-    }
-
-    fn seal(&mut self, d: usize) {
-        let daemon = &mut self.daemons[d];
-        daemon.sealed = true;
-        // An attached daemon sends no request that its witness does not know. A detached one that
-        // was only paused can reuse what is left of a bound, so a bound is charged only after a
-        // crash.
-        let charges = daemon.crashed || daemon.mode == Mode::Attached;
-        for open in daemon.open.iter_mut().filter(|_| charges) {
-            open.charged = true;
-            *daemon.done.entry(open.budget.clone()).or_default() += open.held.bound();
-        }
-        let inc = daemon.inc.clone();
-        for (budget, total) in daemon.done.clone() {
-            self.bills
-                .entry(budget)
-                .or_default()
-                .insert(inc.clone(), total);
-        }
-        for budget in self.budgets.clone() {
-            let delay = 1 + self.below(2_000);
-            self.push(delay, Msg::Settle(d, budget));
-        }
-        for to in 0..self.daemons.len() {
-            self.post(to, 1, Event::Gone(inc.clone()));
-        }
-        self.tell_members();
-    }
-
-    fn settle_row(&mut self, d: usize, budget: &BudgetId) {
-        let daemon = &self.daemons[d];
-        let inc = daemon.inc.clone();
-        let issued = daemon.issued.get(budget).copied().unwrap_or(0);
-        let bills = self.bills.get(budget).and_then(|b| b.get(&inc)).copied();
-        let record = Record {
-            issued: Some(issued).filter(|_| !daemon.unrecorded),
-            sent: daemon.sent.get(budget).copied().unwrap_or(0),
-            billed: bills.unwrap_or(0),
-        };
-        let removed = record.issued.is_none() && daemon.stopping;
-        let mut row = self.row(budget);
-        let done = match removed {
-            true => row.settle_sealed(&inc, record),
-            false => row.adopt_sealed(&inc, record),
-        };
-        if done.is_ok() {
-            self.put(budget, &row);
-        } else if !removed && record.issued.unwrap_or(record.billed) > 0 {
-            // The sender of a transfer has not written it yet.
-            self.push(5_000, Msg::Settle(d, budget.clone()));
-        }
-    }
-
-    fn retire(&mut self, d: usize) {
-        if self.daemons[d].drawer.is_done() && !self.daemons[d].sealed {
-            self.daemons[d].retired = true;
-            self.daemons[d].sealed = true;
-            let inc = self.daemons[d].inc.clone();
-            for to in 0..self.daemons.len() {
-                self.post(to, 1, Event::Gone(inc.clone()));
-            }
-            self.tell_members();
-            if !self.calm {
-                self.start(self.daemons[d].name);
-            }
-        }
-    }
-
-    /// A random disturbance.
-    pub(crate) fn disturb(&mut self) {
-        let d = self.below(self.daemons.len() as u64) as usize;
-        let b = self.below(self.budgets.len() as u64) as usize;
-        let budget = self.budgets[b].clone();
-        match self.below(14) {
-            0 => self.outage = true,
-            1 | 2 => self.outage = false,
-            3 => self.cut[DCS[self.daemons[d].name]] = true,
-            4 | 5 => self.cut = [false; 2],
-            6 => self.daemons[d].witness = false,
-            7 => self.daemons.iter_mut().for_each(|d| d.witness = true),
-            8 if self.runs(d) => self.daemons[d].paused = Some(self.now),
-            9 => self.resume(),
-            10 if self.runs(d) && !self.daemons[d].sealed => {
-                self.daemons[d].paused = Some(self.now);
-                self.daemons[d].crashed = true;
-            }
-            11 if self.runs(d) => self.stop(d),
-            12 => {
-                let mut row = self.row(&budget);
-                row.top_up(500).expect("far below 64 bits");
-                self.put(&budget, &row);
-            }
-            13 => {
-                let mut row = self.row(&budget);
-                if row.lower(row.limit - row.limit / 20).is_ok() {
-                    self.put(&budget, &row);
-                    self.lowered.push(budget);
-                }
-            }
-            _ => {}
-        }
-    }
-
-    fn stop(&mut self, d: usize) {
-        self.daemons[d].stopping = true;
-        self.handle(d, Event::Stop);
-    }
-
-    fn resume(&mut self) {
-        for daemon in &mut self.daemons {
-            daemon.paused = daemon.paused.filter(|_| daemon.crashed);
-        }
-    }
-
     /// Random requests at the daemons that run.
     pub(crate) fn load(&mut self, requests: u64, bound: Tokens) {
         for _ in 0..requests {
@@ -717,90 +410,4 @@
             }
         }
     }
-
-    /// What was spent or may be spent by open requests, independent of the machines' figures.
-    fn consumed(&self, budget: &str) -> Tokens {
-        let daemons = self.daemons.iter();
-        daemons
-            .map(|d| {
-                let open = d.open.iter().filter(|o| *o.budget == *budget && !o.charged);
-                let done = d.done.get(budget).copied().unwrap_or(0);
-                done + open.map(|o| o.held.bound()).sum::<Tokens>()
-            })
-            .sum()
-    }
-
-    fn check(&self) -> Result<(), String> {
-        for budget in &self.budgets {
-            let (row, figures) = (self.row(budget), self.row(budget).figures());
-            let consumed = self.consumed(budget);
-            let drawn = i128::from(row.limit) - figures.free;
-            if i128::from(consumed) > drawn {
-                return Err(format!(
-                    "{budget}: {consumed} consumed of {drawn} at {}",
-                    self.now
-                ));
-            }
-            if figures.free < 0 && !self.lowered.contains(budget) {
-                return Err(format!("{budget}: {figures:?} at {}", self.now));
-            }
-        }
-        Ok(())
-    }
-
-    /// Heals all faults, stops all daemons, settles what crashed, and accounts for every token.
-    pub(crate) fn close(&mut self) -> Result<(), String> {
-        (self.outage, self.cut, self.calm) = (false, [false; 2], true);
-        self.daemons.iter_mut().for_each(|d| d.witness = true);
-        self.resume();
-        for round in 0..400 {
-            if round == 100 {
-                (0..self.daemons.len()).for_each(|d| self.stop(d));
-            }
-            self.step(100 + 900 * u64::from(round > 200))?;
-        }
-        let ids = self.budgets.clone();
-        ids.iter().try_for_each(|budget| self.account(budget))
-    }
-
-    fn account(&mut self, budget: &BudgetId) -> Result<(), String> {
-        let mut row = self.row(budget);
-        let bills = self.bills.entry(budget.clone()).or_default();
-        // An operator decides on shares of incarnations that failed during a planned stop.
-        for d in self.daemons.iter().filter(|d| d.stopping && d.unrecorded) {
-            let billed = bills.get(&d.inc).copied().unwrap_or(0);
-            let removed = bills
-                .iter()
-                .filter(|(inc, _)| !row.shares.contains_key(*inc));
-            let missing = removed.map(|(_, n)| n).sum::<Tokens>();
-            if !row.shares.contains_key(&d.inc) && missing >= row.settled + billed {
-                let record = Record {
-                    billed,
-                    ..Record::default()
-                };
-                let _ = row.adopt_sealed(&d.inc, record);
-            }
-        }
-        let found = audit(budget, &row, bills, &[]).discrepancies;
-        let lowered = |d: &Discrepancy| matches!(d, Discrepancy::Overdrawn { .. });
-        if !found.iter().all(lowered) {
-            return Err(format!("{budget}: {found:?} {row:?}"));
-        }
-        // Every holder has ended, which is the proof that releasing needs.
-        for (inc, share) in row.shares.clone() {
-            let left = share.outstanding().unwrap_or(0);
-            let unsent = Tokens::try_from(-row.transit()).unwrap_or(0).min(left);
-            row.attribute(&inc, unsent)
-                .map_err(|err| format!("{budget}: {inc}: {err} {row:?}"))?;
-            row.release(&inc, left - unsent)
-                .map_err(|err| format!("{budget}: {inc}: {err} {row:?}"))?;
-        }
-        let transit = Tokens::try_from(row.transit()).map_err(|_| format!("{budget}: {row:?}"))?;
-        row.reclaim(transit).expect("checked above");
-        let (figures, consumed) = (row.figures(), i128::from(self.consumed(budget)));
-        if figures.billed != consumed || figures.free != i128::from(row.limit) - consumed {
-            return Err(format!("{budget}: {consumed} consumed, {figures:?}"));
-        }
-        Ok(())
-    }
 }
--- /dev/null
+++ b/tests/budget_world/platform.rs
@@ -0,0 +1,209 @@
+//! The platform and the witness: calls with lost answers, bills, and seals.
+
+use super::*;
+
+impl World {
+    /// A call to the table: it may fail, its answer may be lost, and it may be applied long after
+    /// the caller gave up.
+    pub(super) fn call(&mut self, d: usize, action: Action, delay: u64) {
+        let (Action::Read { budget } | Action::Commit { budget, .. }) = &action else {
+            return;
+        };
+        let failed = |fault| Event::Failed {
+            budget: budget.clone(),
+            fault,
+        };
+        if !self.reaches(d) {
+            let event = failed(StoreFault::Unavailable);
+            return self.post(d, delay, event);
+        }
+        let lost = self.chance(60);
+        if lost {
+            self.post(d, delay, failed(StoreFault::Unknown));
+        }
+        if !lost || self.below(3) > 0 {
+            let late = if lost { self.below(3_000) } else { 0 };
+            self.push(delay + late, Msg::Store(d, action, !lost, delay));
+        }
+    }
+
+    pub(super) fn execute(&mut self, d: usize, action: Action, answered: bool, delay: u64) {
+        let (budget, event) = match action {
+            Action::Read { budget } => {
+                let row = self.store.read(&key(&budget));
+                let row = row.map(|r| (r.version, r.value.try_into().expect("a budget row")));
+                (budget.clone(), Some(Event::Row { budget, row }))
+            }
+            Action::Commit {
+                budget,
+                expect,
+                row,
+            } => (
+                budget.clone(),
+                self.commit(d, budget, Expect::Version(expect), &row),
+            ),
+            _ => return,
+        };
+        let event = event.unwrap_or(Event::Conflict { budget });
+        if answered {
+            self.post(d, delay, event);
+        }
+    }
+
+    pub(super) fn commit(
+        &mut self,
+        d: usize,
+        id: BudgetId,
+        expect: Expect,
+        row: &Row,
+    ) -> Option<Event> {
+        self.commits += 1;
+        if self.daemons[d].sealed && self.guard != Guard::NoFence {
+            self.post(d, 1, Event::Mode(Mode::Sealed));
+            return None;
+        }
+        let write = Write {
+            key: key(&id).into(),
+            expect: match self.guard {
+                Guard::NoVersion => Expect::Any,
+                _ => expect,
+            },
+            change: Change::Put(row.into()),
+        };
+        match self.store.commit(&[write]) {
+            Outcome::Applied(versions) => Some(Event::Committed {
+                budget: id,
+                version: versions[0],
+            }),
+            Outcome::Conflict { .. } => None,
+        }
+    }
+
+    /// The witness takes a log entry.
+    pub(super) fn record(&mut self, d: usize, epoch: u64, action: Action) {
+        let daemon = &mut self.daemons[d];
+        if daemon.sealed || daemon.epoch != epoch {
+            return;
+        }
+        if !daemon.witness {
+            // The daemon repeats what is not acknowledged.
+            return self.push(100, Msg::Witness(d, epoch, action));
+        }
+        let event = match action {
+            Action::Issue { budget, total } => {
+                daemon.issued.insert(budget.clone(), total);
+                Event::Issued { budget, total }
+            }
+            Action::Log { transfer, sent } => {
+                let figure = daemon.sent.entry(transfer.budget).or_default();
+                *figure = sent.max(*figure);
+                Event::Logged(transfer.id)
+            }
+            _ => return,
+        };
+        // An acknowledgement of an earlier epoch is dropped on a change, so none is in flight then.
+        let delay = 1 + self.below(20);
+        self.push(delay, Msg::Event(d, event));
+    }
+
+    /// Commits the bills of finished requests every 2 s, after a seal as a late batch.
+    pub(super) fn bill(&mut self, d: usize) {
+        if !self.reaches(d) || self.now % 2_000 > 100 {
+            return;
+        }
+        let (inc, sealed) = (self.daemons[d].inc.clone(), self.daemons[d].sealed);
+        if sealed && !self.calm {
+            return;
+        }
+        for (budget, total) in self.daemons[d].done.clone() {
+            self.bills
+                .entry(budget.clone())
+                .or_default()
+                .insert(inc.clone(), total);
+            if sealed {
+                let mut row = self.row(&budget);
+                let record = Record {
+                    billed: total,
+                    ..Record::default()
+                };
+                let late = row.bill_late(&inc, total);
+                if late.is_ok()
+                    || (late == Err(Refusal::NoShare)
+                        && !self.daemons[d].stopping
+                        && row.adopt_sealed(&inc, record).is_ok())
+                {
+                    self.put(&budget, &row);
+                }
+            } else {
+                self.handle(d, Event::Billed { budget, total });
+            }
+        }
+    }
+
+    pub(super) fn attach(&mut self, d: usize) {
+        let daemon = &mut self.daemons[d];
+        daemon.epoch += 1;
+        daemon.unrecorded = false;
+        for s in daemon.drawer.statements() {
+            daemon.issued.insert(s.budget.clone(), s.issued);
+            daemon.sent.insert(s.budget, s.sent);
+        }
+        // Acknowledgements of the earlier epoch do not count.
+        self.queue.retain(|_, msg| {
+            !matches!(msg, Msg::Event(to, Event::Issued { .. } | Event::Logged(_)) if *to == d)
+        });
+    }
+
+    pub(super) fn seal(&mut self, d: usize) {
+        let mirrored = self.mirrored();
+        let daemon = &mut self.daemons[d];
+        daemon.sealed = true;
+        // An attached daemon sends no request that its witness does not know. A detached one that
+        // was only paused can reuse what is left of a bound, so a bound is charged only after a
+        // crash.
+        let charges = daemon.crashed || (daemon.mode == Mode::Attached && mirrored);
+        for open in daemon.open.iter_mut().filter(|_| charges) {
+            open.charged = true;
+            *daemon.done.entry(open.budget.clone()).or_default() += open.held.bound();
+        }
+        let inc = daemon.inc.clone();
+        for (budget, total) in daemon.done.clone() {
+            self.bills
+                .entry(budget)
+                .or_default()
+                .insert(inc.clone(), total);
+        }
+        for budget in self.budgets.clone() {
+            let delay = 1 + self.below(2_000);
+            self.push(delay, Msg::Settle(d, budget));
+        }
+        for to in 0..self.daemons.len() {
+            self.post(to, 1, Event::Gone(inc.clone()));
+        }
+        self.tell_members();
+    }
+
+    pub(super) fn settle_row(&mut self, d: usize, budget: &BudgetId) {
+        let daemon = &self.daemons[d];
+        let inc = daemon.inc.clone();
+        let issued = daemon.issued.get(budget).copied().unwrap_or(0);
+        let bills = self.bills.get(budget).and_then(|b| b.get(&inc)).copied();
+        let record = Record {
+            issued: Some(issued).filter(|_| !daemon.unrecorded),
+            sent: daemon.sent.get(budget).copied().unwrap_or(0),
+            billed: bills.unwrap_or(0),
+        };
+        let removed = record.issued.is_none() && daemon.stopping;
+        let mut row = self.row(budget);
+        let done = match removed {
+            true => row.settle_sealed(&inc, record),
+            false => row.adopt_sealed(&inc, record),
+        };
+        if done.is_ok() {
+            self.put(budget, &row);
+        } else if !removed && record.issued.unwrap_or(record.billed) > 0 {
+            // The sender of a transfer has not written it yet.
+            self.push(5_000, Msg::Settle(d, budget.clone()));
+        }
+    }
+}
