Write a share before its issued figure 0 is logged

The sealer took the share for a removed one, and 141 billed tokens were missing in the row (nothing was overspent, and the audit named them). The share is now written before the figure is logged.

--- a/src/budget/work.rs
+++ b/src/budget/work.rs
@@ -136,6 +136,12 @@
         if !stopping || slot.retire != Retire::No || !slot.is_settled() || slot.is_unused() {
             return;
         }
+        if slot.posted == Share::default() {
+            // A share that lived on transfers only is written first, so that a sealer that finds 0
+            // as issued and no share knows that the share was removed.
+            slot.fresh |= matches!(slot.flight, Flight::None);
+            return;
+        }
         match mode {
             Mode::Attached => {
                 slot.retire = Retire::Proposed;
