--- a/src/bill/writer.rs
+++ b/src/bill/writer.rs
@@ -14,6 +14,7 @@
     encode_batch, //
 };
 use crate::{
+    budget,
     mirror::{
         Reply,
         Request,
@@ -57,14 +58,14 @@
     Committed(u64),
     /// A conflict showed the fence row.
     Fence(Option<Row>),
-    /// Late bills count now; their budgets' totals changed.
-    Late,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
     Idle,
     Put(u64),
+    /// Reads the budget row of a late batch.
+    Row(u64),
     Commit(u64),
 }
 
@@ -73,12 +74,17 @@
 struct Late {
     /// Batches that count.
     batches: u64,
+    /// Whether the sealer has settled the budget rows.
+    settled: bool,
     /// Requests that the seal object names.
     sealed: Vec<Seq>,
     /// Finished requests that are in no late batch yet.
     bills: Vec<Bill>,
-    /// Content of the late batch that is being written.
+    /// Content of the late batch that is being written; all its bills are of one budget.
     batch: Vec<Bill>,
+    /// Budget row with the bills of the batch, to be written in the commit that makes it count. A
+    /// daemon that dies in between would leave them out of the row for ever.
+    row: Option<(Version, budget::Row)>,
     /// Billed tokens per budget over everything that counts.
     billed: BTreeMap<BudgetId, Tokens>,
 }
@@ -140,6 +146,7 @@
         }
         let request = match self.phase {
             Phase::Put(n) => Request::Put(self.object(n), encode_batch(self.content(book, n))),
+            Phase::Row(_) => Request::Read(self.late.as_ref()?.key()),
             Phase::Commit(n) => self.commit(n, fence)?,
             Phase::Idle => return None,
         };
@@ -153,11 +160,15 @@
             return book.cut.contains_key(&batch).then_some(Phase::Put(batch));
         };
         if late.batch.is_empty() {
-            if late.bills.is_empty() || now < self.cut_at {
+            if late.bills.is_empty() || now < self.cut_at || !late.settled {
                 return None;
             }
             self.cut_at = now + INTERVAL;
-            late.batch = mem::take(&mut late.bills);
+            let budget = late.bills[0].budget.clone();
+            let (batch, rest) = mem::take(&mut late.bills)
+                .into_iter()
+                .partition(|bill| bill.budget == budget);
+            (late.batch, late.bills) = (batch, rest);
         }
         Some(Phase::Put(self.ledger.late + 1))
     }
@@ -192,13 +203,19 @@
             expect: self.expect,
             change: Change::Put(ledger.to_value()),
         }];
-        if self.late.is_none() {
-            writes.push(Write {
+        let other = match &self.late {
+            None => Some(Write {
                 key: fence_key(&self.inc),
                 expect: Expect::Version(fence?),
                 change: Change::Check,
-            });
-        }
+            }),
+            Some(late) => late.row.as_ref().map(|(version, row)| Write {
+                key: late.key(),
+                expect: Expect::Version(*version),
+                change: Change::Put(row.into()),
+            }),
+        };
+        writes.extend(other);
         Some(Request::Commit(writes))
     }
 
@@ -212,6 +229,15 @@
             }
             // An object that exists has this content: it was written before the answer was lost.
             (Phase::Put(n), Reply::Put(_)) => {
+                self.phase = match self.late {
+                    Some(_) => Phase::Row(n),
+                    None => Phase::Commit(n),
+                };
+                None
+            }
+            (Phase::Row(n), Reply::Row(row)) => {
+                let late = self.late.as_mut().expect("only late batches read the row");
+                late.row = row.and_then(|row| late.bill(&self.inc, row));
                 self.phase = Phase::Commit(n);
                 None
             }
@@ -236,7 +262,8 @@
         self.ledger.late = n;
         add(&mut late.billed, &late.batch);
         late.batch.clear();
-        Some(Step::Late)
+        late.row = None;
+        None
     }
 
     fn conflicted(&mut self, now: Duration, n: u64, key: &str, row: Option<Row>) -> Option<Step> {
@@ -244,6 +271,10 @@
             self.retry_at = now + RETRY;
             return Some(Step::Fence(row));
         }
+        if key != &*ledger_key(&self.inc) {
+            self.phase = Phase::Row(n);
+            return None;
+        }
         let row = row.expect("the ledger row is never deleted");
         let ledger = Ledger::from_value(&row.value).expect("a ledger row holds two numbers");
         self.expect = Expect::Version(row.version);
@@ -276,9 +307,11 @@
         self.ledger.batches = seal.batches;
         let mut late = Late {
             batches: seal.batches,
+            settled: false,
             sealed,
             bills: Vec::new(),
             batch: Vec::new(),
+            row: None,
             billed,
         };
         let done = book.cut.values().flatten().chain(&book.closed);
@@ -294,6 +327,14 @@
             .push(bill);
     }
 
+    /// The sealer has settled the budget rows, so late bills can be added to them.
+    pub(crate) fn set_settled(&mut self) {
+        self.late
+            .as_mut()
+            .expect("the seal object was read")
+            .settled = true;
+    }
+
     /// Whether the seal object was read.
     pub(crate) fn is_late(&self) -> bool {
         self.late.is_some()
@@ -305,14 +346,6 @@
             .as_ref()
             .is_some_and(|late| late.bills.is_empty() && late.batch.is_empty())
     }
-
-    /// Billed tokens per budget after the seal.
-    pub(crate) fn totals(&self) -> BTreeMap<BudgetId, Tokens> {
-        self.late
-            .as_ref()
-            .map(|late| late.billed.clone())
-            .unwrap_or_default()
-    }
 }
 
 impl Late {
@@ -321,4 +354,26 @@
             self.bills.push(bill);
         }
     }
+
+    fn key(&self) -> Arc<str> {
+        format!("budget/{}", self.batch[0].budget).into()
+    }
+
+    /// The budget row with the bills of the batch. Bills beyond what the row shows were paid by
+    /// transfers that the incarnation received and could not write before the seal.
+    fn bill(&self, inc: &Incarnation, row: Row) -> Option<(Version, budget::Row)> {
+        let version = row.version;
+        let mut row = budget::Row::try_from(row.value).ok()?;
+        let mut billed = self.billed.clone();
+        add(&mut billed, &self.batch);
+        let total = billed[&self.batch[0].budget];
+        let share = row.shares.entry(inc.clone()).or_insert(budget::Share {
+            sealed: true,
+            ..budget::Share::default()
+        });
+        let left = share.outstanding()?;
+        share.received += total.saturating_sub(share.billed + left);
+        row.bill_late(inc, total).ok()?;
+        Some((version, row))
+    }
 }
--- a/src/mirror/seal.rs
+++ b/src/mirror/seal.rs
@@ -443,6 +443,10 @@
         billed: account.billed,
     };
     let mut row = old.clone();
+    // A share that exists on transfers only has no entry yet.
+    if account != Account::default() {
+        row.shares.entry(inc.clone()).or_default();
+    }
     row.settle_sealed(inc, record).ok()?;
     Some(row)
 }
--- a/src/node/life.rs
+++ b/src/node/life.rs
@@ -505,7 +505,6 @@
                 }
             }
             Some(bill::Step::Fence(row)) => self.pair.observe(now, row.as_ref()),
-            Some(bill::Step::Late) => self.late(),
             Some(bill::Step::Cut(_)) | None => {}
         }
     }
