--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -14,9 +14,15 @@
 pub mod fence;
 #[allow(missing_docs, unreachable_pub, clippy::all)]
 #[rustfmt::skip]
+pub mod claim;
+#[allow(missing_docs, unreachable_pub, clippy::all)]
+#[rustfmt::skip]
 pub mod item;
 #[allow(missing_docs, unreachable_pub, clippy::all)]
 #[rustfmt::skip]
+pub mod otlp;
+#[allow(missing_docs, unreachable_pub, clippy::all)]
+#[rustfmt::skip]
 pub mod platform;
 #[allow(missing_docs, unreachable_pub, clippy::all)]
 #[rustfmt::skip]
