Let a test cut a data centre off

Cause: partitions between data centres have to be brought about with real processes.

Change: links between daemons of different data centres pass through the relay stand-in, and Fleet::cut and Fleet::heal switch them and the platform's listener of the data centre. A process is named after its first incarnation, so that x-request-id names the bill.

--- a/src/kernel/context.rs
+++ b/src/kernel/context.rs
@@ -87,7 +87,7 @@
     pub settings: Settings,
     /// Fleet secret.
     pub secret: Arc<[u8]>,
-    /// Name of this process; it stays when the node starts a new incarnation.
+    /// Name of this process: its first incarnation. It stays when the node starts a new one.
     pub process: Incarnation,
     /// Clock of the daemon.
     pub clock: Clock,
--- a/src/kernel/daemon.rs
+++ b/src/kernel/daemon.rs
@@ -135,7 +135,6 @@
         .bytes()
         .into();
     let clock = Clock::open();
-    let process = format!("{}.{:016x}", settings.daemon.id, rand::random::<u64>()).into();
     let (store_out, store) = flume::unbounded();
     let (peers_out, peers) = flume::unbounded();
     let (changes_out, changes) = flume::unbounded();
@@ -160,9 +159,11 @@
         headroom: settings.queue.headroom,
         ..route::Settings::new(settings.daemon.dc.clone())
     };
+    let node = node::Handle::open(identity, rand::random(), clock, outbox);
+    let process = node.incarnation();
     Ok(Context {
         claims: Claims::open(Arc::clone(&process), &secret),
-        node: node::Handle::open(identity, rand::random(), clock, outbox),
+        node,
         router: route::Handle::open(routing, rand::random(), clock, strikes_out),
         tracer: tracer(&settings),
         store: HttpStore::open(settings.platform.addr),
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -123,6 +123,8 @@
     pub service: Process,
     /// The daemons.
     pub members: Vec<Member>,
+    /// Links between daemons of different data centres pass through it.
+    relay: Option<Process>,
     plan: Plan,
     net: u8,
     folder: PathBuf,
@@ -163,11 +165,13 @@
                 &["service", "control"],
             )?,
             members: Vec::new(),
+            relay: None,
             plan,
             net,
             folder,
         };
         fleet.seed()?;
+        fleet.start_relay()?;
         fleet.start_members()?;
         fleet.wait_ready()?;
         Ok(fleet)
@@ -258,6 +262,107 @@
         Ok(())
     }
 
+    /// Cuts a data centre off from the platform and from the daemons of the others. Requests to the
+    /// platform hang; those that were sent take effect when the cut ends.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a stand-in does not answer.
+    ///
+    /// # Examples
+    ///
+    /// ```no_run
+    /// # fn cut(fleet: &cuminloom_standins::fleet::Fleet) {
+    /// fleet.cut("cebu-south").unwrap();
+    /// fleet.heal("cebu-south").unwrap();
+    /// # }
+    /// ```
+    pub fn cut(&self, dc: &str) -> io::Result<()> {
+        self.control_platform(&json!({ "dc": dc, "hang": true }))?;
+        self.control_links(dc, "cut")
+    }
+
+    /// Ends a cut.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a stand-in does not answer.
+    ///
+    /// # Examples
+    ///
+    /// ```no_run
+    /// # fn heal(fleet: &cuminloom_standins::fleet::Fleet) {
+    /// fleet.heal("cebu-south").unwrap();
+    /// # }
+    /// ```
+    pub fn heal(&self, dc: &str) -> io::Result<()> {
+        self.control_platform(&json!({ "dc": dc, "hang": false }))?;
+        self.control_links(dc, "open")
+    }
+
+    /// Changes the faults of the platform; see `platform::Control` for the fields.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform's control port does not answer.
+    ///
+    /// # Examples
+    ///
+    /// ```no_run
+    /// # fn down(fleet: &cuminloom_standins::fleet::Fleet) {
+    /// fleet.control_platform(&serde_json::json!({ "down": true })).unwrap();
+    /// # }
+    /// ```
+    pub fn control_platform(&self, change: &Value) -> io::Result<()> {
+        post(self.platform.addr("control"), change)
+    }
+
+    fn control_links(&self, dc: &str, mode: &str) -> io::Result<()> {
+        let relay = self
+            .relay
+            .as_ref()
+            .expect("the relay runs with the daemons");
+        for (name, from, to) in self.links() {
+            if from == dc || to == dc {
+                post(
+                    relay.addr("control"),
+                    &json!({ "name": name, "mode": mode }),
+                )?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Name, data centre of the dialling daemons and data centre of the dialled daemon of each relay.
+    fn links(&self) -> Vec<(String, &'static str, &'static str)> {
+        let mut links = Vec::new();
+        for (id, to, _) in self.places() {
+            for (from, _) in self.plan.dcs.iter().filter(|(from, _)| *from != to) {
+                links.push((format!("{from}-to-{id}"), *from, to));
+            }
+        }
+        links
+    }
+
+    fn start_relay(&mut self) -> io::Result<()> {
+        let links = self.links();
+        let places: Vec<_> = self.places().collect();
+        let mut args = Vec::new();
+        for (name, ..) in &links {
+            let (_, _, ip) = places
+                .iter()
+                .find(|(id, ..)| name.ends_with(&format!("-to-{id}")))
+                .expect("each link leads to a daemon");
+            args.extend(["--listen".into(), format!("{name}=127.0.0.1:0")]);
+            args.extend(["--to".into(), format!("{ip}:{PEER_PORT}")]);
+        }
+        let args: Vec<&str> = args.iter().map(String::as_str).collect();
+        let names: Vec<&str> = links.iter().map(|(name, ..)| name.as_str()).collect();
+        let names = [names, vec!["control"]].concat();
+        self.relay = Some(Process::standin("relay-standin", &args, &names)?);
+        Ok(())
+    }
+
     fn seed(&self) -> io::Result<()> {
         let store = self.store();
         let edits = Mutex::new(Config::default());
@@ -379,13 +484,9 @@
 
     fn start_members(&mut self) -> io::Result<()> {
         let places: Vec<_> = self.places().collect();
-        let peers: Vec<Value> = places
-            .iter()
-            .map(|(id, dc, ip)| json!({ "id": id, "addr": format!("{ip}:{PEER_PORT}"), "dc": dc }))
-            .collect();
         for (id, dc, ip) in places {
             let settings = self.folder.join(format!("{id}.jsonc"));
-            let text = self.settings(&id, dc, ip, &peers);
+            let text = self.settings(&id, dc, ip, &self.peers_of(&id, dc));
             std::fs::write(&settings, text.to_string())?;
             self.members.push(Member {
                 process: Some(start_daemon(&settings)?),
@@ -399,9 +500,26 @@
         Ok(())
     }
 
-    fn settings(&self, id: &str, dc: &str, ip: Ipv4Addr, peers: &[Value]) -> Value {
+    /// The other daemons as `own` reaches them.
+    fn peers_of(&self, own: &str, from: &str) -> Vec<Value> {
+        let relay = self
+            .relay
+            .as_ref()
+            .expect("the relay runs before the daemons");
+        let others = self.places().filter(|(id, ..)| id != own);
+        others
+            .map(|(id, dc, ip)| {
+                let addr = match dc == from {
+                    true => format!("{ip}:{PEER_PORT}"),
+                    false => relay.addr(&format!("{from}-to-{id}")).to_string(),
+                };
+                json!({ "id": id, "addr": addr, "dc": dc })
+            })
+            .collect()
+    }
+
+    fn settings(&self, id: &str, dc: &str, ip: Ipv4Addr, others: &[Value]) -> Value {
         let token = hex::encode(Sha256::digest(TOKEN));
-        let others: Vec<_> = peers.iter().filter(|peer| peer["id"] != id).collect();
         json!({
             "daemon": { "id": id, "vm": id, "dc": dc },
             "caller": { "listen": format!("{ip}:{CALLER_PORT}") },
@@ -450,6 +568,20 @@
     Process::spawn(&binary("cuminloomd"), &["--settings", path], &[])
 }
 
+fn post(addr: SocketAddr, body: &Value) -> io::Result<()> {
+    let url = format!("http://{addr}/control");
+    let reply = minreq::post(url)
+        .with_body(body.to_string())
+        .with_timeout(5)
+        .send();
+    match reply.map_err(io::Error::other)?.status_code {
+        200 => Ok(()),
+        status => Err(io::Error::other(format!(
+            "the control port answered {status}"
+        ))),
+    }
+}
+
 fn is_ready(addr: SocketAddr) -> bool {
     let reply = minreq::get(format!("http://{addr}/readyz"))
         .with_timeout(1)
