--- /dev/null
+++ b/tests/world/checks.rs
@@ -0,0 +1,163 @@
+//! What must hold at every step, and after healing.
+
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
+
+use cuminloom::{
+    bill::{
+        Bill,
+        Ledger,
+        Seal,
+        decode_batch, //
+    },
+    budget,
+    mirror::{
+        Fence,
+        fence_key,
+        ledger_key, //
+    },
+    model::{
+        BudgetId,
+        Incarnation,
+        Seq, //
+    },
+};
+
+use super::World;
+
+impl World {
+    pub(crate) fn fence(&self, inc: &str) -> Option<Fence> {
+        let row = self.store.read(&fence_key(inc))?;
+        Fence::from_value(&row.value)
+    }
+
+    /// Bills that count for an incarnation.
+    pub(crate) fn bills(&self, inc: &str) -> Vec<Bill> {
+        let ledger = self.store.read(&ledger_key(inc));
+        let ledger = ledger.map_or(Ledger::default(), |row| {
+            Ledger::from_value(&row.value).unwrap()
+        });
+        let regular = (1..=ledger.batches).map(|n| format!("bills/{inc}/{n}"));
+        let late = (1..=ledger.late).map(|n| format!("bills/{inc}/late-{n}"));
+        let mut bills: Vec<Bill> = regular
+            .chain(late)
+            .flat_map(|name| decode_batch(self.store.get(&name).unwrap()).unwrap())
+            .collect();
+        bills.extend(self.seal(inc).into_iter().flat_map(|seal| seal.bills));
+        bills
+    }
+
+    pub(crate) fn seal(&self, inc: &str) -> Option<Seal> {
+        let sealed = self.fence(inc)?.sealed?;
+        Seal::decode(self.store.get(&sealed.object)?)
+    }
+
+    /// Ends all faults, lets lost daemons be sealed, stops every daemon and checks the end.
+    pub(crate) fn settle(&mut self, heal: u64, stop: u64) {
+        (self.loss, self.lost_answers) = (0, 0);
+        self.script.clear();
+        self.cut.clear();
+        self.outage = Duration::ZERO;
+        for proc in &mut self.procs {
+            proc.paused = Duration::ZERO;
+            proc.restart = Duration::ZERO;
+            proc.blind = Duration::ZERO;
+        }
+        for _ in 0..heal {
+            self.step();
+        }
+        for proc in &mut self.procs {
+            proc.node.as_mut().unwrap().stop();
+        }
+        for _ in 0..stop {
+            if self.procs.iter().any(|proc| !proc.stopped) {
+                self.step();
+            }
+        }
+        for proc in &self.procs {
+            let figures = proc.node.as_ref().map(|node| node.snapshot());
+            assert!(proc.stopped, "a planned stop ends: {figures:?}");
+        }
+        self.check_end();
+    }
+
+    /// Checked at every step: no overspend, and no row in which more is drawn than free.
+    pub(super) fn check(&self) {
+        for name in &self.budgets {
+            let row = self.row(name);
+            let spent = self.generated.get(name).copied().unwrap_or(0);
+            assert!(spent <= row.limit, "overspend: {spent} of {}", row.limit);
+            assert!(row.figures().free >= 0, "more drawn than free");
+        }
+    }
+
+    pub(super) fn incarnations(&self) -> Vec<Incarnation> {
+        let rows = self.store.list("fence/", "", usize::MAX);
+        let key = |key: &str| key.strip_prefix("fence/").unwrap().into();
+        rows.iter().map(|row| key(&row.key)).collect()
+    }
+
+    /// Checked after healing, when every daemon has stopped.
+    pub(super) fn check_end(&self) {
+        let mut bills: BTreeMap<BudgetId, budget::Bills> = BTreeMap::new();
+        for inc in self.incarnations() {
+            let fence = self.fence(&inc).unwrap();
+            let sealed = fence.sealed.expect("every incarnation is sealed");
+            assert!(sealed.settled, "the budget rows of {inc} are settled");
+            let mut count: BTreeMap<Seq, Bill> = BTreeMap::new();
+            for bill in self.bills(&inc) {
+                let shares = bills.entry(bill.budget.clone()).or_default();
+                *shares.entry(inc.clone()).or_default() += bill.tokens;
+                let old = count.insert(bill.seq, bill);
+                assert!(old.is_none(), "{inc} bills a request twice: {old:?}");
+            }
+            self.check_bills(&inc, &count);
+        }
+        for name in &self.budgets {
+            let row = self.row(name);
+            let empty = budget::Bills::new();
+            let audit = budget::audit(name, &row, bills.get(name).unwrap_or(&empty), &[]);
+            assert!(audit.discrepancies.is_empty(), "{name}: {audit:?} {row:?}");
+            self.check_deaths(name, &row);
+        }
+    }
+
+    pub(super) fn check_bills(&self, inc: &Incarnation, count: &BTreeMap<Seq, Bill>) {
+        // A daemon that died on its own, or without a witness, takes its last bills with it.
+        let exact = match self.seal(inc) {
+            Some(seal) => seal.known && !seal.detached,
+            None => true,
+        };
+        let range = (inc.clone(), 0)..=(inc.clone(), Seq::MAX);
+        for ((_, seq), reached) in self.reached.range(range) {
+            let Some(bill) = count.get(seq) else {
+                let dead = self.dead.contains(inc);
+                assert!(dead && !exact, "{inc}/{seq} is not billed: {reached:?}");
+                continue;
+            };
+            assert_eq!(bill.budget, reached.budget);
+            assert!(bill.tokens >= reached.tokens && bill.tokens <= reached.bound);
+        }
+    }
+
+    /// The death of an attached daemon orphans no more than what it had issued.
+    pub(super) fn check_deaths(&self, name: &BudgetId, row: &budget::Row) {
+        for (inc, share) in &row.shares {
+            let Some(issued) = self.died.get(&(inc.clone(), name.clone())) else {
+                continue;
+            };
+            // A daemon that was attaching again is still detached.
+            if !self.seal(inc).is_some_and(|s| s.known && !s.detached) {
+                continue;
+            }
+            let kept = share.billed + share.outstanding().unwrap();
+            let seal = self.seal(inc).unwrap().accounts[name];
+            assert!(
+                kept <= *issued,
+                "{inc} keeps {kept} of {issued} issued: {share:?} {seal:?}"
+            );
+        }
+    }
+}
