Measure the cost of membership as the fleet grows

The control overhead per daemon must stay flat up to 340 daemons. benches/peer.rs runs the membership machine of a healthy fleet with the real encoding for 60 s of fake time with one configuration change, and fails when sent and received bytes exceed 22 KB/s per daemon.

--- /dev/null
+++ b/benches/peer.rs
@@ -0,0 +1,191 @@
+//! Cost of membership per daemon as the fleet grows, and of a mirrored operation, in messages and
+//! bytes. Fails when a bound is exceeded.
+
+use std::{
+    collections::BTreeSet,
+    time::Duration, //
+};
+
+use cuminloom::{
+    peer::{
+        Action,
+        Ident,
+        Input,
+        Members,
+        Message,
+        encode, //
+    },
+    settings::Peer,
+};
+use serde::Serialize;
+
+const STEP: Duration = Duration::from_millis(100);
+/// Header and mask of a WebSocket frame with up to 64 KiB.
+const FRAMING: usize = 8;
+/// Seconds that are measured, with one configuration change at their start.
+const SECONDS: u64 = 60;
+/// Share of the control overhead of a daemon, in bytes per second.
+const BYTES_PER_S: usize = 22 * 1024;
+
+#[derive(Clone, Copy, Default)]
+struct Cost {
+    beats: usize,
+    beat_bytes: usize,
+    gossips: usize,
+    gossip_bytes: usize,
+}
+
+fn ident(n: usize, dcs: usize) -> Ident {
+    Ident {
+        id: format!("ingress-{n:03}").into(),
+        inc: format!("ingress-{n:03}.{n:016x}").into(),
+        dc: format!("dc-{:02}", n % dcs).into(),
+        vm: format!("vm-ingress-{n:03}").into(),
+        addr: "127.0.0.1:9".parse().expect("an address"),
+        started: 1_764_000_000_000,
+    }
+}
+
+/// Runs a healthy fleet and returns what all its daemons sent in the measured time.
+fn run(daemons: usize, dcs: usize) -> (Cost, usize) {
+    let idents: Vec<Ident> = (0..daemons).map(|n| ident(n, dcs)).collect();
+    let peers: Vec<Peer> = idents
+        .iter()
+        .map(|ident| Peer {
+            id: ident.id.clone(),
+            addr: ident.addr,
+            dc: ident.dc.clone(),
+        })
+        .collect();
+    let start = |(n, ident): (usize, &Ident)| {
+        Members::start(Duration::ZERO, ident.clone(), &peers, n as u64)
+    };
+    let mut members: Vec<Members> = idents.iter().enumerate().map(start).collect();
+    let at = |id: &str| id[8..].parse::<usize>().expect("a number");
+    let mut links = BTreeSet::new();
+    let (mut now, mut cost) = (Duration::ZERO, Cost::default());
+    let (warm, end) = (Duration::from_secs(10), Duration::from_secs(10 + SECONDS));
+    let mut inputs: Vec<(usize, Input)> = Vec::new();
+    while now < end {
+        now += STEP;
+        if now == warm {
+            cost = Cost::default();
+            inputs.extend((0..daemons).map(|n| (n, Input::Config(7))));
+        }
+        for (to, input) in std::mem::take(&mut inputs) {
+            members[to].handle(now, input);
+        }
+        for n in 0..daemons {
+            for action in members[n].poll(now) {
+                match action {
+                    Action::Dial { peer, .. } => {
+                        let other = at(&peer);
+                        links.insert((n.min(other), n.max(other)));
+                        for (me, ident, dialled) in
+                            [(n, &idents[other], true), (other, &idents[n], false)]
+                        {
+                            let ident = ident.clone();
+                            inputs.push((me, Input::Linked { ident, dialled }));
+                        }
+                    }
+                    Action::Heartbeat { to, beat } => {
+                        let size = encode(&Message::<()>::Heartbeat(beat.clone())).len();
+                        cost.beats += to.len();
+                        cost.beat_bytes += to.len() * (size + FRAMING);
+                        let from = &idents[n].id;
+                        inputs.extend(to.iter().map(|to| {
+                            let (from, beat) = (from.clone(), beat.clone());
+                            (at(to), Input::Heartbeat { from, beat })
+                        }));
+                    }
+                    Action::Versions { to, entries } => {
+                        let message = Message::<()>::Versions(entries.clone());
+                        cost.gossips += 1;
+                        cost.gossip_bytes += encode(&message).len() + FRAMING;
+                        let from = idents[n].id.clone();
+                        inputs.push((at(&to), Input::Versions { from, entries }));
+                    }
+                    Action::Close { .. } | Action::State { .. } => {}
+                }
+            }
+        }
+    }
+    (cost, links.len())
+}
+
+/// Operations with the fields of the mirror's, whose own types the links don't depend on.
+#[derive(Serialize)]
+enum Op {
+    Open {
+        seq: u64,
+        customer: String,
+        budget: String,
+        profile: String,
+        bound: u64,
+    },
+    Close {
+        seq: u64,
+        tokens: u64,
+        verdict: String,
+    },
+}
+
+#[derive(Serialize)]
+struct Mirror {
+    inc: String,
+    epoch: u64,
+    first: u64,
+    ops: Vec<Op>,
+}
+
+fn mirror_bytes(requests: u64) -> usize {
+    let ops = (0..requests).flat_map(|n| {
+        let seq = 1_000_000 + n;
+        let open = Op::Open {
+            seq,
+            customer: "lamp-makers".into(),
+            budget: "catalogue".into(),
+            profile: "write-up".into(),
+            bound: 4096,
+        };
+        let close = Op::Close {
+            seq,
+            tokens: 1234,
+            verdict: "ran".into(),
+        };
+        [open, close]
+    });
+    let mirror = Mirror {
+        inc: "ingress-001.00112233445566aa".into(),
+        epoch: 3,
+        first: 2_000_000,
+        ops: ops.collect(),
+    };
+    encode(&Message::Node(mirror)).len() + FRAMING
+}
+
+fn main() {
+    println!("daemons dcs links/daemon messages/s bytes/s heartbeat-bytes gossip-bytes/s");
+    for (daemons, dcs) in [(7, 4), (40, 8), (340, 21)] {
+        let (cost, links) = run(daemons, dcs);
+        let each = |sum: usize| sum as f64 / daemons as f64 / SECONDS as f64;
+        let bytes = each(cost.beat_bytes + cost.gossip_bytes);
+        println!(
+            "{daemons} {dcs} {:.1} {:.1} {bytes:.0} {} {:.0}",
+            2.0 * links as f64 / daemons as f64,
+            each(cost.beats + cost.gossips),
+            cost.beat_bytes / cost.beats,
+            each(cost.gossip_bytes),
+        );
+        // Each byte is received as well.
+        assert!(
+            2.0 * bytes <= BYTES_PER_S as f64,
+            "membership exceeds its share"
+        );
+    }
+    println!("requests/mirror-message bytes/request");
+    for requests in [1, 10, 100] {
+        let bytes = mirror_bytes(requests);
+        println!("{requests} {:.1}", bytes as f64 / requests as f64);
+    }
+}
