Test that a forged proof is refused on a link

The test with a wrong secret exercises only the dialling side, which sees the wrong tag first and never sends its proof. The new test sends a false proof, and the other side's own tag as proof.

--- a/tests/peer_links.rs
+++ b/tests/peer_links.rs
@@ -13,6 +13,7 @@
 
 use cuminloom::{
     peer::{
+        Bytes,
         Counts,
         Event,
         Ident,
@@ -20,7 +21,9 @@
         Message,
         Peers,
         Settings,
-        State, //
+        State,
+        decode,
+        encode, //
     },
     settings::Peer,
 };
@@ -29,6 +32,12 @@
     Relay, //
 };
 
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use tokio_tungstenite::tungstenite;
+
 type Payload = (u32, String);
 type Daemon = (Peers<Payload>, flume::Receiver<Event<Payload>>);
 
@@ -157,6 +166,54 @@
     );
 }
 
+#[derive(Serialize)]
+struct Greeting {
+    ident: Ident,
+    to: &'static str,
+    nonce: Bytes,
+}
+
+#[derive(Serialize)]
+struct Hello {
+    greeting: Bytes,
+}
+
+#[derive(Serialize, Deserialize)]
+struct Proof {
+    tag: Bytes,
+}
+
+/// Guards against a daemon that accepts a stranger who ignores the tag of the other side, and who
+/// sends that tag back as its own.
+#[test]
+fn a_forged_proof_is_refused() {
+    let b = bind(settings("b", "1", &[]));
+    for is_reflected in [false, true] {
+        let stream = TcpStream::connect(b.0.addr()).unwrap();
+        let url = format!("ws://{}/", b.0.addr());
+        let (mut socket, _) = tungstenite::client(url, stream).unwrap();
+        let greeting = Greeting {
+            ident: settings("a", "1", &[]).ident,
+            to: "b",
+            nonce: Bytes(vec![0; 32]),
+        };
+        let greeting = Bytes(encode(&greeting));
+        let hello = encode(&Hello { greeting });
+        socket.send(tungstenite::Message::binary(hello)).unwrap();
+        let welcome = socket.read().unwrap().into_data();
+        // The other field of the answer is the greeting.
+        let mut proof: Proof = decode(&welcome).unwrap();
+        if !is_reflected {
+            proof.tag = Bytes(vec![0; 32]);
+        }
+        let proof = encode(&proof);
+        socket.send(tungstenite::Message::binary(proof)).unwrap();
+        assert!(socket.read().is_err());
+        wait_counts(&b, |counts| counts.refused == 1 + u64::from(is_reflected));
+    }
+    assert!(b.1.try_iter().next().is_none());
+}
+
 /// Guards against a daemon that stops serving others after malformed or oversized bytes.
 #[test]
 fn malformed_bytes_close_the_link() {
