--- a/src/route/choice.rs
+++ b/src/route/choice.rs
@@ -49,8 +49,8 @@
     reserve: bool,
     rng: &mut StdRng,
 ) -> Option<TargetId> {
-    let average = service.first_byte_mean(ticket.job.urgency);
-    let sound = |v: &View| v.up() && v.slowness(now, average) <= DEGRADED;
+    let averages = service.first_byte_means();
+    let sound = |v: &View| v.up() && v.slowness(now, averages) <= DEGRADED;
     let any_sound = service.views.values().any(sound);
     let mut best: Option<Tier> = None;
     let mut candidates: Vec<&View> = Vec::new();
@@ -94,7 +94,7 @@
     if !view.up() || view.own() >= service.limit(view, class) {
         return None;
     }
-    let degraded = view.slowness(now, service.first_byte_mean(urgency)) > DEGRADED;
+    let degraded = view.slowness(now, service.first_byte_means()) > DEGRADED;
     match (degraded, view.local) {
         // One patient request at a time keeps measuring a degraded target.
         (true, _) if urgency == Urgency::Patient && view.own() > 0 => None,
@@ -141,8 +141,8 @@
     if second >= first {
         second = (second + 1) % candidates.len();
     }
-    let average = service.first_byte_mean(Urgency::Urgent);
-    let score = |i: usize| candidates[i].score(now, service.fleet, average);
+    let averages = service.first_byte_means();
+    let score = |i: usize| candidates[i].score(now, service.fleet, averages);
     let index = if score(second) < score(first) {
         second
     } else {
--- a/src/route/dispatch.rs
+++ b/src/route/dispatch.rs
@@ -160,7 +160,7 @@
             "no dispatch to a failed target"
         );
         view.running.insert(id);
-        view.pending.insert((now, id));
+        view.pending[ticket.job.urgency as usize].insert((now, id));
         view.patient += u32::from(ticket.job.urgency == Urgency::Patient);
         ticket.place = Place::Running {
             target: target.clone(),
--- a/src/route/ended.rs
+++ b/src/route/ended.rs
@@ -95,6 +95,6 @@
         view.running.remove(&open.job.ticket),
         "a slot is freed once"
     );
-    view.pending.remove(&(sent, open.job.ticket));
+    view.pending[open.job.urgency as usize].remove(&(sent, open.job.ticket));
     view.patient -= u32::from(open.job.urgency == Urgency::Patient);
 }
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -42,7 +42,8 @@
     pub queue: usize,
     /// Longest queue of one customer of a service, in requests, per urgency.
     pub customer_queue: usize,
-    /// Share of each target's limit that only urgent work may use, from 0 to 1.
+    /// Share of each target's limit that only urgent work may use, from 0 to 1; up to half of it
+    /// is given to patient work while there is little urgent work.
     pub headroom: f64,
     /// Share of a service's limits that waiting patient work gets at least, from 0 to 1.
     pub patient_min: f64,
@@ -80,7 +81,7 @@
             dc,
             queue: 2_048,
             customer_queue: 1_024,
-            headroom: 0.17,
+            headroom: 0.2,
             patient_min: 0.1,
             retry_fraction: 0.1,
             retry_burst: 20.0,
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -137,7 +137,7 @@
     }
 
     /// Sets the number of daemons in the data centre and this daemon's number among them, from 0.
-    /// Daemons share the capacity of targets evenly, and each target has one daemon that may run
+    /// Daemons share the capacity of local targets evenly, and each target has one daemon that may run
     /// requests with a strike there.
     ///
     /// # Examples
@@ -223,6 +223,7 @@
         if review {
             self.reviewed = now;
         }
+        self.services.values_mut().for_each(|s| s.observe(now));
         let busy = self.services.iter().filter(|(_, s)| s.queued() > 0);
         let names: Vec<ServiceId> = busy.map(|(id, _)| id.clone()).collect();
         for name in names {
@@ -331,7 +332,7 @@
         let service = service_of(&mut self.services, &open.job);
         let ratio = service.first_byte(open.job.urgency, now.saturating_sub(*sent));
         if let Some(view) = service.views.get_mut(target) {
-            view.pending.remove(&(*sent, ticket));
+            view.pending[open.job.urgency as usize].remove(&(*sent, ticket));
             view.first_byte(now, ratio, self.settings.max_limit);
         }
     }
--- a/src/route/service.rs
+++ b/src/route/service.rs
@@ -38,6 +38,14 @@
 /// request that was accepted should not be refused for a short disturbance.
 const REVIEW_FACTOR: f64 = 0.6;
 
+/// Headroom per used share of the limits: urgent work needs room for its fluctuation, which grows
+/// with its amount, and any more is lost to patient work.
+const HEADROOM_FACTOR: f64 = 0.37;
+/// Part of the configured headroom that is kept while there is little urgent work.
+const HEADROOM_MIN: f64 = 0.5;
+/// Time over which the use by urgent work is averaged, in seconds.
+const USE_S: f64 = 10.0;
+
 /// State of one service.
 #[derive(Debug)]
 pub(super) struct Service {
@@ -51,6 +59,9 @@
     pub(super) fleet: Fleet,
     first_byte: [Mean; 2],
     headroom: f64,
+    /// Average share of the limits that urgent work uses.
+    urgent_use: f64,
+    observed: Duration,
     patient_min: f64,
 }
 
@@ -66,6 +77,9 @@
             fleet,
             first_byte: [Mean::default(), Mean::default()],
             headroom: settings.headroom,
+            // The full headroom until the use is known.
+            urgent_use: 1.0,
+            observed: Duration::ZERO,
             patient_min: settings.patient_min,
         }
     }
@@ -108,18 +122,39 @@
     }
 
     pub(super) fn limit(&self, view: &View, urgency: Urgency) -> u32 {
-        view.limit(urgency, self.fleet, self.headroom)
+        view.limit(urgency, self.fleet, self.reserved())
     }
 
     pub(super) fn report(&mut self, now: Duration, target: &TargetId, load: super::Load) {
+        let headroom = self.reserved();
         if let Some(view) = self.views.get_mut(target) {
-            view.report(now, load, self.fleet, self.headroom);
+            view.report(now, load, self.fleet, headroom);
+        }
+    }
+
+    /// Takes in how much of the limits urgent work uses now.
+    pub(super) fn observe(&mut self, now: Duration) {
+        let elapsed = now.saturating_sub(self.observed).as_secs_f64();
+        if elapsed < USE_S / 100.0 {
+            return;
         }
+        let limits = f64::from(self.limits(Urgency::Urgent)).max(1.0);
+        let urgent = f64::from(self.running() - self.patient_running());
+        let alpha = 1.0 - (-elapsed / USE_S).exp();
+        self.urgent_use += alpha * ((urgent / limits).min(1.0) - self.urgent_use);
+        self.observed = now;
+    }
+
+    /// Share of each limit that only urgent work may use at present.
+    fn reserved(&self) -> f64 {
+        (self.urgent_use * HEADROOM_FACTOR)
+            .max(self.headroom * HEADROOM_MIN)
+            .min(self.headroom)
     }
 
-    /// Mean time to first byte in seconds.
-    pub(super) fn first_byte_mean(&self, urgency: Urgency) -> Option<f64> {
-        self.first_byte[urgency as usize].seconds()
+    /// Mean times to first byte per urgency, in seconds.
+    pub(super) fn first_byte_means(&self) -> [Option<f64>; 2] {
+        self.first_byte.each_ref().map(Mean::seconds)
     }
 
     /// Takes in a time to first byte; returns its ratio to the average.
@@ -158,8 +193,10 @@
     }
 
     /// Slots that work of this urgency can get, and how many of them are free.
-    fn slots(&self, urgency: Urgency) -> (f64, f64) {
-        let limits = self.limits(urgency);
+    fn slots(&self, now: Duration, urgency: Urgency) -> (f64, f64) {
+        // A failed target takes one request as a probe.
+        let probes = self.views.values().filter(|v| v.probe_due(now)).count() as u32;
+        let limits = self.limits(urgency) + probes;
         let running = self.running();
         let patient = self.patient_running();
         let reserve = self.patient_reserve();
@@ -193,7 +230,7 @@
             return Err(overloaded("the queue of the customer is full"));
         }
         let ahead = queue.ahead(&job.customer, weight);
-        let (slots, free) = self.slots(job.urgency);
+        let (slots, free) = self.slots(now, job.urgency);
         let wait = self.completions.wait(now, ahead, slots, free);
         if now + wait.unwrap_or_default() + self.answer_time(job.urgency) > job.deadline {
             return Err(overloaded("the wait would exceed the deadline"));
@@ -214,7 +251,7 @@
     }
 
     fn answer_time(&self, urgency: Urgency) -> Duration {
-        Duration::from_secs_f64(self.first_byte_mean(urgency).unwrap_or(0.0))
+        Duration::from_secs_f64(self.first_byte_means()[urgency as usize].unwrap_or(0.0))
     }
 
     /// Removes queued requests whose deadline can no longer be met.
@@ -225,7 +262,7 @@
     ) -> Vec<u64> {
         let mut tickets = Vec::new();
         for urgency in [Urgency::Urgent, Urgency::Patient] {
-            let (slots, free) = self.slots(urgency);
+            let (slots, free) = self.slots(now, urgency);
             let answer = self.answer_time(urgency);
             let queue = match urgency {
                 Urgency::Urgent => &mut self.urgent,
--- a/src/route/view.rs
+++ b/src/route/view.rs
@@ -68,8 +68,8 @@
     pub(super) running: BTreeSet<u64>,
     /// Own patient requests in flight.
     pub(super) patient: u32,
-    /// Own requests without a first byte, by time of dispatch.
-    pub(super) pending: BTreeSet<(Duration, u64)>,
+    /// Own requests without a first byte, per urgency, by time of dispatch.
+    pub(super) pending: [BTreeSet<(Duration, u64)>; 2],
     /// Moving average of the time to first byte, relative to the service's average.
     pub(super) slow: f64,
     capacity: Option<u32>,
@@ -98,7 +98,7 @@
             health: Health::Up,
             running: BTreeSet::new(),
             patient: 0,
-            pending: BTreeSet::new(),
+            pending: [BTreeSet::new(), BTreeSet::new()],
             slow: 1.0,
             capacity: None,
             foreign: 0.0,
@@ -176,7 +176,9 @@
             return 0;
         }
         let part = match self.capacity {
-            Some(capacity) => f64::from(capacity) / f64::from(fleet.daemons),
+            Some(capacity) if self.local => f64::from(capacity) / f64::from(fleet.daemons),
+            // The daemons of its own data centre divide the capacity; others get what is free.
+            Some(_) => 0.0,
             None => self.limit,
         };
         let limit = match urgency {
@@ -192,9 +194,8 @@
         rounded.min(max)
     }
 
-    /// Estimated load relative to capacity, weighted by slowness; lower is better. `average` is
-    /// the service's mean time to first byte in seconds.
-    pub(super) fn score(&self, now: Duration, fleet: Fleet, average: Option<f64>) -> f64 {
+    /// Estimated load relative to capacity, weighted by slowness; lower is better.
+    pub(super) fn score(&self, now: Duration, fleet: Fleet, averages: [Option<f64>; 2]) -> f64 {
         let own = f64::from(self.own());
         let capacity = self.capacity.map_or(self.limit, f64::from).max(1.0);
         // The reports lag and vary, the own requests are known exactly and the other daemons
@@ -202,22 +203,23 @@
         let reported = self.foreign + own + 1.0;
         let extrapolated = (own + 1.0) * f64::from(fleet.daemons);
         let load = (reported + extrapolated) / 2.0 / capacity;
-        load * self.slowness(now, average).max(1.0)
+        load * self.slowness(now, averages).max(1.0)
     }
 
-    /// Slowness including requests that still wait for their first byte.
-    pub(super) fn slowness(&self, now: Duration, average: Option<f64>) -> f64 {
-        let oldest = self
+    /// Slowness including requests that still wait for their first byte. `averages` are the
+    /// service's mean times to first byte per urgency, in seconds.
+    pub(super) fn slowness(&self, now: Duration, averages: [Option<f64>; 2]) -> f64 {
+        let ages = self
             .pending
-            .first()
-            .map(|(sent, _)| now.saturating_sub(*sent));
-        match (oldest, average) {
-            (Some(age), Some(average)) if average > 0.0 => {
+            .iter()
+            .zip(averages)
+            .filter_map(|(p, average)| {
+                let (sent, _) = p.first()?;
+                let age = now.saturating_sub(*sent).as_secs_f64();
                 // Half of the age: a single request with a long prompt is not a slow target.
-                self.slow.max(age.as_secs_f64() / average / 2.0)
-            }
-            _ => self.slow,
-        }
+                average.filter(|a| *a > 0.0).map(|a| age / a / 2.0)
+            });
+        ages.fold(self.slow, f64::max)
     }
 
     /// Takes in a time to first byte, as a ratio to the service's average.
@@ -274,7 +276,8 @@
     fn cut(&mut self, now: Duration) {
         if now.saturating_sub(self.last_cut) >= Duration::from_secs(1) {
             self.last_cut = now;
-            self.limit = (self.limit * 0.7).max(1.0);
+            // Relative to what is in flight: the limit may be far above it.
+            self.limit = (self.limit.min(f64::from(self.own()) + 1.0) * 0.7).max(1.0);
             self.borrow /= 2.0;
         }
     }
--- /dev/null
+++ b/tests/route_bounds.rs
@@ -0,0 +1,13 @@
+//! A short version of `cargo bench --bench routing -- --check`.
+
+#[path = "../benches/bounds/mod.rs"]
+mod bounds;
+#[path = "../benches/model/mod.rs"]
+mod model;
+
+/// Guards against a change of the policy that misses the stated aim.
+#[test]
+fn policy_meets_the_bounds() {
+    let misses = bounds::misses(&bounds::LAGS_MS[2..], 20.0, 2);
+    assert!(misses.is_empty(), "{misses:#?}");
+}
--- a/tests/route_run.rs
+++ b/tests/route_run.rs
@@ -408,21 +408,47 @@
     );
 }
 
-/// Guards against retries that multiply the load when every target fails.
+/// Guards against two suspects on one target, from one daemon or from two, and against a second
+/// run on the target that the request crashed before: neither would tell which request is at fault.
+#[test]
+fn suspects_run_alone_and_on_another_target() {
+    let mut used = Vec::new();
+    for rank in 0..2 {
+        let mut router = router(4, rank, 2);
+        for ticket in 0..20 {
+            router.strike(at(1), ticket, &name(rank as usize));
+            router
+                .offer(at(1), job(ticket, Urgency::Urgent, at(1)))
+                .unwrap();
+        }
+        used.extend(
+            dispatches(&mut router, at(1))
+                .into_iter()
+                .map(|(_, target)| target),
+        );
+    }
+    // Each daemon owns two targets, one of which crashed.
+    assert_eq!(used, ["t02", "t03"]);
+}
+
+/// Guards against retries that multiply the load when targets refuse much of it.
 #[test]
 fn retries_are_a_fraction_of_traffic() {
     let mut router = router(20, 0, 1);
-    for ticket in 0..5_000 {
+    for ticket in 0..2_000 {
         let now = at(ticket * 100);
-        let _ = router.offer(now, job(ticket, Urgency::Urgent, now));
-        for (ticket, _) in dispatches(&mut router, now) {
-            router.finished(now, ticket, Ended::Refused);
+        router
+            .offer(now, job(ticket, Urgency::Urgent, now))
+            .unwrap();
+        let mut ended = [Ended::Refused, Ended::Success][ticket as usize % 2];
+        while let [(ticket, _)] = dispatches(&mut router, now)[..] {
+            router.finished(now, ticket, ended);
+            ended = Ended::Success;
         }
     }
     let (figures, settings) = (router.figures(), Settings::new("dc".into()));
     let bound = settings.retry_burst + settings.retry_fraction * figures.offered as f64;
-    assert!(
-        figures.retries > 0 && figures.retries as f64 <= bound,
-        "{figures:?}"
-    );
+    assert!(figures.retries as f64 <= bound, "{figures:?}");
+    // Nearly all targets stay in use, so the budget is what limits the retries.
+    assert!(figures.retries as f64 > 0.9 * bound, "{figures:?}");
 }
