--- a/src/peer/view.rs
+++ b/src/peer/view.rs
@@ -21,7 +21,7 @@
     store::Vm,
 };
 
-/// An input of [`Members`].
+/// An input of [`Members`](super::Members).
 #[derive(Clone, Debug)]
 pub enum Input {
     /// A link is established.
@@ -65,7 +65,7 @@
     Restarted(Incarnation),
 }
 
-/// An action that [`Members`] asks for.
+/// An action that [`Members`](super::Members) asks for.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
     /// Open a link; answered by `Linked` or `Lost`.
