--- a/src/budget/slot.rs
+++ b/src/budget/slot.rs
@@ -24,6 +24,9 @@
 /// A budget without admissions for this long returns its share.
 pub(super) const IDLE_MS: Millis = 60_000;
 
+/// More tokens than any budget has, small enough that sums of a few do not overflow.
+pub(super) const HUGE: Tokens = 1 << 53;
+
 /// The exchange with the table that is in progress.
 #[derive(Debug)]
 pub(super) enum Flight {
@@ -216,11 +219,12 @@
 
     /// Records a request that waits.
     pub(super) fn starve(&mut self, now: Millis, bound: Tokens) {
+        let bound = bound.min(HUGE);
         self.least = match self.need {
             0 => bound,
             _ => self.least.min(bound),
         };
-        self.need = self.need.saturating_add(bound);
+        self.need = (self.need + bound).min(HUGE);
         self.peak = self.peak.max(bound);
         self.bound = self.bound.max(bound);
         self.used = now;
--- a/src/mirror/pair/mod.rs
+++ b/src/mirror/pair/mod.rs
@@ -16,13 +16,9 @@
     Op,
     Out,
     Peer,
-    Reply,
-    Request,
-    SealedBy,
     Snapshot,
     State,
     choose,
-    fence_key,
     log::{
         ACK_TIMEOUT,
         Log, //
@@ -36,14 +32,6 @@
         Tokens,
         Version, //
     },
-    store::{
-        Change,
-        Expect,
-        Outcome,
-        Row,
-        StoreFault,
-        Write, //
-    },
 };
 
 /// Pause before a failed commit on the fence row is repeated.
--- a/src/node/life/draw.rs
+++ b/src/node/life/draw.rs
@@ -136,7 +136,13 @@
         self.wait(number, Waiter::Issued(budget, total));
     }
 
-    pub(super) fn commit_known(&mut self, now: Duration, budget: BudgetId, expect: Version, row: Row) {
+    pub(super) fn commit_known(
+        &mut self,
+        now: Duration,
+        budget: BudgetId,
+        expect: Version,
+        row: Row,
+    ) {
         if !self.known.contains_key(&budget) {
             let op = Op::Issue {
                 budget: budget.clone(),
--- a/src/node/life/mod.rs
+++ b/src/node/life/mod.rs
@@ -7,7 +7,6 @@
         BTreeMap,
         VecDeque, //
     },
-    sync::Arc,
     time::Duration,
 };
 
@@ -52,13 +51,6 @@
         Verdict,
         Version, //
     },
-    store::{
-        Change as Put,
-        Expect,
-        Outcome,
-        StoreFault,
-        Write, //
-    },
 };
 
 /// Requests and bills kept in memory; admission stops above.
--- a/src/node/machine/mod.rs
+++ b/src/node/machine/mod.rs
@@ -33,13 +33,10 @@
 use crate::{
     budget::{
         self,
-        Mode,
-        Transfer,
-        TransferId, //
+        Mode, //
     },
     mirror::{
         Fence,
-        Message,
         Pair,
         Peer,
         Reply,
@@ -53,8 +50,7 @@
         Incarnation,
         Seq,
         Tokens,
-        Verdict,
-        daemon_of, //
+        Verdict, //
     },
 };
 
--- a/tests/budget.rs
+++ b/tests/budget.rs
@@ -271,6 +271,15 @@
     assert_eq!((rig.row.settled, rig.row.figures().free), (80, 99_920));
 }
 
+/// Guards against an overflow, and against a stuck request, when a bound exceeds every budget.
+#[test]
+fn enormous_bound_is_refused() {
+    let mut rig = Rig::new(1_000);
+    assert!(!rig.admit(u64::MAX, 0));
+    rig.pass(60);
+    assert!(rig.admit(1_000, 0));
+}
+
 /// Guards against a repeated transfer that adds its tokens twice, and one for another incarnation.
 #[test]
 fn transfer_counts_once() {
