--- a/src/node/machine/mod.rs
+++ b/src/node/machine/mod.rs
@@ -33,13 +33,10 @@
 use crate::{
     budget::{
         self,
-        Mode,
-        Transfer,
-        TransferId, //
+        Mode, //
     },
     mirror::{
         Fence,
-        Message,
         Pair,
         Peer,
         Reply,
@@ -53,8 +50,7 @@
         Incarnation,
         Seq,
         Tokens,
-        Verdict,
-        daemon_of, //
+        Verdict, //
     },
 };
 
@@ -276,6 +272,9 @@
                 for inc in found.stuck {
                     self.witness.start(Seal::third(inc, me.0.clone()));
                 }
+                for inc in found.absent {
+                    self.witness.start(Seal::release(inc, me.0.clone()));
+                }
                 for inc in found.sealed {
                     self.current().handle(now, budget::Event::Gone(inc));
                 }
