Follow membership, plans and the list of VMs in the daemon

Cause: the router shares the capacity of targets among the daemons of a data centre, but nothing told it how many there are; a cancelled stop left its target unused; a planned stop of a VM did not stop its daemon.

Change: Router::set_fleet on each change of the live daemons of the data centre; leaving and staying targets from the configuration and the list of VMs together; a planned stop of a VM starts the planned stop of its daemon.

--- a/src/bin/cuminloomd.rs
+++ b/src/bin/cuminloomd.rs
@@ -83,7 +83,14 @@
             return ExitCode::FAILURE;
         }
     };
-    signals.forever().next();
+    let stopper = daemon.stopper();
+    std::thread::spawn(move || {
+        for _ in signals.forever() {
+            // A stop that was asked for before is under way.
+            let _ = stopper.try_send(());
+        }
+    });
+    daemon.wait();
     if daemon.drain() {
         ExitCode::SUCCESS
     } else {
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -40,7 +40,10 @@
     Config,
     Received, //
 };
-pub(crate) use plugin::put_in_force;
+pub(crate) use plugin::{
+    follow_stops,
+    put_in_force, //
+};
 pub use shell::{
     poll,
     propose, //
--- a/src/config/plugin.rs
+++ b/src/config/plugin.rs
@@ -1,7 +1,10 @@
 //! The thread that keeps the configuration in force up to date.
 
 use std::{
-    sync::Arc,
+    sync::{
+        Arc,
+        PoisonError, //
+    },
     time::Duration, //
 };
 
@@ -53,10 +56,33 @@
         return;
     }
     ctx.router.configure(&config);
-    for stop in config.stops.values() {
-        if let Stop::Target(target) = stop {
-            ctx.router.leaving(target);
-        }
-    }
+    follow_stops(ctx);
     log::info!("configuration {} is in force", config.version);
 }
+
+/// Stops new work for targets that are leaving, and this daemon when its VM is to stop. A target is
+/// leaving when an operator's plan or the platform's list says so; its own load report is heeded by
+/// the router.
+pub(crate) fn follow_stops(ctx: &Context) {
+    let config = ctx.config.load();
+    let vms = ctx
+        .vms
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .clone();
+    let listed = vms.iter().filter(|vm| vm.leaving).map(|vm| vm.name.clone());
+    let planned = config.stops.values().filter_map(|stop| match stop {
+        Stop::Target(target) => Some(target.clone()),
+        Stop::Vm(_) => None,
+    });
+    let leaving = listed.chain(planned).collect();
+    let services = config.services.values();
+    let targets = services
+        .flat_map(|service| &service.targets)
+        .map(|target| target.id.clone());
+    ctx.router.plan(&leaving, &targets.collect());
+    let own = Stop::Vm(ctx.settings.daemon.vm.clone());
+    if config.stops.values().any(|stop| *stop == own) {
+        ctx.halt();
+    }
+}
--- a/src/kernel/context.rs
+++ b/src/kernel/context.rs
@@ -123,6 +123,8 @@
     pub queues: Queues,
     /// Whether the daemon was told to stop.
     pub stopping: AtomicBool,
+    /// Asks for a planned stop of the daemon.
+    pub stop: flume::Sender<()>,
 }
 
 /// Channels between plug-ins; each receiver is drained by one plug-in.
@@ -170,6 +172,11 @@
         Ok(())
     }
 
+    /// Asks for a planned stop of the daemon; repeating it has no effect.
+    pub(crate) fn halt(&self) {
+        let _ = self.stop.try_send(());
+    }
+
     /// Sets the gauges that are read from the machines when metrics are collected.
     ///
     /// # Examples
--- a/src/kernel/daemon.rs
+++ b/src/kernel/daemon.rs
@@ -64,6 +64,7 @@
 pub struct Daemon {
     context: Arc<Context>,
     kernel: Kernel,
+    stop: flume::Receiver<()>,
 }
 
 impl Daemon {
@@ -82,12 +83,45 @@
     /// daemon.drain();
     /// ```
     pub fn open(settings: Settings) -> Result<Self, Report<StartFault>> {
-        let context = Arc::new(context(settings)?);
+        let (stop_out, stop) = flume::bounded(1);
+        let context = Arc::new(context(settings, stop_out)?);
         let plugins = inventory::iter::<DaemonPlugin>.into_iter();
         let kernel = Kernel::start(plugins, &context)?;
         let daemon = &context.settings.daemon;
         log::info!("daemon {} started in data centre {}", daemon.id, daemon.dc);
-        Ok(Self { context, kernel })
+        Ok(Self {
+            context,
+            kernel,
+            stop,
+        })
+    }
+
+    /// A sender by which another thread asks for a planned stop.
+    ///
+    /// # Examples
+    ///
+    /// ```no_run
+    /// # fn stop(daemon: &cuminloom::kernel::Daemon) {
+    /// daemon.stopper().send(()).unwrap();
+    /// daemon.wait();
+    /// # }
+    /// ```
+    pub fn stopper(&self) -> flume::Sender<()> {
+        self.context.stop.clone()
+    }
+
+    /// Waits until a planned stop is asked for, by [`Daemon::stopper`] or by the configuration.
+    ///
+    /// # Examples
+    ///
+    /// ```no_run
+    /// # fn run(daemon: cuminloom::kernel::Daemon) {
+    /// daemon.wait();
+    /// daemon.drain();
+    /// # }
+    /// ```
+    pub fn wait(&self) {
+        let _ = self.stop.recv();
     }
 
     /// Stops as planned: the balancer is told to send no more, requests in progress finish, bills
@@ -126,7 +160,7 @@
     }
 }
 
-fn context(settings: Settings) -> Result<Context, Report<StartFault>> {
+fn context(settings: Settings, stop: flume::Sender<()>) -> Result<Context, Report<StartFault>> {
     let secret: Arc<[u8]> = settings
         .peer
         .secret
@@ -185,6 +219,7 @@
             wake_config,
         },
         stopping: AtomicBool::new(false),
+        stop,
         settings,
         secret,
         process,
--- a/src/node/plugin.rs
+++ b/src/node/plugin.rs
@@ -13,6 +13,7 @@
     Event, //
 };
 use crate::{
+    config::follow_stops,
     kernel::{
         Context,
         DaemonPlugin,
@@ -108,6 +109,7 @@
             if let Ok(vms) = ctx.store.vms() {
                 *ctx.vms.lock().unwrap_or_else(PoisonError::into_inner) = vms.clone().into();
                 ctx.node.handle(Event::Vms(vms));
+                follow_stops(&ctx);
             }
             if stop.recv_timeout(VMS_EVERY) != Err(flume::RecvTimeoutError::Timeout) {
                 return;
--- a/src/peer/plugin.rs
+++ b/src/peer/plugin.rs
@@ -328,12 +328,7 @@
         }
         stays
     });
-    let near: Vec<DaemonId> = alive
-        .iter()
-        .filter(|(_, (_, peer))| peer.dc == ctx.settings.daemon.dc)
-        .map(|(id, _)| id.clone())
-        .collect();
-    *ctx.near.lock().unwrap_or_else(PoisonError::into_inner) = near;
+    share_targets(ctx, &alive);
     for (id, (inc, peer)) in alive {
         if known.get(&id) != Some(&inc) {
             known.insert(id, inc.clone());
@@ -342,6 +337,24 @@
     }
 }
 
+/// Divides the targets of the data centre among its live daemons.
+fn share_targets(ctx: &Context, alive: &BTreeMap<DaemonId, (Incarnation, mirror::Peer)>) {
+    let own = &ctx.settings.daemon;
+    let near: Vec<DaemonId> = alive
+        .iter()
+        .filter(|(_, (_, peer))| peer.dc == own.dc)
+        .map(|(id, _)| id.clone())
+        .collect();
+    let mut known = ctx.near.lock().unwrap_or_else(PoisonError::into_inner);
+    if *known == near {
+        return;
+    }
+    let before = near.iter().filter(|id| **id < own.id).count();
+    let count = |number: usize| u32::try_from(number).unwrap_or(u32::MAX);
+    ctx.router.set_fleet(count(before), count(near.len() + 1));
+    *known = near;
+}
+
 /// Records what the other daemons have confirmed, and asks one that has a later version for it.
 fn confirm(ctx: &Context, links: &Links, own: Version) {
     let seen: Vec<(DaemonId, DataCentre, bool, Version)> = links.members(|members| {
--- a/src/route/handle.rs
+++ b/src/route/handle.rs
@@ -1,7 +1,10 @@
 //! The router shared by the threads that serve requests.
 
 use std::{
-    collections::HashMap,
+    collections::{
+        BTreeSet,
+        HashMap, //
+    },
     net::SocketAddr,
     sync::{
         Arc,
@@ -184,10 +187,23 @@
         state.pump(now);
     }
 
-    /// Stops new work for a target that is leaving.
-    pub(crate) fn leaving(&self, target: &TargetId) {
+    /// Sets which targets are leaving according to the platform's list and the operators' plans.
+    /// Others take new work again.
+    pub(crate) fn plan(&self, leaving: &BTreeSet<TargetId>, targets: &BTreeSet<TargetId>) {
+        let mut state = self.lock();
         let now = self.clock.now();
-        self.lock().router.leaving(now, target);
+        for target in targets {
+            match leaving.contains(target) {
+                true => state.router.leaving(now, target),
+                false => state.router.staying(now, target),
+            }
+        }
+        state.pump(now);
+    }
+
+    /// Sets the number of live daemons in the data centre and this daemon's number among them.
+    pub(crate) fn set_fleet(&self, rank: u32, daemons: u32) {
+        self.lock().router.set_fleet(rank, daemons);
     }
 
     /// Takes a strike from a peer.
