Keep the account of a seal linear in its bills

Cause: absorbing a batch, and sorting late bills out against the seal object, compared every bill with every other one; with 65,536 buffered bills a seal would have taken minutes of one core.

Change: sets of request numbers. A late bill that does not fit its settled share now stops the program instead of counting without its budget row.

--- a/src/bill/book.rs
+++ b/src/bill/book.rs
@@ -1,5 +1,8 @@
 use std::{
-    collections::BTreeMap,
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
     mem, //
 };
 
@@ -70,10 +73,9 @@
     /// Accounts for a committed batch that this book does not know as cut.
     pub(crate) fn absorb(&mut self, batch: u64, bills: &[Bill]) {
         assert_eq!(batch, self.last + 1, "batches are absorbed in order");
-        for bill in bills {
-            self.open.remove(&bill.seq);
-            self.closed.retain(|known| known.seq != bill.seq);
-        }
+        let seqs: BTreeSet<Seq> = bills.iter().map(|bill| bill.seq).collect();
+        self.open.retain(|seq, _| !seqs.contains(seq));
+        self.closed.retain(|bill| !seqs.contains(&bill.seq));
         self.last = batch;
         self.cut.insert(batch, bills.to_vec());
         self.commit(batch);
--- a/src/bill/writer.rs
+++ b/src/bill/writer.rs
@@ -1,5 +1,8 @@
 use std::{
-    collections::BTreeMap,
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
     mem,
     sync::Arc,
     time::Duration, //
@@ -77,7 +80,7 @@
     /// Whether the sealer has settled the budget rows.
     settled: bool,
     /// Requests that the seal object names.
-    sealed: Vec<Seq>,
+    sealed: BTreeSet<Seq>,
     /// Finished requests that are in no late batch yet.
     bills: Vec<Bill>,
     /// Content of the late batch that is being written; all its bills are of one budget.
@@ -298,7 +301,7 @@
     pub(crate) fn seal(&mut self, now: Duration, book: &Book, seal: &Seal) {
         assert!(!self.pending, "an operation is under way");
         assert_eq!(book.committed, seal.batches, "the ledger row counts");
-        let sealed: Vec<Seq> = seal.bills.iter().map(|bill| bill.seq).collect();
+        let sealed: BTreeSet<Seq> = seal.bills.iter().map(|bill| bill.seq).collect();
         let mut billed = book.billed.clone();
         add(&mut billed, &seal.bills);
         self.phase = Phase::Idle;
@@ -335,6 +338,13 @@
             .settled = true;
     }
 
+    /// Whether the seal object names the request.
+    pub(crate) fn names(&self, seq: Seq) -> bool {
+        self.late
+            .as_ref()
+            .is_some_and(|late| late.sealed.contains(&seq))
+    }
+
     /// Whether the seal object was read.
     pub(crate) fn is_late(&self) -> bool {
         self.late.is_some()
@@ -371,9 +381,10 @@
             sealed: true,
             ..budget::Share::default()
         });
-        let left = share.outstanding()?;
+        let left = share.outstanding().expect("rows that are read are sound");
         share.received += total.saturating_sub(share.billed + left);
-        row.bill_late(inc, total).ok()?;
+        row.bill_late(inc, total)
+            .expect("the share is sealed and has the tokens");
         Some((version, row))
     }
 }
--- a/src/node/retire.rs
+++ b/src/node/retire.rs
@@ -178,7 +178,7 @@
         self.pair.settle(seal.batches);
         self.writer.seal(now, &self.pair.state().book, seal);
         for seq in self.unready() {
-            match seal.bills.iter().any(|bill| bill.seq == seq) {
+            match self.writer.names(seq) {
                 true => self.set_ready(seq),
                 false => self.refuse(now, seq),
             }
