Let a test deployment take further items, budgets and settings

Cause: tests of the interface to callers need profiles on targets of their own, small budgets, a trace collector and the daemon's log. Ruled out: edits through the administration API in each test, which needs a wait for every item to be in force. The request id of a seeded item names its kind too, since a service and a profile may share a name.

--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -51,9 +51,14 @@
     Sha256, //
 };
 
-use crate::process::{
-    Process,
-    binary, //
+use crate::{
+    process::Process,
+    start::{
+        is_ready,
+        start_daemon,
+        start_engines,
+        start_platform, //
+    },
 };
 
 /// Ports of every daemon.
@@ -83,6 +88,14 @@
     pub engine: Vec<&'static str>,
     /// Level of the daemons' logs.
     pub log: &'static str,
+    /// Items of the configuration beside those that every deployment has.
+    pub items: Vec<(Kind, &'static str, Value)>,
+    /// Budgets beside `lamps`, with their limits in tokens.
+    pub budgets: Vec<(&'static str, Tokens)>,
+    /// Groups of the daemons' settings that replace or add to the usual ones.
+    pub settings: Value,
+    /// Whether the daemons' logs go to [`Member::log`] instead of the standard error output.
+    pub capture: bool,
 }
 
 impl Default for Plan {
@@ -92,6 +105,10 @@
             limit: 1_000_000,
             engine: vec!["--ttft-ms", "5", "--tokens-per-second", "500"],
             log: "warn",
+            items: Vec::new(),
+            budgets: Vec::new(),
+            settings: json!({}),
+            capture: false,
         }
     }
 }
@@ -109,6 +126,8 @@
     pub caller: SocketAddr,
     /// Where operators send requests.
     pub admin: SocketAddr,
+    /// File that holds the daemon's log when the plan says so.
+    pub log: PathBuf,
     settings: PathBuf,
 }
 
@@ -201,9 +220,26 @@
     /// # }
     /// ```
     pub fn budget(&self) -> budget::Row {
+        self.budget_row("lamps")
+    }
+
+    /// The row of the budget `name` as the platform has it.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the platform does not answer or has no such budget.
+    ///
+    /// # Examples
+    ///
+    /// ```no_run
+    /// # fn show(fleet: &cuminloom_standins::fleet::Fleet) {
+    /// println!("{:?}", fleet.budget_row("lamps").figures());
+    /// # }
+    /// ```
+    pub fn budget_row(&self, name: &str) -> budget::Row {
         let row = self
             .store()
-            .read("budget/lamps")
+            .read(&format!("budget/{name}"))
             .expect("the platform answers");
         let row = row.expect("the budget exists");
         budget::Row::try_from(row.value).expect("the row is a budget")
@@ -224,7 +260,8 @@
     /// ```
     pub fn restart(&mut self, index: usize) -> io::Result<()> {
         let member = &mut self.members[index];
-        member.process = Some(start_daemon(&member.settings)?);
+        let log = self.plan.capture.then_some(&*member.log);
+        member.process = Some(start_daemon(&member.settings, log)?);
         Ok(())
     }
 
@@ -261,7 +298,7 @@
     fn seed(&self) -> io::Result<()> {
         let store = self.store();
         let edits = Mutex::new(Config::default());
-        for (kind, name, item) in self.items() {
+        for (kind, name, item) in self.items().into_iter().chain(self.plan.items.clone()) {
             let item: Item = serde_json::from_value(item).map_err(io::Error::other)?;
             let change = Change {
                 kind,
@@ -270,19 +307,26 @@
                 if_match: None,
                 operator: "board".into(),
                 time: 0,
-                request: format!("seed-{name}").into(),
+                request: format!("seed-{}-{name}", kind.plural()).into(),
             };
             config::propose(&edits, &store, change).map_err(|fault| {
                 io::Error::other(format!("the item {name:?} was not accepted: {fault:?}"))
             })?;
         }
-        let row = budget::Row::create("anod".into(), self.plan.limit);
-        let write = Write {
-            key: "budget/lamps".into(),
-            expect: Expect::Absent,
-            change: store::Change::Put((&row).into()),
-        };
-        store.commit(&[write]).map_err(io::Error::other)?;
+        for &(name, limit) in self
+            .plan
+            .budgets
+            .iter()
+            .chain(&[("lamps", self.plan.limit)])
+        {
+            let row = budget::Row::create("anod".into(), limit);
+            let write = Write {
+                key: format!("budget/{name}").into(),
+                expect: Expect::Absent,
+                change: store::Change::Put((&row).into()),
+            };
+            store.commit(&[write]).map_err(io::Error::other)?;
+        }
         let vms: Vec<Value> = self
             .places()
             .map(|(id, dc, _)| json!({ "name": id, "dc": dc, "state": "live" }))
@@ -387,9 +431,12 @@
             let settings = self.folder.join(format!("{id}.jsonc"));
             let text = self.settings(&id, dc, ip, &peers);
             std::fs::write(&settings, text.to_string())?;
+            let log = self.folder.join(format!("{id}.log"));
+            let captured = self.plan.capture.then_some(&*log);
             self.members.push(Member {
-                process: Some(start_daemon(&settings)?),
+                process: Some(start_daemon(&settings, captured)?),
                 id,
+                log: log.clone(),
                 dc,
                 caller: (ip, CALLER_PORT).into(),
                 admin: (ip, ADMIN_PORT).into(),
@@ -402,7 +449,7 @@
     fn settings(&self, id: &str, dc: &str, ip: Ipv4Addr, peers: &[Value]) -> Value {
         let token = hex::encode(Sha256::digest(TOKEN));
         let others: Vec<_> = peers.iter().filter(|peer| peer["id"] != id).collect();
-        json!({
+        let mut settings = json!({
             "daemon": { "id": id, "vm": id, "dc": dc },
             "caller": { "listen": format!("{ip}:{CALLER_PORT}") },
             "admin": {
@@ -417,42 +464,13 @@
             },
             "bill": { "interval_ms": 500 },
             "log": { "level": self.plan.log },
-        })
-    }
-}
-
-fn start_platform(plan: &Plan) -> io::Result<Process> {
-    let listen: Vec<String> = plan
-        .dcs
-        .iter()
-        .map(|(dc, _)| format!("{dc}=127.0.0.1:0"))
-        .collect();
-    let mut args = Vec::new();
-    for address in &listen {
-        args.extend(["--listen", address]);
+        });
+        let extra = self.plan.settings.as_object().cloned();
+        for (group, values) in extra.unwrap_or_default() {
+            for (name, value) in values.as_object().cloned().unwrap_or_default() {
+                settings[&group][&name] = value;
+            }
+        }
+        settings
     }
-    let names: Vec<&str> = plan
-        .dcs
-        .iter()
-        .map(|(dc, _)| *dc)
-        .chain(["control"])
-        .collect();
-    Process::standin("platform-standin", &args, &names)
-}
-
-fn start_engines(plan: &Plan) -> io::Result<Vec<Process>> {
-    let start = |_| Process::standin("engine-standin", &plan.engine, &["engine", "control"]);
-    plan.dcs.iter().map(start).collect()
-}
-
-fn start_daemon(settings: &std::path::Path) -> io::Result<Process> {
-    let path = settings.to_str().ok_or(io::ErrorKind::InvalidInput)?;
-    Process::spawn(&binary("cuminloomd"), &["--settings", path], &[])
-}
-
-fn is_ready(addr: SocketAddr) -> bool {
-    let reply = minreq::get(format!("http://{addr}/readyz"))
-        .with_timeout(1)
-        .send();
-    reply.is_ok_and(|reply| reply.status_code == 200)
 }
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod relay;
 pub mod server;
 pub mod service;
+mod start;
 pub mod store;
--- a/standins/src/process.rs
+++ b/standins/src/process.rs
@@ -67,10 +67,34 @@
     /// assert_eq!(process.addr("web").port(), 80);
     /// ```
     pub fn spawn(program: &Path, args: &[&str], names: &[&str]) -> io::Result<Self> {
+        Self::spawn_with(program, args, names, Stdio::inherit())
+    }
+
+    /// As [`Process::spawn`], with the standard error output sent to `errors`.
+    ///
+    /// # Errors
+    ///
+    /// As [`Process::spawn`].
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::process::Stdio;
+    /// use cuminloom_standins::process::Process;
+    /// let args = ["60"];
+    /// Process::spawn_with("/bin/sleep".as_ref(), &args, &[], Stdio::null()).unwrap();
+    /// ```
+    pub fn spawn_with(
+        program: &Path,
+        args: &[&str],
+        names: &[&str],
+        errors: Stdio,
+    ) -> io::Result<Self> {
         let mut child = Command::new(program)
             .args(args)
             .stdin(Stdio::piped())
             .stdout(Stdio::piped())
+            .stderr(errors)
             .spawn()?;
         let stdin = child.stdin.take();
         let mut lines = BufReader::new(child.stdout.take().expect("piped")).lines();
@@ -127,6 +151,19 @@
         self.addrs[name]
     }
 
+    /// Id of the process.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cuminloom_standins::process::Process;
+    /// let process = Process::spawn("/bin/sleep".as_ref(), &["60"], &[]).unwrap();
+    /// assert_ne!(process.id(), 0);
+    /// ```
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Pauses the process (SIGSTOP).
     ///
     /// # Errors
