Read targets' answers with their framing, and screen callers' requests

Cause: review of the interface to callers with real processes in mind. - minreq takes a chunked body that is cut between two chunks for a complete one, so a cut plain answer was passed on as whole; it has one deadline in whole seconds for head and body, so a target that never answered held a request for at least 30 s instead of until its deadline. - A caller that declared 2^60 bytes made tiny_http reserve them and the process abort. - tiny_http accepts single line feeds in paths and headers, which added headers at the target. - best_of, chat_template and content objects were not covered by the bound. - A slow answer or an overrun of the reserve counted as a crash and gave a strike.

Ruled out: minreq with its own deadline reset (the socket is not given out); a read timeout on the listener (it ends tiny_http's loop of accepts).

Change: target/connection.rs reads answers with httparse and chunked_transfer, with separate deadlines for head and whole; a failed connection is not-run; a body whose end nothing marks is passed on only as JSON. caller/declared.rs screens declared lengths for callers and operators. Control characters, keys over 255 bytes and wrong types are refused as not run. traceparent is checked as lower-case hex.

--- a/src/admin/server.rs
+++ b/src/admin/server.rs
@@ -34,6 +34,7 @@
     request::Request,
 };
 use crate::{
+    caller::screen,
     config::{
         Config,
         Kind, //
@@ -57,9 +58,6 @@
 const WORKERS: usize = 8;
 /// Longest accepted body, in bytes; a service with 1,700 targets fits, at 616 bytes for each.
 const BODY_LIMIT: usize = 1 << 20;
-/// Longest declared body, in bytes, that tiny_http may discard: it reserves the whole length, and a
-/// length that cannot be reserved ends the process.
-const DISCARDED: usize = 64 << 20;
 
 /// What the administration API needs from the settings.
 #[derive(Clone, Debug)]
@@ -226,13 +224,10 @@
     }
 }
 
-fn serve<S: Table + Objects, F: Fleet>(shared: &Shared<S, F>, mut http: tiny_http::Request) {
-    if http.body_length().is_some_and(|length| length > DISCARDED) {
-        log::warn!("a request to the administration API declares a body that is far too long");
-        // Dropping or answering it would discard its body. Its connection and thread are lost.
-        std::mem::forget(http);
+fn serve<S: Table + Objects, F: Fleet>(shared: &Shared<S, F>, http: tiny_http::Request) {
+    let Some(mut http) = screen(http, "the administration API") else {
         return;
-    }
+    };
     let setup = &shared.setup;
     match Request::read(&mut http, &setup.operators, setup.body_limit) {
         Ok(request) => {
--- a/src/caller/chat.rs
+++ b/src/caller/chat.rs
@@ -56,16 +56,19 @@
         let Some(Value::Array(messages)) = map.get("messages") else {
             return Err(bad("\"messages\" is missing or not an array"));
         };
-        if messages.iter().any(has_media) {
+        if !messages.iter().all(is_text) {
             // The tokens of an image or sound are not bounded by the size of the body.
-            return Err(bad("only text content is accepted"));
+            return Err(bad("only messages with text content are accepted"));
         }
+        check_types(&map)?;
         let overhead = MESSAGE_OVERHEAD * (messages.len() as Tokens + 1);
         // No token of a byte-level tokenizer is shorter than one byte of the text, and the text is
         // no longer than the body, so the body's length bounds the prompt. An escaped character
         // takes more bytes in the body than in the text, never fewer.
         let prompt = body.len() as Tokens + overhead;
-        let choices = number(&map, "n")?.unwrap_or(1).max(1);
+        // Engines that know `best_of` generate that many choices and return the best `n`.
+        let choices = [number(&map, "n")?, number(&map, "best_of")?];
+        let choices = choices.into_iter().flatten().max().unwrap_or(1).max(1);
         let asked = match (
             number(&map, "max_tokens")?,
             number(&map, "max_completion_tokens")?,
@@ -207,12 +210,37 @@
     }
 }
 
-/// Whether a message holds parts other than text.
-fn has_media(message: &Value) -> bool {
-    let Some(Value::Array(parts)) = message.get("content") else {
+/// Checks the fields that the daemon reads, so that the engine cannot read them differently.
+fn check_types(map: &Map<String, Value>) -> Result<(), Fault> {
+    type Check = fn(&Value) -> bool;
+    let fields: [(&str, Check, &str); 3] = [
+        ("model", Value::is_string, "a text"),
+        ("stream", Value::is_boolean, "true or false"),
+        ("stream_options", Value::is_object, "an object"),
+    ];
+    for (name, check, expected) in fields {
+        let value = map.get(name).unwrap_or(&Value::Null);
+        if !value.is_null() && !check(value) {
+            return Err(bad(format!("{name:?} is not {expected}")));
+        }
+    }
+    if map.contains_key("chat_template") {
+        // A template can repeat the prompt, so the body's length would not bound its tokens.
+        return Err(bad("\"chat_template\" is not accepted"));
+    }
+    Ok(())
+}
+
+/// Whether a message is an object whose content is text, a list of text parts, or absent.
+fn is_text(message: &Value) -> bool {
+    let Value::Object(message) = message else {
         return false;
     };
-    parts
-        .iter()
-        .any(|part| part.get("type").and_then(Value::as_str) != Some("text"))
+    match message.get("content") {
+        None | Some(Value::Null | Value::String(_)) => true,
+        Some(Value::Array(parts)) => parts
+            .iter()
+            .all(|part| part.get("type").and_then(Value::as_str) == Some("text")),
+        Some(_) => false,
+    }
 }
--- a/src/caller/exchange.rs
+++ b/src/caller/exchange.rs
@@ -1,6 +1,9 @@
 //! The path of one accepted request: admission, queue, send, answer, bill.
 
-use std::time::Duration;
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
 
 use crate::{
     kernel::Context,
@@ -62,8 +65,10 @@
 
 /// A kind of request: how it is sent and how its answer is passed on.
 pub(crate) trait Work {
-    /// Builds the request; `id` names it towards the target and `trace` continues its trace.
-    fn outgoing(&self, addr: std::net::SocketAddr, id: &str, trace: TraceContext) -> Outgoing;
+    /// Builds the request; `id` names it towards the target, `trace` continues its trace, and
+    /// `left` is the time left until the first byte of the answer is due.
+    fn outgoing(&self, addr: SocketAddr, id: &str, trace: TraceContext, left: Duration)
+    -> Outgoing;
 
     /// Takes the target's answer.
     fn deliver(&mut self, reply: Reply) -> Delivered;
@@ -183,7 +188,9 @@
         .tracer
         .start("send", SpanKind::Client, trace, order.trace.span);
     span.note("target", &slot.target);
-    let delivered = match send(&work.outgoing(slot.addr, &id, trace)) {
+    let deadline = order.start + order.profile.deadline;
+    let left = deadline.saturating_sub(ctx.clock.now());
+    let delivered = match send(&work.outgoing(slot.addr, &id, trace, left)) {
         Ok(reply) if is_refusal(&reply, order) => refused(),
         Ok(reply) => {
             ctx.router.first_byte(slot.ticket);
@@ -304,8 +311,9 @@
 
 fn unsent(fault: Fault) -> Delivered {
     let ended = match fault.verdict {
-        Verdict::NotRun => Ended::Unreachable,
-        verdict => Ended::Crashed(verdict),
+        Verdict::NotRun if fault.code == Code::TargetFailed => Ended::Unreachable,
+        Verdict::NotRun => Ended::Cancelled,
+        verdict => ended_by(&fault, verdict),
     };
     Delivered {
         tokens: None,
@@ -314,6 +322,15 @@
     }
 }
 
+/// How an exchange that failed ended for the router. A target that is only slow did not crash, and a
+/// strike would have the request refused.
+pub(crate) fn ended_by(fault: &Fault, verdict: Verdict) -> Ended {
+    match fault.code {
+        Code::Deadline | Code::TooLarge => Ended::Cancelled,
+        _ => Ended::Crashed(verdict),
+    }
+}
+
 fn observe_first(ctx: &Context, order: &Order<'_>) {
     let urgency = match order.profile.urgency {
         Urgency::Urgent => "urgent",
--- a/src/caller/mod.rs
+++ b/src/caller/mod.rs
@@ -6,6 +6,7 @@
 
 mod auth;
 mod chat;
+mod declared;
 mod exchange;
 mod keyed;
 mod plain;
@@ -16,6 +17,7 @@
 mod server;
 
 pub use chat::Chat;
+pub(crate) use declared::screen;
 pub use reply::{
     VERDICT_HEADER,
     error_body, //
--- a/src/caller/plain.rs
+++ b/src/caller/plain.rs
@@ -9,7 +9,8 @@
 use crate::{
     caller::exchange::{
         Delivered,
-        Work, //
+        Work,
+        ended_by, //
     },
     model::{
         Tokens,
@@ -48,7 +49,13 @@
 }
 
 impl Work for Plain {
-    fn outgoing(&self, addr: SocketAddr, id: &str, trace: TraceContext) -> Outgoing {
+    fn outgoing(
+        &self,
+        addr: SocketAddr,
+        id: &str,
+        trace: TraceContext,
+        left: Duration,
+    ) -> Outgoing {
         let mut headers = vec![
             ("Content-Type", self.kind.clone()),
             ("x-request-id", id.to_owned()),
@@ -63,6 +70,7 @@
             path: self.path.clone(),
             headers,
             body: self.body.clone(),
+            first: left,
             limit: self.limit,
         }
     }
@@ -78,14 +86,11 @@
                     fault: None,
                 }
             }
-            Err(fault) => {
-                let ended = Ended::Crashed(Verdict::MayHaveRun);
-                Delivered {
-                    tokens: Some(self.charge),
-                    ended,
-                    fault: Some(fault),
-                }
-            }
+            Err(fault) => Delivered {
+                tokens: Some(self.charge),
+                ended: ended_by(&fault, Verdict::MayHaveRun),
+                fault: Some(fault),
+            },
         }
     }
 }
--- a/src/caller/relay.rs
+++ b/src/caller/relay.rs
@@ -20,7 +20,8 @@
     },
     exchange::{
         Delivered,
-        Work, //
+        Work,
+        ended_by, //
     },
     reply::EventStream,
 };
@@ -54,6 +55,8 @@
     pub(crate) sending: Sending<'a>,
     /// Upper bound of the cost, in tokens.
     pub(crate) bound: Tokens,
+    /// Longest time for the generation of an answer.
+    pub(crate) generation: Duration,
     /// Longest time for the whole exchange.
     pub(crate) limit: Duration,
     /// The caller; taken when a stream to it was started.
@@ -73,7 +76,18 @@
 type Stream = EventStream<Box<dyn std::io::Write + Send>>;
 
 impl Work for Completion<'_> {
-    fn outgoing(&self, addr: SocketAddr, id: &str, trace: TraceContext) -> Outgoing {
+    fn outgoing(
+        &self,
+        addr: SocketAddr,
+        id: &str,
+        trace: TraceContext,
+        left: Duration,
+    ) -> Outgoing {
+        // The first byte of a whole answer comes after its last token.
+        let generation = match self.chat.is_stream() {
+            true => Duration::ZERO,
+            false => self.generation,
+        };
         Outgoing {
             addr,
             method: Method::Post,
@@ -84,6 +98,7 @@
                 ("traceparent", trace.to_string()),
             ],
             body: self.chat.outgoing(&self.sending),
+            first: left + generation,
             limit: self.limit,
         }
     }
@@ -135,7 +150,7 @@
             events += 1;
             if tokens.unwrap_or(events) > self.bound {
                 let detail = "the answer exceeded its reserve and was cut";
-                return broken(stream, Fault::may_have_run(Code::Internal, detail));
+                return broken(stream, Fault::may_have_run(Code::TooLarge, detail));
             }
             if bare && !self.chat.wants_usage() {
                 continue;
@@ -178,7 +193,7 @@
 fn crashed(fault: Fault) -> Delivered {
     Delivered {
         tokens: None,
-        ended: Ended::Crashed(Verdict::MayHaveRun),
+        ended: ended_by(&fault, Verdict::MayHaveRun),
         fault: Some(fault),
     }
 }
@@ -193,7 +208,7 @@
     let _ = open.broken(&fault);
     Delivered {
         tokens: None,
-        ended: Ended::Crashed(Verdict::Ran),
+        ended: ended_by(&fault, Verdict::Ran),
         fault: Some(fault),
     }
 }
--- a/src/caller/run.rs
+++ b/src/caller/run.rs
@@ -61,6 +61,9 @@
 /// for 95 in 100 tokens.
 const TOKEN_TIME: Duration = Duration::from_millis(200);
 
+/// Longest idempotency key, in bytes; it becomes a part of the key of a row.
+const MAX_KEY: usize = 255;
+
 /// Least time for a whole exchange with a target.
 const MIN_EXCHANGE: Duration = Duration::from_secs(30);
 
@@ -91,6 +94,13 @@
         return Err(Fault::not_run(Code::KeyRequired, detail));
     }
     let key = key.filter(|_| profile.repeat == Repeat::Once);
+    if key
+        .as_ref()
+        .is_some_and(|key| key.is_empty() || key.len() > MAX_KEY)
+    {
+        let detail = format!("an idempotency key has 1 to {MAX_KEY} bytes");
+        return Err(Fault::not_run(Code::BadRequest, detail));
+    }
     Ok(Head {
         customer,
         profile,
@@ -152,6 +162,7 @@
             urgency: profile.urgency,
         },
         bound,
+        generation: wait,
         limit: (profile.deadline + wait).max(MIN_EXCHANGE),
         caller: Some(request),
         answer: None,
--- a/src/caller/server.rs
+++ b/src/caller/server.rs
@@ -31,6 +31,7 @@
         customer,
         header_of, //
     },
+    declared::screen,
     reply::{
         answer,
         refuse, //
@@ -60,6 +61,10 @@
 /// Pending connections of the listener.
 const BACKLOG: i32 = 1_024;
 
+/// Longest wait for a caller to take a part of its answer. A caller that takes nothing would keep
+/// its target busy.
+const WRITE_LIMIT: Duration = Duration::from_secs(30);
+
 /// Idle time after which a silent caller's connection is probed.
 const KEEPALIVE: Duration = Duration::from_secs(30);
 
@@ -133,12 +138,13 @@
     }
 }
 
-/// Binds a listener whose accepted sockets inherit no-delay and keep-alive, which the HTTP library
-/// does not set.
+/// Binds a listener whose accepted sockets inherit no-delay, keep-alive and the write timeout, which
+/// the HTTP library does not set. A read timeout would end the library's loop of accepts.
 fn listener(addr: SocketAddr) -> std::io::Result<std::net::TcpListener> {
     let socket = Socket::new(Domain::for_address(addr), Type::STREAM, None)?;
     socket.set_reuse_address(true)?;
     socket.set_tcp_nodelay(true)?;
+    socket.set_write_timeout(Some(WRITE_LIMIT))?;
     socket.set_tcp_keepalive(&TcpKeepalive::new().with_time(KEEPALIVE))?;
     socket.bind(&addr.into())?;
     socket.listen(BACKLOG)?;
@@ -155,7 +161,10 @@
         .name("accept".into())
         .spawn(move || {
             while !stop.is_disconnected() {
-                if let Ok(Some(request)) = server.recv_timeout(POLL) {
+                let Ok(Some(request)) = server.recv_timeout(POLL) else {
+                    continue;
+                };
+                if let Some(request) = screen(request, "the interface to callers") {
                     spawn_request(&ctx, request);
                 }
             }
--- a/src/target/event.rs
+++ b/src/target/event.rs
@@ -11,6 +11,7 @@
     de::IgnoredAny, //
 };
 
+use super::send::cut_off;
 use crate::{
     model::{
         Code,
@@ -83,7 +84,10 @@
             let limited = (&mut self.input)
                 .take(MAX_EVENT)
                 .read_until(b'\n', &mut line);
-            if limited.is_err() || line.last() != Some(&b'\n') {
+            if let Err(err) = limited {
+                return Err(cut_off(&err));
+            }
+            if line.last() != Some(&b'\n') {
                 return Err(Fault::may_have_run(
                     Code::TargetFailed,
                     "the stream was cut off",
--- a/src/target/send.rs
+++ b/src/target/send.rs
@@ -1,7 +1,6 @@
 //! One request to a target over HTTP.
 
 use std::{
-    fmt,
     io::{
         ErrorKind,
         Read, //
@@ -13,6 +12,11 @@
 
 use serde::de::IgnoredAny;
 
+use super::connection::{
+    self,
+    Body,
+    Head, //
+};
 use crate::model::{
     Code,
     Fault, //
@@ -35,6 +39,20 @@
     Delete,
 }
 
+impl Method {
+    /// Name in the request line.
+    pub(super) fn as_str(self) -> &'static str {
+        match self {
+            Method::Get => "GET",
+            Method::Head => "HEAD",
+            Method::Post => "POST",
+            Method::Put => "PUT",
+            Method::Patch => "PATCH",
+            Method::Delete => "DELETE",
+        }
+    }
+}
+
 /// A request to a target.
 #[derive(Clone, Debug)]
 pub struct Outgoing {
@@ -48,27 +66,20 @@
     pub headers: Vec<(&'static str, String)>,
     /// Body.
     pub body: Arc<[u8]>,
-    /// Longest time for the whole exchange, rounded up to seconds.
+    /// Longest wait for the head of the answer.
+    pub first: Duration,
+    /// Longest time for the whole exchange.
     pub limit: Duration,
 }
 
 /// The head of a target's answer; the body is read from it.
+#[derive(Debug)]
 pub struct Reply {
     /// HTTP status.
     pub status: u16,
     /// Content type.
     pub kind: Arc<str>,
-    length: Option<usize>,
-    inner: minreq::ResponseLazy,
-}
-
-impl fmt::Debug for Reply {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Reply")
-            .field("status", &self.status)
-            .field("kind", &self.kind)
-            .finish()
-    }
+    body: Body,
 }
 
 impl Reply {
@@ -103,24 +114,18 @@
     /// # }
     /// ```
     pub fn read_all(self, limit: usize) -> Result<Vec<u8>, Fault> {
+        let mut input = self.body;
         let mut body = Vec::new();
-        let max = limit as u64 + 1;
-        let read = self.inner.take(max).read_to_end(&mut body);
-        // The library reports the end of the connection as the end of the body.
-        let whole = match self.length {
-            Some(length) => body.len() >= length.min(limit + 1),
-            // A chunked body that is cut between two chunks looks complete to the library too, so
-            // JSON is checked for its end.
-            None if self.kind.starts_with("application/json") => {
-                serde_json::from_slice::<IgnoredAny>(&body).is_ok()
-            }
-            None => true,
-        };
-        if read.is_err() || !whole {
-            return Err(Fault::may_have_run(
-                Code::TargetFailed,
-                "the target's answer was cut off",
-            ));
+        let read = input.by_ref().take(limit as u64 + 1).read_to_end(&mut body);
+        if let Err(err) = read {
+            return Err(cut_off(&err));
+        }
+        // Nothing marks the end of a body that ends with its connection, so it may have been cut
+        // anywhere. Only JSON shows its end itself.
+        let marked = !input.ends_with_connection();
+        if !marked && serde_json::from_slice::<IgnoredAny>(&body).is_err() {
+            let detail = "the target's answer does not say where it ends";
+            return Err(Fault::may_have_run(Code::TargetFailed, detail));
         }
         if body.len() > limit {
             return Err(Fault::may_have_run(
@@ -134,7 +139,7 @@
 
 impl Read for Reply {
     fn read(&mut self, buf: &mut [u8]) -> std::io::Result<usize> {
-        self.inner.read(buf)
+        self.body.read(buf)
     }
 }
 
@@ -143,7 +148,7 @@
 ///
 /// # Errors
 ///
-/// Fails with verdict not-run when the target refused the connection, else with may-have-run.
+/// Fails with verdict not-run when no connection was made, else with may-have-run.
 ///
 /// # Examples
 ///
@@ -160,60 +165,23 @@
 ///     path: "/holds".into(),
 ///     headers: vec![],
 ///     body: (*b"{}").into(),
+///     first: Duration::from_secs(1),
 ///     limit: Duration::from_secs(1),
 /// })
 /// .unwrap_err();
 /// assert_eq!(fault.verdict, Verdict::NotRun);
 /// ```
 pub fn send(out: &Outgoing) -> Result<Reply, Fault> {
-    let url = format!("http://{}{}", out.addr, out.path);
-    let method = match out.method {
-        Method::Get => minreq::Method::Get,
-        Method::Head => minreq::Method::Head,
-        Method::Post => minreq::Method::Post,
-        Method::Put => minreq::Method::Put,
-        Method::Patch => minreq::Method::Patch,
-        Method::Delete => minreq::Method::Delete,
-    };
-    // A redirect would send a request that may not be repeated a second time.
-    let mut request = minreq::Request::new(method, url)
-        .with_follow_redirects(false)
-        .with_timeout(out.limit.as_secs() + u64::from(out.limit.subsec_nanos() > 0))
-        .with_body(&*out.body);
-    for (name, value) in &out.headers {
-        request = request.with_header(*name, value.as_str());
-    }
-    let inner = request.send_lazy().map_err(|err| fault_of(&err))?;
-    let header = |name: &str| {
-        let found = inner
-            .headers
-            .iter()
-            .find(|(key, _)| key.eq_ignore_ascii_case(name));
-        found.map(|(_, value)| value.trim())
-    };
-    let no_body = out.method == Method::Head;
-    let length = header("content-length")
-        .filter(|_| !no_body)
-        .and_then(|text| text.parse().ok());
-    let kind = header("content-type")
-        .unwrap_or("application/octet-stream")
-        .into();
-    Ok(Reply {
-        status: inner.status_code,
-        kind,
-        length,
-        inner,
-    })
+    let Head { status, kind, body } = connection::exchange(out)?;
+    Ok(Reply { status, kind, body })
 }
 
-fn fault_of(err: &minreq::Error) -> Fault {
-    match err {
-        minreq::Error::IoError(io) if io.kind() == ErrorKind::ConnectionRefused => {
-            Fault::not_run(Code::TargetFailed, "the target refused the connection")
-        }
-        minreq::Error::IoError(io) if io.kind() == ErrorKind::TimedOut => {
-            Fault::may_have_run(Code::Deadline, "the target did not answer in time")
+/// The failure of an answer whose body could not be read to its end.
+pub(super) fn cut_off(err: &std::io::Error) -> Fault {
+    match err.kind() {
+        ErrorKind::TimedOut => {
+            Fault::may_have_run(Code::Deadline, "the target's answer took too long")
         }
-        _ => Fault::may_have_run(Code::TargetFailed, "the connection to the target broke"),
+        _ => Fault::may_have_run(Code::TargetFailed, "the target's answer was cut off"),
     }
 }
--- a/src/telemetry/trace.rs
+++ b/src/telemetry/trace.rs
@@ -54,13 +54,23 @@
     /// let context = TraceContext::parse(text).unwrap();
     /// assert_eq!(context.to_string(), text);
     /// assert!(TraceContext::parse("00-0-0-00").is_none());
+    /// assert!(TraceContext::parse(&text.to_uppercase()).is_none());
     /// ```
     pub fn parse(text: &str) -> Option<Self> {
         let mut parts = text.trim().split('-');
         let (version, trace, span, flags) =
             (parts.next()?, parts.next()?, parts.next()?, parts.next()?);
         let lengths = (version.len(), trace.len(), span.len(), flags.len());
-        if lengths != (2, 32, 16, 2) || version == "ff" {
+        // Later versions may append fields, version 00 has four.
+        let surplus = version == "00" && parts.next().is_some();
+        if lengths != (2, 32, 16, 2) || version == "ff" || surplus {
+            return None;
+        }
+        let is_hex = |byte: u8| matches!(byte, b'0'..=b'9' | b'a'..=b'f');
+        let mut digits = [version, trace, span, flags]
+            .into_iter()
+            .flat_map(str::bytes);
+        if !digits.all(is_hex) {
             return None;
         }
         let trace = u128::from_str_radix(trace, 16).ok()?;
