--- a/src/kernel/daemon.rs
+++ b/src/kernel/daemon.rs
@@ -64,6 +64,7 @@
 pub struct Daemon {
     context: Arc<Context>,
     kernel: Kernel,
+    stop: flume::Receiver<()>,
 }
 
 impl Daemon {
@@ -82,12 +83,45 @@
     /// daemon.drain();
     /// ```
     pub fn open(settings: Settings) -> Result<Self, Report<StartFault>> {
-        let context = Arc::new(context(settings)?);
+        let (stop_out, stop) = flume::bounded(1);
+        let context = Arc::new(context(settings, stop_out)?);
         let plugins = inventory::iter::<DaemonPlugin>.into_iter();
         let kernel = Kernel::start(plugins, &context)?;
         let daemon = &context.settings.daemon;
         log::info!("daemon {} started in data centre {}", daemon.id, daemon.dc);
-        Ok(Self { context, kernel })
+        Ok(Self {
+            context,
+            kernel,
+            stop,
+        })
+    }
+
+    /// A sender by which another thread asks for a planned stop.
+    ///
+    /// # Examples
+    ///
+    /// ```no_run
+    /// # fn stop(daemon: &cuminloom::kernel::Daemon) {
+    /// daemon.stopper().send(()).unwrap();
+    /// daemon.wait();
+    /// # }
+    /// ```
+    pub fn stopper(&self) -> flume::Sender<()> {
+        self.context.stop.clone()
+    }
+
+    /// Waits until a planned stop is asked for, by [`Daemon::stopper`] or by the configuration.
+    ///
+    /// # Examples
+    ///
+    /// ```no_run
+    /// # fn run(daemon: cuminloom::kernel::Daemon) {
+    /// daemon.wait();
+    /// daemon.drain();
+    /// # }
+    /// ```
+    pub fn wait(&self) {
+        let _ = self.stop.recv();
     }
 
     /// Stops as planned: the balancer is told to send no more, requests in progress finish, bills
@@ -126,7 +160,7 @@
     }
 }
 
-fn context(settings: Settings) -> Result<Context, Report<StartFault>> {
+fn context(settings: Settings, stop: flume::Sender<()>) -> Result<Context, Report<StartFault>> {
     let secret: Arc<[u8]> = settings
         .peer
         .secret
@@ -135,12 +169,13 @@
         .bytes()
         .into();
     let clock = Clock::open();
-    let process = format!("{}.{:016x}", settings.daemon.id, rand::random::<u64>()).into();
     let (store_out, store) = flume::unbounded();
     let (peers_out, peers) = flume::unbounded();
     let (changes_out, changes) = flume::unbounded();
     let (strikes_out, strikes) = flume::unbounded();
     let (notices_out, notices) = flume::unbounded();
+    let (loads_out, loads) = flume::unbounded();
+    let (wake_out, wake_config) = flume::bounded(1);
     let outbox = node::Outbox {
         store: store_out,
         peers: peers_out,
@@ -158,9 +193,11 @@
         headroom: settings.queue.headroom,
         ..route::Settings::new(settings.daemon.dc.clone())
     };
+    let node = node::Handle::open(identity, rand::random(), clock, outbox);
+    let process = node.incarnation();
     Ok(Context {
         claims: Claims::open(Arc::clone(&process), &secret),
-        node: node::Handle::open(identity, rand::random(), clock, outbox),
+        node,
         router: route::Handle::open(routing, rand::random(), clock, strikes_out),
         tracer: tracer(&settings),
         store: HttpStore::open(settings.platform.addr),
@@ -168,14 +205,21 @@
         edits: Arc::new(Mutex::new(Config::default())),
         versions: Mutex::default(),
         notices: notices_out,
+        vms: Mutex::new(Arc::from([])),
+        near: Mutex::default(),
+        loads: loads_out,
+        wake_config: wake_out,
         queues: Queues {
             store,
             peers,
             changes,
             strikes,
             notices,
+            loads,
+            wake_config,
         },
         stopping: AtomicBool::new(false),
+        stop,
         settings,
         secret,
         process,
--- a/src/node/machine.rs
+++ b/src/node/machine/mod.rs
@@ -1,3 +1,7 @@
+//! The process: its incarnations, its records of others, and the answers of the platform.
+
+mod peers;
+
 use std::{
     collections::BTreeMap,
     sync::Arc,
@@ -29,13 +33,10 @@
 use crate::{
     budget::{
         self,
-        Mode,
-        Transfer,
-        TransferId, //
+        Mode, //
     },
     mirror::{
         Fence,
-        Message,
         Pair,
         Peer,
         Reply,
@@ -49,8 +50,7 @@
         Incarnation,
         Seq,
         Tokens,
-        Verdict,
-        daemon_of, //
+        Verdict, //
     },
 };
 
@@ -272,6 +272,9 @@
                 for inc in found.stuck {
                     self.witness.start(Seal::third(inc, me.0.clone()));
                 }
+                for inc in found.absent {
+                    self.witness.start(Seal::release(inc, me.0.clone()));
+                }
                 for inc in found.sealed {
                     self.current().handle(now, budget::Event::Gone(inc));
                 }
@@ -279,103 +282,6 @@
         }
     }
 
-    /// Reports a seal by this daemon.
-    fn sealed(&mut self, now: Duration, inc: Incarnation) {
-        self.current().handle(now, budget::Event::Gone(inc.clone()));
-        self.actions.push(Action::Send {
-            to: inc.clone(),
-            message: Message::Sealed { inc: inc.clone() },
-        });
-        self.actions.push(Action::Change(Change::SealedPeer(inc)));
-    }
-
-    fn receive(&mut self, now: Duration, from: Incarnation, message: Message) {
-        match &message {
-            Message::Mirror { .. } | Message::Attach { .. } => {
-                if let Some(message) = self.witness.receive(now, &message) {
-                    self.actions.push(Action::Send { to: from, message });
-                }
-            }
-            Message::MirrorAck { inc, .. }
-            | Message::AttachAck { inc, .. }
-            | Message::Sealed { inc } => {
-                if let Some(life) = self.lives.iter_mut().find(|life| life.inc == *inc) {
-                    life.receive(now, &from, &message);
-                }
-            }
-            _ => self.transfer(now, from, message),
-        }
-    }
-
-    fn transfer(&mut self, now: Duration, from: Incarnation, message: Message) {
-        let me = self.incarnation().clone();
-        let event = match message {
-            Message::Ask { budget, tokens } => budget::Event::Ask {
-                from,
-                budget,
-                tokens,
-            },
-            Message::Short { budget } => budget::Event::Short { budget },
-            // Tokens for an incarnation that was replaced stay in transit until an operator
-            // settles them.
-            Message::Transfer {
-                to,
-                id,
-                budget,
-                tokens,
-            } if to == me => budget::Event::Received(Transfer {
-                id: TransferId {
-                    from,
-                    to,
-                    number: id,
-                },
-                budget,
-                tokens,
-            }),
-            Message::TransferAck { from: sender, id } if sender == me => {
-                budget::Event::Delivered(TransferId {
-                    from: sender,
-                    to: from,
-                    number: id,
-                })
-            }
-            _ => return,
-        };
-        self.current().handle(now, event);
-    }
-
-    fn peer_up(&mut self, now: Duration, inc: Incarnation, peer: Peer) {
-        let old = self
-            .peers
-            .keys()
-            .find(|old| **old != inc && daemon_of(old) == daemon_of(&inc));
-        if let Some(old) = old.cloned() {
-            self.peer_down(now, &old);
-        }
-        self.witness.peer_up(&inc);
-        self.peers.insert(inc, peer);
-        self.members(now);
-    }
-
-    fn peer_down(&mut self, now: Duration, inc: &Incarnation) {
-        self.peers.remove(inc);
-        self.witness.peer_down(now, inc);
-        for life in &mut self.lives {
-            life.pair.peer_down(now, inc);
-        }
-        self.members(now);
-    }
-
-    /// Tells the drawer the live incarnations of the data centre.
-    fn members(&mut self, now: Duration) {
-        let me = self.incarnation().clone();
-        let near = self.peers.iter().filter(|(_, p)| p.dc == self.identity.dc);
-        let mut members: Vec<Incarnation> = near.map(|(inc, _)| inc.clone()).collect();
-        members.push(me);
-        members.sort();
-        self.current().handle(now, budget::Event::Members(members));
-    }
-
     /// Runs what is due and returns the actions since the last call. Call it after each event and
     /// at least every 100 ms.
     ///
--- a/standins/src/start.rs
+++ b/standins/src/start.rs
@@ -8,6 +8,8 @@
     process::Stdio, //
 };
 
+use serde_json::Value;
+
 use crate::{
     fleet::Plan,
     process::{
@@ -59,3 +61,17 @@
         .send();
     reply.is_ok_and(|reply| reply.status_code == 200)
 }
+
+pub(crate) fn post(addr: SocketAddr, body: &Value) -> io::Result<()> {
+    let url = format!("http://{addr}/control");
+    let reply = minreq::post(url)
+        .with_body(body.to_string())
+        .with_timeout(5)
+        .send();
+    match reply.map_err(io::Error::other)?.status_code {
+        200 => Ok(()),
+        status => Err(io::Error::other(format!(
+            "the control port answered {status}"
+        ))),
+    }
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -1,33 +1,29 @@
 //! A fleet of nodes over a fake platform, a lossy network and a fake clock.
 
+mod checks;
+mod net;
+
 use std::{
     collections::{
         BTreeMap,
-        BTreeSet, //
+        BTreeSet,
+        HashSet,
+        VecDeque, //
     },
     sync::Arc,
     time::Duration,
 };
 
 use cuminloom::{
-    bill::{
-        Bill,
-        Ledger,
-        Seal,
-        decode_batch, //
-    },
     budget::{
         self,
         Mode, //
     },
     mirror::{
-        Fence,
         Message,
         Peer,
         Reply,
-        Request,
-        fence_key,
-        ledger_key, //
+        Request, //
     },
     model::{
         BudgetId,
@@ -38,6 +34,7 @@
         daemon_of, //
     },
     node::{
+        self,
         Action,
         Admission,
         Admit,
@@ -49,7 +46,6 @@
     store::{
         Change,
         Expect,
-        StoreFault,
         Vm,
         Write, //
     },
@@ -63,6 +59,8 @@
 
 pub(crate) const STEP: Duration = Duration::from_millis(50);
 const SUSPECT: Duration = Duration::from_secs(3);
+/// Delay of a late message or answer; longer than the timeout of an acknowledgement.
+const LATE: Duration = Duration::from_millis(2_500);
 pub(crate) const LAG: Duration = Duration::from_secs(15);
 
 /// A guard that is switched off.
@@ -81,6 +79,16 @@
     AckAfterSeal,
 }
 
+/// What happens to a message or a commit that a script decides about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Fate {
+    Prompt,
+    /// The message, or the answer to the commit, is lost.
+    Lost,
+    /// It arrives after the timeouts for an answer.
+    Late,
+}
+
 /// A request that a target runs.
 #[derive(Debug)]
 struct Run {
@@ -98,9 +106,13 @@
     pub(crate) node: Option<Node>,
     generation: u64,
     pub(crate) paused: Duration,
+    /// Until when the platform cannot be reached from this process alone.
+    pub(crate) blind: Duration,
     pub(crate) restart: Duration,
     heard: BTreeMap<Incarnation, Duration>,
     runs: Vec<Run>,
+    /// Incarnations of this process.
+    incs: Vec<Incarnation>,
     pub(crate) stopped: bool,
 }
 
@@ -133,6 +145,8 @@
     pub(crate) loss: u32,
     pub(crate) lost_answers: u32,
     pub(crate) broken: Broken,
+    /// Fates of the next messages and commits about the fence rows.
+    pub(crate) script: VecDeque<Fate>,
     pub(crate) budgets: Vec<BudgetId>,
     generated: BTreeMap<BudgetId, Tokens>,
     reached: BTreeMap<(Incarnation, Seq), Reached>,
@@ -140,6 +154,7 @@
     died: BTreeMap<(Incarnation, BudgetId), Tokens>,
     /// Incarnations of processes that ended without a planned stop.
     dead: BTreeSet<Incarnation>,
+    pub(crate) modes: HashSet<Mode>,
     pub(crate) admitted: u64,
     pub(crate) refused: u64,
 }
@@ -157,11 +172,13 @@
             loss: 0,
             lost_answers: 0,
             broken,
+            script: VecDeque::new(),
             budgets: Vec::new(),
             generated: BTreeMap::new(),
             reached: BTreeMap::new(),
             died: BTreeMap::new(),
             dead: BTreeSet::new(),
+            modes: HashSet::new(),
             admitted: 0,
             refused: 0,
         };
@@ -177,9 +194,11 @@
                 node: None,
                 generation: 0,
                 paused: Duration::ZERO,
+                blind: Duration::ZERO,
                 restart: Duration::ZERO,
                 heard: BTreeMap::new(),
                 runs: Vec::new(),
+                incs: Vec::new(),
                 stopped: false,
             });
         }
@@ -219,6 +238,12 @@
         self.cut.get(dc).is_some_and(|until| *until > self.now)
     }
 
+    /// Whether the process reaches the platform.
+    fn sees(&self, p: usize) -> bool {
+        let proc = &self.procs[p];
+        self.outage <= self.now && proc.blind <= self.now && !self.is_cut(&proc.id.dc)
+    }
+
     fn linked(&self, a: usize, b: usize) -> bool {
         let (a, b) = (&self.procs[a].id.dc, &self.procs[b].id.dc);
         a == b || !(self.is_cut(a) || self.is_cut(b))
@@ -239,7 +264,7 @@
 
     /// Ends the process; what its targets generate counts.
     pub(crate) fn crash(&mut self, p: usize) {
-        let reachable = self.outage <= self.now && !self.is_cut(&self.procs[p].id.dc.clone());
+        let reachable = self.sees(p);
         let proc = &mut self.procs[p];
         let Some(node) = proc.node.take() else { return };
         let figures = node.snapshot();
@@ -248,18 +273,8 @@
                 self.died.insert((figures.inc.clone(), s.budget), s.issued);
             }
         }
-        self.dead.insert(figures.inc);
-        for run in proc.runs.drain(..) {
-            self.dead.insert(run.inc);
-        }
-    }
-
-    fn delay(&mut self) -> Duration {
-        let ms = match self.chance(5) {
-            true => self.rng.random_range(100..600),
-            false => self.rng.random_range(1..40),
-        };
-        self.now + Duration::from_millis(ms)
+        self.dead.extend(proc.incs.drain(..));
+        proc.runs.clear();
     }
 
     /// One step of the clock; every process that is not paused runs.
@@ -273,6 +288,7 @@
                 self.start(p);
             }
         }
+        self.resume();
         self.heartbeats();
         self.deliver();
         for p in 0..self.procs.len() {
@@ -284,6 +300,18 @@
         self.check();
     }
 
+    /// A process whose pause ends spends before it hears of anything.
+    fn resume(&mut self) {
+        for p in 0..self.procs.len() {
+            let paused = self.procs[p].paused;
+            if paused <= self.now && paused + STEP > self.now {
+                for budget in self.budgets.clone().iter().cycle().take(20) {
+                    self.admit(p, budget);
+                }
+            }
+        }
+    }
+
     fn heartbeats(&mut self) {
         let vms: Vec<Vm> = self.live_vms();
         self.store.set_vms(vms.clone());
@@ -292,7 +320,7 @@
             .filter(|p| self.runs(*p))
             .collect::<Vec<_>>()
         {
-            let reachable = self.outage <= self.now && !self.is_cut(&self.procs[p].id.dc);
+            let reachable = self.sees(p);
             for q in 0..self.procs.len() {
                 if q == p || !self.runs(q) || !self.linked(p, q) {
                     continue;
@@ -337,156 +365,6 @@
         .collect()
     }
 
-    fn deliver(&mut self) {
-        let now = self.now;
-        let mut due = Vec::new();
-        let mut rest = Vec::new();
-        for item in self.queue.drain(..) {
-            match item.0 <= now {
-                true => due.push(item),
-                false => rest.push(item),
-            }
-        }
-        self.queue = rest;
-        due.sort_by_key(|(at, _)| *at);
-        for (_, item) in due {
-            self.arrive(item);
-        }
-    }
-
-    fn arrive(&mut self, item: Item) {
-        let now = self.now;
-        match item {
-            Item::Message(from, sender, to, message) => {
-                let target = self.procs.iter().position(|p| {
-                    let node = p.node.as_ref();
-                    node.is_some() && *p.id.daemon == *daemon_of(&to)
-                });
-                let Some(p) = target.filter(|p| self.linked(from, *p)) else {
-                    return;
-                };
-                if self.procs[p].paused > now {
-                    let at = self.procs[p].paused;
-                    self.queue
-                        .push((at, Item::Message(from, sender, to, message)));
-                    return;
-                }
-                self.forge_ack(p, &sender, &message);
-                let node = self.procs[p].node.as_mut().unwrap();
-                let event = Event::Message {
-                    from: sender,
-                    message,
-                };
-                node.handle(now, event);
-                self.poll(p);
-            }
-            Item::Request(p, generation, token, request) => {
-                let dead = self.outage > now || self.is_cut(&self.procs[p].id.dc);
-                let reply = match dead {
-                    true => Reply::Failed(StoreFault::Unavailable),
-                    false => self.execute(&request),
-                };
-                let lost = !dead && self.lost_answers > 0 && {
-                    let percent = self.lost_answers;
-                    self.chance(percent)
-                };
-                let reply = match lost {
-                    true => Reply::Failed(StoreFault::Unknown),
-                    false => reply,
-                };
-                let at = self.delay();
-                self.queue
-                    .push((at, Item::Answer(p, generation, token, reply)));
-            }
-            Item::Answer(p, generation, token, reply) => {
-                if self.procs[p].generation != generation || self.procs[p].node.is_none() {
-                    return;
-                }
-                if self.procs[p].paused > now {
-                    let at = self.procs[p].paused;
-                    self.queue
-                        .push((at, Item::Answer(p, generation, token, reply)));
-                    return;
-                }
-                let node = self.procs[p].node.as_mut().unwrap();
-                node.handle(now, Event::Answer { token, reply });
-                self.poll(p);
-            }
-        }
-    }
-
-    /// The witness with [`Broken::AckAfterSeal`].
-    fn forge_ack(&mut self, p: usize, sender: &Incarnation, message: &Message) {
-        let Message::Mirror {
-            inc,
-            epoch,
-            first,
-            ops,
-        } = message
-        else {
-            return;
-        };
-        let sealed = self.fence(inc).is_some_and(|fence| fence.sealed.is_some());
-        if self.broken == Broken::AckAfterSeal && sealed {
-            let me = self.procs[p].node.as_ref().unwrap().incarnation().clone();
-            let message = Message::MirrorAck {
-                inc: inc.clone(),
-                epoch: *epoch,
-                upto: first + ops.len() as u64 - 1,
-            };
-            self.send(p, me, sender.clone(), message);
-        }
-    }
-
-    fn execute(&mut self, request: &Request) -> Reply {
-        match request {
-            Request::Read(key) => Reply::Row(self.store.read(key)),
-            Request::List(prefix, after, limit) => {
-                Reply::Rows(self.store.list(prefix, after, *limit))
-            }
-            Request::Commit(writes) => Reply::Commit(self.store.commit(&self.weaken(writes))),
-            Request::Get(name) => {
-                let empty = self.broken == Broken::UnknownBatches && !name.contains("seal-");
-                match empty {
-                    true => Reply::Object(Some(b"{\"bills\":[]}".to_vec())),
-                    false => Reply::Object(self.store.get(name).map(<[u8]>::to_vec)),
-                }
-            }
-            Request::Put(name, body) => Reply::Put(self.store.put_new(name, body)),
-        }
-    }
-
-    fn weaken(&self, writes: &[Write]) -> Vec<Write> {
-        let mut writes = writes.to_vec();
-        for write in &mut writes {
-            let check = write.change == Change::Check;
-            let off = match self.broken {
-                Broken::FenceCheck => check && write.key.starts_with("fence/"),
-                Broken::LedgerCheck => check && write.key.starts_with("ledger/"),
-                Broken::BudgetVersion => write.key.starts_with("budget/"),
-                _ => false,
-            };
-            if off {
-                write.expect = Expect::Any;
-            }
-        }
-        writes
-    }
-
-    fn send(&mut self, p: usize, from: Incarnation, to: Incarnation, message: Message) {
-        let loss = self.loss;
-        if self.chance(loss) {
-            return;
-        }
-        if self.chance(loss / 2) {
-            let at = self.delay();
-            let copy = Item::Message(p, from.clone(), to.clone(), message.clone());
-            self.queue.push((at, copy));
-        }
-        let at = self.delay();
-        self.queue.push((at, Item::Message(p, from, to, message)));
-    }
-
     fn poll(&mut self, p: usize) {
         let now = self.now;
         let node = self.procs[p].node.as_mut().unwrap();
@@ -514,6 +392,10 @@
                     assert!(self.procs[p].runs.is_empty(), "a stop cuts off no request");
                     self.procs[p].stopped = true;
                 }
+                Action::Change(node::Change::Started(inc)) => self.procs[p].incs.push(inc),
+                Action::Change(node::Change::Mode(_, mode)) => {
+                    self.modes.insert(mode);
+                }
                 Action::Retry { .. } | Action::Change(_) => {}
             }
         }
@@ -593,110 +475,6 @@
             Admit::Wait | Admit::Refused(_) => self.refused += 1,
         }
     }
-
-    pub(crate) fn fence(&self, inc: &str) -> Option<Fence> {
-        let row = self.store.read(&fence_key(inc))?;
-        Fence::from_value(&row.value)
-    }
-
-    /// Bills that count for an incarnation.
-    pub(crate) fn bills(&self, inc: &str) -> Vec<Bill> {
-        let ledger = self.store.read(&ledger_key(inc));
-        let ledger = ledger.map_or(Ledger::default(), |row| {
-            Ledger::from_value(&row.value).unwrap()
-        });
-        let regular = (1..=ledger.batches).map(|n| format!("bills/{inc}/{n}"));
-        let late = (1..=ledger.late).map(|n| format!("bills/{inc}/late-{n}"));
-        let mut bills: Vec<Bill> = regular
-            .chain(late)
-            .flat_map(|name| decode_batch(self.store.get(&name).unwrap()).unwrap())
-            .collect();
-        bills.extend(self.seal(inc).into_iter().flat_map(|seal| seal.bills));
-        bills
-    }
-
-    pub(crate) fn seal(&self, inc: &str) -> Option<Seal> {
-        let sealed = self.fence(inc)?.sealed?;
-        Seal::decode(self.store.get(&sealed.object)?)
-    }
-
-    /// Checked at every step: no overspend, and no row in which more is drawn than free.
-    fn check(&self) {
-        for name in &self.budgets {
-            let row = self.row(name);
-            let spent = self.generated.get(name).copied().unwrap_or(0);
-            assert!(spent <= row.limit, "overspend: {spent} of {}", row.limit);
-            assert!(row.figures().free >= 0, "more drawn than free");
-        }
-    }
-
-    fn incarnations(&self) -> Vec<Incarnation> {
-        let rows = self.store.list("fence/", "", usize::MAX);
-        let key = |key: &str| key.strip_prefix("fence/").unwrap().into();
-        rows.iter().map(|row| key(&row.key)).collect()
-    }
-
-    /// Checked after healing, when every daemon has stopped.
-    pub(crate) fn check_end(&self) {
-        let mut bills: BTreeMap<BudgetId, budget::Bills> = BTreeMap::new();
-        for inc in self.incarnations() {
-            let fence = self.fence(&inc).unwrap();
-            let sealed = fence.sealed.expect("every incarnation is sealed");
-            assert!(sealed.settled, "the budget rows of {inc} are settled");
-            let mut count: BTreeMap<Seq, Bill> = BTreeMap::new();
-            for bill in self.bills(&inc) {
-                let shares = bills.entry(bill.budget.clone()).or_default();
-                *shares.entry(inc.clone()).or_default() += bill.tokens;
-                let old = count.insert(bill.seq, bill);
-                assert!(old.is_none(), "{inc} bills a request twice: {old:?}");
-            }
-            self.check_bills(&inc, &count);
-        }
-        for name in &self.budgets {
-            let row = self.row(name);
-            let empty = budget::Bills::new();
-            let audit = budget::audit(name, &row, bills.get(name).unwrap_or(&empty), &[]);
-            assert!(audit.discrepancies.is_empty(), "{name}: {audit:?} {row:?}");
-            self.check_deaths(name, &row);
-        }
-    }
-
-    fn check_bills(&self, inc: &Incarnation, count: &BTreeMap<Seq, Bill>) {
-        // A daemon that died on its own, or without a witness, takes its last bills with it.
-        let exact = match self.seal(inc) {
-            Some(seal) => seal.known && !seal.detached,
-            None => true,
-        };
-        let range = (inc.clone(), 0)..=(inc.clone(), Seq::MAX);
-        for ((_, seq), reached) in self.reached.range(range) {
-            let Some(bill) = count.get(seq) else {
-                let dead = self.dead.contains(inc);
-                assert!(dead && !exact, "{inc}/{seq} is not billed: {reached:?}");
-                continue;
-            };
-            assert_eq!(bill.budget, reached.budget);
-            assert!(bill.tokens >= reached.tokens && bill.tokens <= reached.bound);
-        }
-    }
-
-    /// The death of an attached daemon orphans no more than what it had issued.
-    fn check_deaths(&self, name: &BudgetId, row: &budget::Row) {
-        for (inc, share) in &row.shares {
-            let Some(issued) = self.died.get(&(inc.clone(), name.clone())) else {
-                continue;
-            };
-            // A daemon that was attaching again is still detached.
-            if !self.seal(inc).is_some_and(|s| s.known && !s.detached) {
-                continue;
-            }
-            let kept = share.billed + share.outstanding().unwrap();
-            let seal = self.seal(inc).unwrap().accounts[name];
-            assert!(
-                kept <= *issued,
-                "{inc} keeps {kept} of {issued} issued: {share:?} {seal:?}"
-            );
-        }
-    }
 }
 
 fn sender(message: &Message, me: &Incarnation) -> Incarnation {
