Test that slow callers hold only their own threads

Cause: nothing proved that a caller that sends half a body, or does not read its answer, leaves the others served. Ruled out: a bound on time; the test sends 32 slow requests and then needs eight whole answers. Change: check_slow_callers in standins/tests/callers.rs.

--- a/standins/tests/callers.rs
+++ b/standins/tests/callers.rs
@@ -5,8 +5,10 @@
     io::{
         BufRead,
         BufReader,
-        Read, //
+        Read,
+        Write, //
     },
+    net::TcpStream,
     thread,
 };
 
@@ -302,10 +304,32 @@
     }
 }
 
+/// Guards against slow callers that hold more than their own threads: some send half a body, some
+/// do not read their answers.
+fn check_slow_callers(world: &World) {
+    let head = format!("POST {CHAT} HTTP/1.1\r\nAuthorization: Bearer {KEY}\r\n");
+    let body = ask("stream", true).to_string();
+    let unread = format!("{head}Content-Length: {}\r\n\r\n{body}", body.len());
+    let half = format!("{head}Content-Length: 5000\r\n\r\n{body}");
+    let slow: Vec<_> = (0..32)
+        .map(|number| {
+            let mut stream = TcpStream::connect(world.addr()).unwrap();
+            let request = if number % 2 == 0 { &half } else { &unread };
+            stream.write_all(request.as_bytes()).unwrap();
+            stream
+        })
+        .collect();
+    for _ in 0..8 {
+        assert_eq!(world.chat(&ask("bare", false)).status_code, 200);
+    }
+    drop(slow);
+}
+
 /// Guards against lost, mixed-up, held-back or surplus parts of answers.
 #[test]
 fn answers_reach_their_callers() {
     let world = World::start();
+    check_slow_callers(&world);
     check_usage(&world);
     check_order(&world);
     check_concurrent(&world);
