Send callers' requests to targets through ureq

Change: src/target/send.rs uses ureq, the nearest kin, without redirects and without kept connections; the own client is gone. A request with its caller's own key is refused at once while the platform is known to be away.

--- a/src/caller/keyed.rs
+++ b/src/caller/keyed.rs
@@ -16,6 +16,7 @@
     },
     kernel::Context,
     model::{
+        Code,
         Fault,
         Incarnation,
         Verdict, //
@@ -53,6 +54,11 @@
     if Minted::looks_like(key) {
         return present(ctx, customer, key, print);
     }
+    if !ctx.node.figures().platform {
+        // Asking a platform that does not respond would only make the caller wait.
+        let detail = "the platform is away; use a key from POST /v1/keys";
+        return Begin::Refuse(Fault::not_run(Code::StoreUnavailable, detail));
+    }
     let row = ClaimRow {
         owner: ctx.process.clone(),
         nonce: ctx.claims.next_nonce(),
--- a/src/target/mod.rs
+++ b/src/target/mod.rs
@@ -3,7 +3,6 @@
 //! Engines speak the common chat-completions dialect; plain services get the request as it came.
 //! Every failure says whether the target may have seen the request.
 
-mod connection;
 mod event;
 mod load;
 mod order;
--- a/src/target/send.rs
+++ b/src/target/send.rs
@@ -1,27 +1,65 @@
 //! One request to a target over HTTP.
+//!
+//! The daemon's other requests use `minreq`. It takes a chunked body that is cut between two chunks
+//! for a complete one, and has a single deadline for head and body, so requests of callers go through
+//! its nearest kin, `ureq`.
 
 use std::{
+    fmt,
     io::{
         ErrorKind,
         Read, //
     },
     net::SocketAddr,
-    sync::Arc,
+    sync::{
+        Arc,
+        LazyLock, //
+    },
     time::Duration, //
 };
 
 use serde::de::IgnoredAny;
-
-use super::connection::{
-    self,
+use ureq::{
+    Agent,
     Body,
-    Head, //
+    BodyReader,
+    Timeout,
+    http, //
 };
+
 use crate::model::{
     Code,
     Fault, //
 };
 
+/// Longest wait for a connection. Targets are a few milliseconds away, and a request whose
+/// connection was not made may go to another target.
+const CONNECT_LIMIT: Duration = Duration::from_secs(1);
+
+/// Largest head of an answer, in bytes.
+const MAX_HEAD: usize = 64 << 10;
+
+/// Content type of an answer that names none.
+const UNTYPED: &str = "application/octet-stream";
+
+/// Client of all targets. It follows no redirects, because that would send a request that may not be
+/// repeated a second time, and keeps no connections, because a request sent on one that the target
+/// has just closed may or may not have run.
+static AGENT: LazyLock<Agent> = LazyLock::new(|| {
+    Agent::config_builder()
+        .http_status_as_error(false)
+        .max_redirects(0)
+        .max_redirects_will_error(false)
+        .max_idle_connections(0)
+        .max_response_header_size(MAX_HEAD)
+        .timeout_connect(Some(CONNECT_LIMIT))
+        .user_agent("")
+        .accept_encoding("")
+        .proxy(None)
+        .build()
+        .into()
+});
+
 /// Method of a request to a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Method {
@@ -73,13 +111,23 @@
 }
 
 /// The head of a target's answer; the body is read from it.
-#[derive(Debug)]
 pub struct Reply {
     /// HTTP status.
     pub status: u16,
     /// Content type.
     pub kind: Arc<str>,
-    body: Body,
+    /// Whether the end of the body is marked only by the end of the connection.
+    unmarked: bool,
+    body: BodyReader<'static>,
+}
+
+impl fmt::Debug for Reply {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Reply")
+            .field("status", &self.status)
+            .field("kind", &self.kind)
+            .finish()
+    }
 }
 
 impl Reply {
@@ -122,8 +170,7 @@
         }
         // Nothing marks the end of a body that ends with its connection, so it may have been cut
         // anywhere. Only JSON shows its end itself.
-        let marked = !input.ends_with_connection();
-        if !marked && serde_json::from_slice::<IgnoredAny>(&body).is_err() {
+        if self.unmarked && serde_json::from_slice::<IgnoredAny>(&body).is_err() {
             let detail = "the target's answer does not say where it ends";
             return Err(Fault::may_have_run(Code::TargetFailed, detail));
         }
@@ -172,8 +219,65 @@
 /// assert_eq!(fault.verdict, Verdict::NotRun);
 /// ```
 pub fn send(out: &Outgoing) -> Result<Reply, Fault> {
-    let Head { status, kind, body } = connection::exchange(out)?;
-    Ok(Reply { status, kind, body })
+    if out.first.is_zero() {
+        return Err(Fault::not_run(Code::Deadline, "the deadline has passed"));
+    }
+    let request = encode(out)?;
+    let request = AGENT
+        .configure_request(request)
+        .timeout_recv_response(Some(out.first))
+        .timeout_global(Some(out.limit.max(out.first)))
+        .build();
+    let answer = AGENT.run(request).map_err(|err| fault_of(&err))?;
+    let header = |name| {
+        answer
+            .headers()
+            .get(name)
+            .and_then(|value| value.to_str().ok())
+    };
+    let marked = header("content-length").is_some() || header("transfer-encoding").is_some();
+    let bare = out.method == Method::Head || matches!(answer.status().as_u16(), 204 | 304);
+    Ok(Reply {
+        status: answer.status().as_u16(),
+        kind: header("content-type").unwrap_or(UNTYPED).into(),
+        unmarked: !marked && !bare,
+        body: answer.into_body().into_reader(),
+    })
+}
+
+/// Builds the request. Control characters in the path or a header are refused, because they could
+/// smuggle in another header or request, and the HTTP library of the listener accepts single ones.
+fn encode(out: &Outgoing) -> Result<http::Request<Body>, Fault> {
+    let forbids_body = matches!(out.method, Method::Get | Method::Head | Method::Delete);
+    if forbids_body && !out.body.is_empty() {
+        let detail = "a body is not accepted with this method";
+        return Err(Fault::not_run(Code::BadRequest, detail));
+    }
+    let bad = |_| Fault::not_run(Code::BadRequest, "the path or a header is malformed");
+    let uri = format!("http://{}{}", out.addr, out.path);
+    let mut request = http::Request::builder()
+        .method(out.method.as_str())
+        .uri(uri);
+    for (name, value) in &out.headers {
+        request = request.header(*name, value);
+    }
+    let body = Body::builder().data(out.body.to_vec());
+    request.body(body).map_err(bad)
+}
+
+fn fault_of(err: &ureq::Error) -> Fault {
+    match err {
+        ureq::Error::Timeout(Timeout::Connect) | ureq::Error::ConnectionFailed => {
+            Fault::not_run(Code::TargetFailed, "no connection to the target was made")
+        }
+        ureq::Error::Io(io) if io.kind() == ErrorKind::ConnectionRefused => {
+            Fault::not_run(Code::TargetFailed, "the target refused the connection")
+        }
+        ureq::Error::Timeout(_) => {
+            Fault::may_have_run(Code::Deadline, "the target did not answer in time")
+        }
+        _ => Fault::may_have_run(Code::TargetFailed, "the connection to the target broke"),
+    }
 }
 
 /// The failure of an answer whose body could not be read to its end.
