Pass requests with issued keys on to the process that minted them

Cause: a caller whose balancer picks another daemon got "may have run" for an issued key, although the minting process could have answered.

Ruled out: running it here after a look at the other daemon's state, since the state may change between the look and the run.

Change: Forward and Reply over the peer links, replay and refusal as the minting process decides, "may have run" when it does not reply or is gone, also when a new process took its place. Gauges for queue, bills and mirror replace metrics that nothing set.

--- a/src/caller/mod.rs
+++ b/src/caller/mod.rs
@@ -8,6 +8,7 @@
 mod chat;
 mod declared;
 mod exchange;
+mod forward;
 mod keyed;
 mod plain;
 mod plugin;
@@ -18,6 +19,13 @@
 
 pub use chat::Chat;
 pub(crate) use declared::screen;
+pub(crate) use forward::{
+    Forwarded,
+    Forwards,
+    Outgoing,
+    Relayed,
+    run_forwarded, //
+};
 pub use reply::{
     VERDICT_HEADER,
     error_body, //
--- a/src/caller/reply.rs
+++ b/src/caller/reply.rs
@@ -78,10 +78,21 @@
 
 /// Sends a whole answer of a target.
 pub(crate) fn answer(request: Request, status: u16, kind: &str, body: &[u8]) -> io::Result<()> {
+    answer_as(request, status, Verdict::Ran, kind, body)
+}
+
+/// Sends an answer with its verdict.
+pub(crate) fn answer_as(
+    request: Request,
+    status: u16,
+    verdict: Verdict,
+    kind: &str,
+    body: &[u8],
+) -> io::Result<()> {
     let response = Response::from_data(body)
         .with_status_code(status)
         .with_header(header("Content-Type", kind))
-        .with_header(header(VERDICT_HEADER, Verdict::Ran.as_str()));
+        .with_header(header(VERDICT_HEADER, verdict.as_str()));
     request.respond(response)
 }
 
--- a/src/caller/run.rs
+++ b/src/caller/run.rs
@@ -23,6 +23,10 @@
         Order,
         Work, //
     },
+    forward::{
+        Relayed,
+        forward, //
+    },
     keyed::{
         self,
         Begin, //
@@ -31,6 +35,7 @@
     relay::Completion,
     reply::{
         answer,
+        answer_as,
         refuse, //
     },
     server::{
@@ -46,6 +51,7 @@
         Configuration,
         Customer,
         Fault,
+        Incarnation,
         Profile,
         Repeat,
         Service,
@@ -54,7 +60,10 @@
         Verdict, //
     },
     target::Method,
-    telemetry::SpanKind, //
+    telemetry::{
+        SpanKind,
+        TraceContext, //
+    },
 };
 
 /// Longest time between two tokens that an answer is waited for, on average. The target is 68 ms
@@ -68,46 +77,52 @@
 const MIN_EXCHANGE: Duration = Duration::from_secs(30);
 
 /// What a request's head says, after it was checked against the configuration.
-struct Head<'a> {
-    customer: &'a Customer,
-    profile: &'a Profile,
+pub(super) struct Head<'a> {
+    pub(super) customer: &'a Customer,
+    pub(super) profile: &'a Profile,
     service: &'a Service,
-    key: Option<String>,
+    pub(super) key: Option<String>,
     start: Duration,
 }
 
-fn head<'a>(
-    ctx: &Context,
-    request: &Request,
-    config: &'a Configuration,
-    customer: &'a Customer,
-    name: &str,
-) -> Result<Head<'a>, Fault> {
-    let profile = auth::profile(config, customer, name)?;
-    let service = config
-        .services
-        .get(&profile.service)
-        .ok_or_else(|| Fault::not_run(Code::NoTarget, "the profile's service does not exist"))?;
-    let key = header_of(request, "idempotency-key").map(str::to_owned);
-    if profile.repeat == Repeat::Once && key.is_none() {
-        let detail = "requests of this profile need an idempotency-key header";
-        return Err(Fault::not_run(Code::KeyRequired, detail));
-    }
-    let key = key.filter(|_| profile.repeat == Repeat::Once);
-    if key
-        .as_ref()
-        .is_some_and(|key| key.is_empty() || key.len() > MAX_KEY)
-    {
-        let detail = format!("an idempotency key has 1 to {MAX_KEY} bytes");
-        return Err(Fault::not_run(Code::BadRequest, detail));
+impl<'a> Head<'a> {
+    /// Checks a request's profile and key against the configuration.
+    pub(super) fn of(
+        ctx: &Context,
+        config: &'a Configuration,
+        customer: &'a Customer,
+        name: &str,
+        key: Option<String>,
+    ) -> Result<Self, Fault> {
+        let profile = auth::profile(config, customer, name)?;
+        let service = config.services.get(&profile.service).ok_or_else(|| {
+            Fault::not_run(Code::NoTarget, "the profile's service does not exist")
+        })?;
+        if profile.repeat == Repeat::Once && key.is_none() {
+            let detail = "requests of this profile need an idempotency-key header";
+            return Err(Fault::not_run(Code::KeyRequired, detail));
+        }
+        let key = key.filter(|_| profile.repeat == Repeat::Once);
+        if key
+            .as_ref()
+            .is_some_and(|key| key.is_empty() || key.len() > MAX_KEY)
+        {
+            let detail = format!("an idempotency key has 1 to {MAX_KEY} bytes");
+            return Err(Fault::not_run(Code::BadRequest, detail));
+        }
+        Ok(Self {
+            customer,
+            profile,
+            service,
+            key,
+            start: ctx.clock.now(),
+        })
     }
-    Ok(Head {
-        customer,
-        profile,
-        service,
-        key,
-        start: ctx.clock.now(),
-    })
+}
+
+/// The idempotency key of a request.
+fn key_of(request: &Request) -> Option<String> {
+    header_of(request, "idempotency-key").map(str::to_owned)
 }
 
 /// Serves `POST /v1/chat/completions`.
@@ -132,7 +147,7 @@
     let name = header_of(request, "x-cuminloom-profile")
         .or(chat.profile())
         .ok_or_else(|| Fault::not_run(Code::BadRequest, "\"model\" has to name a profile"))?;
-    let head = head(ctx, request, config, customer, name)?;
+    let head = Head::of(ctx, config, customer, name, key_of(request))?;
     if head.service.kind != TargetKind::Engine {
         let detail = "the profile is for a plain service, under /s/<profile>/";
         return Err(Fault::not_run(Code::BadRequest, detail));
@@ -207,7 +222,7 @@
     let url = request.url().to_owned();
     let rest = url.strip_prefix("/s/").unwrap_or_default();
     let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
-    let head = head(ctx, request, config, customer, name)?;
+    let head = Head::of(ctx, config, customer, name, key_of(request))?;
     if head.service.kind != TargetKind::Plain {
         let detail = "the profile is for a model engine, at /v1/chat/completions";
         return Err(Fault::not_run(Code::BadRequest, detail));
@@ -223,7 +238,7 @@
         path: format!("/{path}").into(),
         kind,
         body,
-        key: header_of(request, "idempotency-key").map(str::to_owned),
+        key: key_of(request),
         limit: head.profile.deadline,
         charge: head.profile.charge,
         answer: None,
@@ -240,20 +255,61 @@
 ) -> io::Result<()> {
     let (trace, parent) = trace_of(ctx, &request);
     let order = order(head, head.profile.charge, print, 0, trace);
-    let result = keyed_run(ctx, head, &order, print, &mut work, |work| {
-        let (status, kind, body) = work.answer.as_ref().expect("a call that ran has an answer");
-        Recorded::new(*status, kind, body)
-    });
+    let result = match keyed_run(ctx, head, &order, print, &mut work, recorded) {
+        Ok(Ending::Elsewhere(owner)) => forward(ctx, &owner, head, &work),
+        result => result,
+    };
     end_span(ctx, &order, parent, &result);
     respond(request, result, work.answer)
 }
 
+fn recorded(work: &Plain) -> Recorded {
+    let (status, kind, body) = work.answer.as_ref().expect("a call that ran has an answer");
+    Recorded::new(*status, kind, body)
+}
+
+/// Runs a call that a peer passed on.
+pub(super) fn call_here(
+    ctx: &Context,
+    head: &Head<'_>,
+    work: &mut Plain,
+    trace: TraceContext,
+) -> Result<Relayed, Fault> {
+    let path = work.path.strip_prefix('/').unwrap_or(&work.path);
+    let method = work.method.as_str();
+    let print = keyed::fingerprint(&head.profile.id, method, path, &work.body);
+    let order = order(head, head.profile.charge, &print, 0, trace);
+    let result = keyed_run(ctx, head, &order, &print, work, recorded);
+    end_span(ctx, &order, 0, &result);
+    let (status, kind, body) = match (result?, work.answer.take()) {
+        (Ending::Ran, Some(answer)) => answer,
+        (
+            Ending::Replay(Recorded {
+                status,
+                kind,
+                body: Some(body),
+            }),
+            _,
+        ) => (status, kind, body.to_vec()),
+        // The process that minted the key has ended; this one took its place.
+        (Ending::Elsewhere(owner), _) => return Err(elsewhere(&owner)),
+        _ => return Err(not_kept()),
+    };
+    let verdict = Verdict::Ran;
+    Ok(Relayed {
+        status,
+        verdict,
+        kind: kind.to_string(),
+        body,
+    })
+}
+
 fn order<'a>(
     head: &Head<'a>,
     bound: Tokens,
     print: &str,
     affinity: u64,
-    trace: crate::telemetry::TraceContext,
+    trace: TraceContext,
 ) -> Order<'a> {
     Order {
         profile: head.profile,
@@ -268,11 +324,15 @@
 }
 
 /// How a request ended for its caller.
-enum Ending {
+pub(super) enum Ending {
     /// It ran now.
     Ran,
     /// It ran before; this is the recorded answer.
     Replay(Recorded),
+    /// Only this process may run it.
+    Elsewhere(Incarnation),
+    /// Another daemon answered it.
+    Relayed(Relayed),
 }
 
 /// Runs a request, under the claim of its idempotency key when it has one.
@@ -290,10 +350,7 @@
     match keyed::begin(ctx, &head.customer.id, key, print) {
         Begin::Replay(recorded) => Ok(Ending::Replay(recorded)),
         Begin::Refuse(fault) => Err(fault),
-        Begin::Forward(owner) => Err(Fault::may_have_run(
-            Code::AlreadyClaimed,
-            format!("only {owner} may run a request with this key"),
-        )),
+        Begin::Forward(owner) => Ok(Ending::Elsewhere(owner)),
         Begin::Run(claim) => {
             let result = exchange::run(ctx, order, work);
             claim.finish(result.as_ref().map(|()| record(work)));
@@ -317,18 +374,36 @@
             })),
             _,
         ) => answer(caller, status, &kind, &body),
-        (Ok(_), _) => refuse(
-            caller,
-            &Fault {
-                verdict: Verdict::Ran,
-                code: Code::AlreadyClaimed,
-                detail: "the request ran before; its answer was not kept".into(),
-            },
-        ),
+        (Ok(Ending::Relayed(relayed)), _) => {
+            let Relayed {
+                status,
+                verdict,
+                kind,
+                body,
+            } = relayed;
+            answer_as(caller, status, verdict, &kind, &body)
+        }
+        (Ok(Ending::Elsewhere(owner)), _) => refuse(caller, &elsewhere(&owner)),
+        (Ok(_), _) => refuse(caller, &not_kept()),
         (Err(fault), _) => refuse(caller, &fault),
     }
 }
 
+/// The refusal of a request whose key only another process may use.
+pub(super) fn elsewhere(owner: &str) -> Fault {
+    let detail = format!("only {owner} may run a request with this key");
+    Fault::may_have_run(Code::AlreadyClaimed, detail)
+}
+
+/// The refusal of a request that ran before, when its answer is gone.
+fn not_kept() -> Fault {
+    Fault {
+        verdict: Verdict::Ran,
+        code: Code::AlreadyClaimed,
+        detail: "the request ran before; its answer was not kept".into(),
+    }
+}
+
 fn refuse_early(ctx: &Context, request: Request, fault: &Fault) -> io::Result<()> {
     count(ctx, "", Some(fault));
     refuse(request, fault)
--- a/src/kernel/context.rs
+++ b/src/kernel/context.rs
@@ -11,8 +11,14 @@
     },
 };
 
+use prometheus::IntGauge;
+
 use crate::{
     admin::Confirmed,
+    caller::{
+        Forwards,
+        Outgoing, //
+    },
     claim::Claims,
     config,
     kernel::Clock,
@@ -117,6 +123,8 @@
     pub loads: flume::Sender<Vec<(TargetId, route::Load)>>,
     /// Wakes the thread that reads the head of the configuration.
     pub wake_config: flume::Sender<()>,
+    /// Requests that were passed on to other daemons.
+    pub(crate) forwards: Forwards,
     /// Versions of which peers are to be told.
     pub notices: flume::Sender<Version>,
     /// Work that one plug-in leaves for another.
@@ -138,6 +146,8 @@
     pub changes: flume::Receiver<node::Change>,
     /// Strikes for peers.
     pub strikes: flume::Receiver<route::Strike>,
+    /// Forwarded requests and their replies.
+    pub(crate) forwards: flume::Receiver<Outgoing>,
     /// Load reports for peers.
     pub loads: flume::Receiver<Vec<(TargetId, route::Load)>>,
     /// Wake-ups of the thread that reads the head of the configuration.
@@ -188,11 +198,17 @@
     /// # }
     /// ```
     pub fn refresh_metrics(&self) {
-        let version = self.config.load().version;
-        self.metrics
-            .config
-            .set(i64::try_from(version).unwrap_or(i64::MAX));
         let figures = self.node.figures();
+        let routing = self.router.figures();
+        let gauge = |gauge: &IntGauge, value: u64| {
+            gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
+        };
+        gauge(&self.metrics.config, self.config.load().version);
+        gauge(&self.metrics.queued, routing.queued);
+        gauge(&self.metrics.usable, routing.usable);
+        gauge(&self.metrics.unbilled, figures.unbilled as u64);
+        gauge(&self.metrics.backlog, figures.backlog as u64);
+        gauge(&self.metrics.watched, figures.watched as u64);
         self.metrics.mode.reset();
         let mode = format!("{:?}", figures.mode).to_lowercase();
         self.metrics.mode.with_label_values(&[&mode]).set(1);
--- a/src/kernel/daemon.rs
+++ b/src/kernel/daemon.rs
@@ -27,6 +27,7 @@
     StartFault, //
 };
 use crate::{
+    caller::Forwards,
     claim::Claims,
     config::Config,
     node, route,
@@ -175,6 +176,7 @@
     let (strikes_out, strikes) = flume::unbounded();
     let (notices_out, notices) = flume::unbounded();
     let (loads_out, loads) = flume::unbounded();
+    let (forwards_out, forwards) = flume::unbounded();
     let (wake_out, wake_config) = flume::bounded(1);
     let outbox = node::Outbox {
         store: store_out,
@@ -208,6 +210,7 @@
         vms: Mutex::new(Arc::from([])),
         near: Mutex::default(),
         loads: loads_out,
+        forwards: Forwards::open(forwards_out),
         wake_config: wake_out,
         queues: Queues {
             store,
@@ -216,6 +219,7 @@
             strikes,
             notices,
             loads,
+            forwards,
             wake_config,
         },
         stopping: AtomicBool::new(false),
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -181,6 +181,8 @@
         key: Arc<str>,
         /// Method and path, separated by a space.
         line: Arc<str>,
+        /// Content type of the body.
+        kind: Arc<str>,
         /// Body of the request.
         body: Bytes,
     },
--- a/src/peer/plugin.rs
+++ b/src/peer/plugin.rs
@@ -33,6 +33,11 @@
 };
 use crate::{
     admin::Confirmed,
+    caller::{
+        Forwarded,
+        Relayed,
+        run_forwarded, //
+    },
     config,
     kernel::{
         Context,
@@ -148,6 +153,11 @@
                     links.broadcast(&Message::Notice { version });
                 }
             })
+            .recv(&ctx.queues.forwards, |outgoing| {
+                if let Ok((to, message)) = outgoing {
+                    links.send(&to, &message);
+                }
+            })
             .recv(&ctx.queues.loads, |reports| {
                 if let Ok(reports) = reports {
                     links.broadcast(&Message::Load {
@@ -180,7 +190,7 @@
 }
 
 fn receive(
-    ctx: &Context,
+    ctx: &Arc<Context>,
     links: &Links,
     events: &flume::Receiver<Event<mirror::Message>>,
     stop: &flume::Receiver<()>,
@@ -192,7 +202,7 @@
     }
 }
 
-fn handle(ctx: &Context, links: &Links, from: &DaemonId, message: Message<mirror::Message>) {
+fn handle(ctx: &Arc<Context>, links: &Links, from: &DaemonId, message: Message<mirror::Message>) {
     match message {
         Message::Node(message) => {
             let inc = links.members(|m| m.peers().get(from).and_then(|view| view.inc.clone()));
@@ -251,12 +261,73 @@
             links.send(from, &Message::Edits { edits: vec![edit] });
         }
         Message::Edits { edits } => edits.iter().for_each(|edit| receive_edits(ctx, edit)),
-        // Heartbeats and versions are handled by the links; requests with issued keys are refused
-        // by the caller interface as long as they are not forwarded.
-        Message::Heartbeat(_)
-        | Message::Versions(_)
-        | Message::Forward { .. }
-        | Message::Reply { .. } => {}
+        Message::Forward {
+            id,
+            customer,
+            profile,
+            key,
+            line,
+            kind,
+            body,
+            ..
+        } => {
+            let request = Forwarded {
+                customer: customer.to_string(),
+                profile: profile.to_string(),
+                key: key.to_string(),
+                line: line.to_string(),
+                kind: kind.to_string(),
+                body: body.0,
+            };
+            spawn_forwarded(ctx, from, id, request);
+        }
+        Message::Reply {
+            id,
+            status,
+            verdict,
+            kind,
+            body,
+        } => {
+            let relayed = Relayed {
+                status,
+                verdict,
+                kind: kind.to_string(),
+                body: body.0,
+            };
+            ctx.forwards.reply(id, relayed);
+        }
+        // Handled by the links.
+        Message::Heartbeat(_) | Message::Versions(_) => {}
+    }
+}
+
+/// Runs a forwarded request in a thread of its own and sends the answer back. When no thread can be
+/// started nothing is sent, and the other daemon tells its caller that the request may have run.
+fn spawn_forwarded(ctx: &Arc<Context>, from: &DaemonId, id: u64, request: Forwarded) {
+    let (worker, to) = (ctx.clone(), from.clone());
+    let spawned = std::thread::Builder::new()
+        .name("forwarded".into())
+        .spawn(move || {
+            let Relayed {
+                status,
+                verdict,
+                kind,
+                body,
+            } = run_forwarded(&worker, request);
+            let body = Bytes(body);
+            worker.forwards.send(
+                to,
+                Message::Reply {
+                    id,
+                    status,
+                    verdict,
+                    kind: kind.into(),
+                    body,
+                },
+            );
+        });
+    if spawned.is_err() {
+        log::warn!("no thread for a forwarded request");
     }
 }
 
--- a/src/target/send.rs
+++ b/src/target/send.rs
@@ -78,8 +78,21 @@
 }
 
 impl Method {
+    /// Reads the name in a request line.
+    pub(crate) fn parse(name: &str) -> Option<Self> {
+        let all = [
+            Method::Get,
+            Method::Head,
+            Method::Post,
+            Method::Put,
+            Method::Patch,
+            Method::Delete,
+        ];
+        all.into_iter().find(|method| method.as_str() == name)
+    }
+
     /// Name in the request line.
-    pub(super) fn as_str(self) -> &'static str {
+    pub(crate) fn as_str(self) -> &'static str {
         match self {
             Method::Get => "GET",
             Method::Head => "HEAD",
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -5,7 +5,6 @@
     Histogram,
     HistogramOpts,
     HistogramVec,
-    IntCounter,
     IntCounterVec,
     IntGauge,
     IntGaugeVec,
@@ -41,20 +40,22 @@
     pub retries: IntCounterVec,
     /// Exchanges with the platform, by operation and result.
     pub store: IntCounterVec,
-    /// Tokens of this daemon's shares, by state.
-    pub shares: IntGaugeVec,
-    /// Queued requests, by service and urgency.
-    pub queued: IntGaugeVec,
-    /// Requests in progress at a target.
-    pub inflight: IntGaugeVec,
+    /// Requests that wait for a target.
+    pub queued: IntGauge,
+    /// Targets that take new work.
+    pub usable: IntGauge,
+    /// Finished requests whose bills are not committed.
+    pub unbilled: IntGauge,
+    /// Operations that the witness has not acknowledged.
+    pub backlog: IntGauge,
+    /// Incarnations that this daemon watches as their witness.
+    pub watched: IntGauge,
     /// Mode of the daemon: 1 for the mode it is in.
     pub mode: IntGaugeVec,
     /// Version of the configuration in force.
     pub config: IntGauge,
     /// Bytes sent and received on peer links.
     pub peer_bytes: IntGaugeVec,
-    /// Spans of traces that were dropped.
-    pub lost_spans: IntCounter,
 }
 
 impl Metrics {
@@ -120,20 +121,22 @@
                 "Exchanges with the platform.",
                 &["operation", "result"],
             ),
-            shares: gauges(
-                "cuminloom_share_tokens",
-                "Tokens of this daemon's shares.",
-                &["state"],
-            ),
-            queued: gauges(
+            queued: gauge(
                 "cuminloom_queued_requests",
-                "Queued requests.",
-                &["service", "urgency"],
+                "Requests that wait for a target.",
+            ),
+            usable: gauge("cuminloom_usable_targets", "Targets that take new work."),
+            unbilled: gauge(
+                "cuminloom_unbilled_requests",
+                "Finished requests whose bills are not committed.",
+            ),
+            backlog: gauge(
+                "cuminloom_mirror_backlog",
+                "Operations that the witness has not acknowledged.",
             ),
-            inflight: gauges(
-                "cuminloom_target_inflight",
-                "Requests in progress at a target.",
-                &["target"],
+            watched: gauge(
+                "cuminloom_watched_incarnations",
+                "Incarnations that this daemon watches as their witness.",
             ),
             mode: gauges(
                 "cuminloom_mode",
@@ -149,10 +152,6 @@
                 "Bytes on peer links since the start.",
                 &["direction"],
             ),
-            lost_spans: register(
-                &registry,
-                IntCounter::new("cuminloom_lost_spans_total", "Spans that were dropped."),
-            ),
             registry,
         }
     }
