Measure the budget mechanism against baselines

The effect of the sizing policy on false refusals was not known. The bench plays the same seeded requests and faults against the node machines, a static split, a check for each request and grants of a fixed size, and prints overspend, false refusals, platform operations and orphans. A refusal is false when limit - consumed - reserved of the whole fleet was at least the bound.

--- /dev/null
+++ b/benches/budgets.rs
@@ -0,0 +1,99 @@
+//! Budget mechanisms compared in the same seeded runs with the same faults. Prints a table;
+//! `--check` fails when an aim is missed. `CUMINLOOM_SEEDS` sets the number of seeds,
+//! `CUMINLOOM_SCENARIO` chooses one scenario, `CUMINLOOM_TRACE` prints each false refusal.
+
+#[path = "budgets/mod.rs"]
+mod model;
+
+use std::{
+    env,
+    process::ExitCode,
+    sync::atomic::{
+        AtomicUsize,
+        Ordering::Relaxed, //
+    },
+    thread, //
+};
+
+use model::{
+    Cell, MECHANISMS, aims, play,
+    trace::{
+        SCENARIOS,
+        TARGET, //
+    },
+};
+
+/// Runs at the same time.
+const THREADS: usize = 3;
+/// Seeds of a scenario unless `CUMINLOOM_SEEDS` says otherwise.
+const SEEDS: u64 = 5;
+
+fn main() -> ExitCode {
+    let seeds = env::var("CUMINLOOM_SEEDS").map_or(SEEDS, |text| text.parse().expect("a number"));
+    let only = env::var("CUMINLOOM_SCENARIO").ok();
+    let jobs: Vec<(&str, u64)> = SCENARIOS
+        .iter()
+        .flat_map(|name| (1..=seeds).map(move |seed| (*name, seed)))
+        .chain(TARGET.iter().map(|name| (*name, 1)))
+        .filter(|(name, _)| only.as_ref().is_none_or(|only| only == name))
+        .collect();
+    let cells = run(&jobs);
+    print(&cells);
+    let missed = aims::missed(&MECHANISMS, &cells);
+    for line in &missed {
+        println!("missed: {line}");
+    }
+    match env::args().any(|arg| arg == "--check") && !missed.is_empty() {
+        true => ExitCode::FAILURE,
+        false => ExitCode::SUCCESS,
+    }
+}
+
+fn run(jobs: &[(&'static str, u64)]) -> Vec<Cell> {
+    let next = AtomicUsize::new(0);
+    let work = || {
+        let mut done = Vec::new();
+        while let Some((n, (name, seed))) = jobs.iter().enumerate().nth(next.fetch_add(1, Relaxed))
+        {
+            done.push((n, play(name, *seed, 1, &MECHANISMS)));
+        }
+        done
+    };
+    let mut cells: Vec<(usize, Cell)> = thread::scope(|scope| {
+        let threads: Vec<_> = (0..THREADS).map(|_| scope.spawn(work)).collect();
+        let done = threads.into_iter().map(|t| t.join().expect("no panic"));
+        done.flatten().collect()
+    });
+    cells.sort_by_key(|(n, _)| *n);
+    cells.into_iter().map(|(_, cell)| cell).collect()
+}
+
+fn print(cells: &[Cell]) {
+    println!(
+        "| scenario | mechanism | overspend | false refusals | refused | reads | budget writes | \
+         other writes | orphaned at end | at most |"
+    );
+    println!("|---|---|---|---|---|---|---|---|---|---|");
+    let mut names: Vec<&str> = cells.iter().map(|cell| cell.scenario).collect();
+    names.dedup();
+    for name in names {
+        let here = || cells.iter().filter(|cell| cell.scenario == name);
+        for (mechanism, sum) in MECHANISMS.iter().zip(aims::sums(here())) {
+            println!(
+                "| {name} | {} | {} | {:.3}% ({}) | {} | {:.1} | {:.1} | {:.1} | {} | {} |",
+                mechanism.name(),
+                sum.overspend,
+                sum.share() * 100.0,
+                sum.refused_safe,
+                sum.refused,
+                sum.rate(sum.reads),
+                sum.rate(sum.writes),
+                sum.rate(sum.others),
+                sum.orphaned,
+                sum.orphaned_max
+            );
+        }
+        let least: u64 = here().map(|cell| cell.least).sum();
+        println!("| {name} | least possible | 0 | ({least}) | | | | | | |");
+    }
+}
--- /dev/null
+++ b/benches/budgets/baselines.rs
@@ -0,0 +1,277 @@
+//! Baselines. They get every benefit of the doubt: no message takes time, no commit conflicts, and
+//! an open request of a crashed daemon is settled by its target.
+
+use std::{
+    cmp::Reverse,
+    collections::BinaryHeap, //
+};
+
+use cuminloom::model::Tokens;
+
+use super::{
+    ledger::{
+        Ledger,
+        Outcome, //
+    },
+    trace::{
+        DAEMONS,
+        DCS,
+        HOT,
+        Span,
+        Trace, //
+    },
+};
+
+/// How a baseline holds tokens. `holder` is the daemon that has the request.
+trait Scheme {
+    /// Reserves `bound` or refuses.
+    fn reserve(&mut self, at: u64, holder: usize, budget: usize, bound: Tokens) -> bool;
+    /// Gives back what the request did not use.
+    fn refund(&mut self, at: u64, holder: usize, budget: usize, tokens: Tokens);
+    fn top_up(&mut self, at: u64, budget: usize, tokens: Tokens);
+    /// A daemon crashed; returns the tokens that nobody can use any more.
+    fn crash(&mut self, holder: usize) -> Tokens;
+    fn io(&self) -> (u64, u64);
+}
+
+/// End of a request: time, number of the request, and the daemon that holds its reservation.
+type End = Reverse<(u64, usize, usize)>;
+
+fn run(trace: &Trace, scheme: &mut impl Scheme) -> Outcome {
+    let mut ledger = Ledger::new(trace);
+    let mut ends: BinaryHeap<End> = BinaryHeap::new();
+    let (mut topups, mut crashes) = (
+        trace.topups.iter().peekable(),
+        trace.crashes.iter().peekable(),
+    );
+    let mut orphaned = 0;
+    for (n, req) in trace.reqs.iter().enumerate() {
+        orphaned += finish(trace, scheme, &mut ledger, &mut ends, req.at);
+        ledger.orphans(orphaned);
+        while let Some((_, b, tokens)) = topups.next_if(|(at, ..)| *at <= req.at) {
+            ledger.top_up(*b, *tokens);
+            scheme.top_up(req.at, *b, *tokens);
+        }
+        while let Some((daemon, _)) = crashes.next_if(|(_, at)| *at <= req.at) {
+            orphaned += scheme.crash(*daemon);
+        }
+        let holder = trace.target(req.at, req.daemon);
+        if scheme.reserve(req.at, holder, req.budget, req.bound) {
+            ledger.begin(req.budget, req.bound);
+            ends.push(Reverse((req.at + req.lasts, n, holder)));
+        } else {
+            ledger.refuse(req.budget, req.bound);
+        }
+    }
+    orphaned += finish(trace, scheme, &mut ledger, &mut ends, u64::MAX);
+    ledger.orphans(orphaned);
+    (ledger.out.reads, ledger.out.writes) = scheme.io();
+    ledger.out
+}
+
+/// Ends what is due; returns the tokens of reservations that nobody can settle any more.
+fn finish(
+    trace: &Trace,
+    scheme: &mut impl Scheme,
+    ledger: &mut Ledger,
+    ends: &mut BinaryHeap<End>,
+    now: u64,
+) -> Tokens {
+    let mut orphaned = 0;
+    while let Some(Reverse((at, n, holder))) = ends.peek().copied().filter(|e| e.0.0 <= now) {
+        ends.pop();
+        let req = &trace.reqs[n];
+        ledger.end(req.budget, req.bound, req.tokens);
+        // What a crashed daemon had reserved is gone with it.
+        let lost = trace
+            .crashes
+            .iter()
+            .any(|(d, t)| *d == holder && (req.at..at).contains(t));
+        match lost {
+            true => orphaned += req.bound - req.tokens,
+            false => scheme.refund(at, holder, req.budget, req.bound - req.tokens),
+        }
+    }
+    orphaned
+}
+
+/// A fixed part of each limit for each data centre, by its number of daemons. The part survives
+/// the crash of a daemon.
+struct Split {
+    parts: Vec<[Tokens; 4]>,
+    cut: Span,
+    /// Parts of top-ups of which the data centre that is cut off learns after the cut.
+    late: Vec<(usize, Tokens)>,
+}
+
+impl Split {
+    fn part(tokens: Tokens, dc: usize) -> Tokens {
+        let daemons = DCS.iter().filter(|d| **d == dc).count() as Tokens;
+        tokens * daemons / DAEMONS as Tokens
+    }
+}
+
+impl Scheme for Split {
+    fn reserve(&mut self, at: u64, holder: usize, budget: usize, bound: Tokens) -> bool {
+        if !self.cut.contains(&at) {
+            for (budget, part) in self.late.drain(..) {
+                self.parts[budget][HOT] += part;
+            }
+        }
+        let part = &mut self.parts[budget][DCS[holder]];
+        let held = *part >= bound;
+        *part -= if held { bound } else { 0 };
+        held
+    }
+
+    fn refund(&mut self, _: u64, holder: usize, budget: usize, tokens: Tokens) {
+        self.parts[budget][DCS[holder]] += tokens;
+    }
+
+    fn top_up(&mut self, at: u64, budget: usize, tokens: Tokens) {
+        for dc in 0..4 {
+            let part = Self::part(tokens, dc);
+            match dc == HOT && self.cut.contains(&at) {
+                true => self.late.push((budget, part)),
+                false => self.parts[budget][dc] += part,
+            }
+        }
+    }
+
+    fn crash(&mut self, _: usize) -> Tokens {
+        0
+    }
+
+    fn io(&self) -> (u64, u64) {
+        (0, 0)
+    }
+}
+
+/// Static split of every budget.
+pub(crate) fn split(trace: &Trace) -> Outcome {
+    let part = |limit: &Tokens| std::array::from_fn(|dc| Split::part(*limit, dc));
+    let parts = trace.limits.iter().map(part).collect();
+    let mut scheme = Split {
+        parts,
+        cut: trace.cut.clone(),
+        late: Vec::new(),
+    };
+    run(trace, &mut scheme)
+}
+
+/// Reserve and settle in the table: a read and a commit each.
+struct Check<'a> {
+    trace: &'a Trace,
+    free: Vec<Tokens>,
+    settles: u64,
+    reads: u64,
+    writes: u64,
+}
+
+impl Scheme for Check<'_> {
+    fn reserve(&mut self, at: u64, holder: usize, budget: usize, bound: Tokens) -> bool {
+        if !self.trace.reaches(at, holder) {
+            return false;
+        }
+        self.reads += 1;
+        let held = self.free[budget] >= bound;
+        self.free[budget] -= if held { bound } else { 0 };
+        self.writes += u64::from(held);
+        held
+    }
+
+    // A settlement during an outage is written after it; that it counts at once favours this
+    // baseline.
+    fn refund(&mut self, _: u64, _: usize, budget: usize, tokens: Tokens) {
+        self.free[budget] += tokens;
+        self.settles += 1;
+    }
+
+    fn top_up(&mut self, _: u64, budget: usize, tokens: Tokens) {
+        self.free[budget] += tokens;
+    }
+
+    fn crash(&mut self, _: usize) -> Tokens {
+        0
+    }
+
+    fn io(&self) -> (u64, u64) {
+        (self.reads + self.settles, self.writes + self.settles)
+    }
+}
+
+/// A check of the table for each request.
+pub(crate) fn check(trace: &Trace) -> Outcome {
+    let free = trace.limits.clone();
+    let mut scheme = Check {
+        trace,
+        free,
+        settles: 0,
+        reads: 0,
+        writes: 0,
+    };
+    run(trace, &mut scheme)
+}
+
+/// Grants of a fixed size, renewed when half of one is left.
+struct Grants<'a> {
+    trace: &'a Trace,
+    free: Vec<Tokens>,
+    size: Vec<[Tokens; DAEMONS]>,
+    held: Vec<[Tokens; DAEMONS]>,
+    writes: u64,
+    reads: u64,
+}
+
+impl Scheme for Grants<'_> {
+    fn reserve(&mut self, at: u64, holder: usize, budget: usize, bound: Tokens) -> bool {
+        let size = self.size[budget][holder];
+        let held = &mut self.held[budget][holder];
+        if *held < bound.max(size / 2) && self.trace.reaches(at, holder) {
+            self.reads += 1;
+            let grant = size.max(bound).min(self.free[budget]);
+            self.free[budget] -= grant;
+            *held += grant;
+            self.writes += u64::from(grant > 0);
+        }
+        let ok = *held >= bound;
+        *held -= if ok { bound } else { 0 };
+        ok
+    }
+
+    fn refund(&mut self, _: u64, holder: usize, budget: usize, tokens: Tokens) {
+        self.held[budget][holder] += tokens;
+    }
+
+    fn top_up(&mut self, _: u64, budget: usize, tokens: Tokens) {
+        self.free[budget] += tokens;
+    }
+
+    fn crash(&mut self, holder: usize) -> Tokens {
+        let lost = self
+            .held
+            .iter_mut()
+            .map(|held| std::mem::take(&mut held[holder]));
+        lost.sum()
+    }
+
+    fn io(&self) -> (u64, u64) {
+        (self.reads, self.writes)
+    }
+}
+
+/// Grants of `seconds` of each daemon's mean demand over the whole run.
+pub(crate) fn grants(trace: &Trace, seconds: u64) -> Outcome {
+    let size =
+        |b: usize| std::array::from_fn(|d| (trace.demand(d, Some(b)) * seconds as f64) as Tokens);
+    let budgets = trace.limits.len();
+    let mut scheme = Grants {
+        trace,
+        free: trace.limits.clone(),
+        size: (0..budgets).map(size).collect(),
+        held: vec![[0; DAEMONS]; budgets],
+        writes: 0,
+        reads: 0,
+    };
+    run(trace, &mut scheme)
+}
--- /dev/null
+++ b/benches/budgets/ledger.rs
@@ -0,0 +1,111 @@
+//! What an observer with a view of the whole fleet knows.
+
+use cuminloom::model::Tokens;
+
+use super::trace::Trace;
+
+/// Result of one run.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Outcome {
+    /// Tokens consumed beyond a limit, at most, over all budgets.
+    pub(crate) overspend: Tokens,
+    pub(crate) requests: u64,
+    pub(crate) served: u64,
+    /// Requests refused although limit - consumed - reserved was at least their bound.
+    pub(crate) refused_safe: u64,
+    pub(crate) refused: u64,
+    pub(crate) reads: u64,
+    /// Writes of budget rows.
+    pub(crate) writes: u64,
+    /// All other platform writes: bills, ledgers, fence rows, seals.
+    pub(crate) others: u64,
+    /// Orphaned tokens at the end and at most.
+    pub(crate) orphaned: Tokens,
+    pub(crate) orphaned_max: Tokens,
+    /// Tokens that daemons had issued when they crashed and that were not spent, added up.
+    pub(crate) issued_lost: Tokens,
+}
+
+impl Outcome {
+    /// False refusals as a share of the requests that could safely have run.
+    pub(crate) fn share(&self) -> f64 {
+        self.refused_safe as f64 / (self.served + self.refused_safe).max(1) as f64
+    }
+
+    /// `count` for each 1,000 requests.
+    pub(crate) fn rate(&self, count: u64) -> f64 {
+        count as f64 * 1_000.0 / self.requests.max(1) as f64
+    }
+
+    /// Adds the figures of another run.
+    pub(crate) fn add(&mut self, other: &Self) {
+        self.overspend += other.overspend;
+        self.requests += other.requests;
+        self.served += other.served;
+        self.refused_safe += other.refused_safe;
+        self.refused += other.refused;
+        self.reads += other.reads;
+        self.writes += other.writes;
+        self.others += other.others;
+        self.orphaned += other.orphaned;
+        self.orphaned_max = self.orphaned_max.max(other.orphaned_max);
+        self.issued_lost += other.issued_lost;
+    }
+}
+
+/// Consumption of every budget, as it truly is.
+#[derive(Debug)]
+pub(crate) struct Ledger {
+    limit: Vec<Tokens>,
+    spent: Vec<Tokens>,
+    reserved: Vec<Tokens>,
+    pub(crate) out: Outcome,
+}
+
+impl Ledger {
+    pub(crate) fn new(trace: &Trace) -> Self {
+        let budgets = trace.limits.len();
+        Self {
+            limit: trace.limits.clone(),
+            spent: vec![0; budgets],
+            reserved: vec![0; budgets],
+            out: Outcome {
+                requests: trace.reqs.len() as u64,
+                ..Outcome::default()
+            },
+        }
+    }
+
+    pub(crate) fn top_up(&mut self, budget: usize, tokens: Tokens) {
+        self.limit[budget] += tokens;
+    }
+
+    /// Tokens that are neither consumed nor reserved by a running request.
+    pub(crate) fn left(&self, budget: usize) -> Tokens {
+        self.limit[budget].saturating_sub(self.spent[budget] + self.reserved[budget])
+    }
+
+    /// The request was sent to its target.
+    pub(crate) fn begin(&mut self, budget: usize, bound: Tokens) {
+        self.out.served += 1;
+        self.reserved[budget] += bound;
+    }
+
+    /// The target has generated `tokens`, whether or not the daemon lives.
+    pub(crate) fn end(&mut self, budget: usize, bound: Tokens, tokens: Tokens) {
+        self.reserved[budget] -= bound;
+        self.spent[budget] += tokens;
+        let over = self.spent[budget].saturating_sub(self.limit[budget]);
+        self.out.overspend = self.out.overspend.max(over);
+    }
+
+    pub(crate) fn refuse(&mut self, budget: usize, bound: Tokens) {
+        self.out.refused += 1;
+        self.out.refused_safe += u64::from(self.left(budget) >= bound);
+    }
+
+    pub(crate) fn orphans(&mut self, tokens: Tokens) {
+        self.out.orphaned = tokens;
+        self.out.orphaned_max = self.out.orphaned_max.max(tokens);
+    }
+}
--- /dev/null
+++ b/benches/budgets/trace.rs
@@ -0,0 +1,214 @@
+//! Seeded demand and faults.
+
+use std::f64::consts::TAU;
+
+use cuminloom::model::Tokens;
+use rand::{
+    RngExt,
+    SeedableRng,
+    rngs::StdRng, //
+};
+
+/// Number of daemons.
+pub(crate) const DAEMONS: usize = 7;
+/// Data centre of each daemon.
+pub(crate) const DCS: [usize; DAEMONS] = [0, 0, 1, 1, 2, 2, 3];
+/// Data centre with most of the demand.
+pub(crate) const HOT: usize = 0;
+/// Time in which a lost VM is replaced, in ms.
+pub(crate) const REPLACE_MS: u64 = 30_000;
+/// Time for which a caller waits for tokens, in ms.
+pub(crate) const DEADLINE_MS: u64 = 5_000;
+
+/// Names of the scenarios of an hour.
+pub(crate) const SCENARIOS: [&str; 7] = [
+    "calm",
+    "hot dc cut off",
+    "platform away",
+    "hot everywhere",
+    "half the demand",
+    "three crashes",
+    "crash in outage",
+];
+/// Scenarios of 10 min with the request rate per daemon of the target size.
+pub(crate) const TARGET: [&str; 2] = ["target calm", "target half"];
+
+/// A time span in ms.
+pub(crate) type Span = std::ops::Range<u64>;
+
+/// One request.
+#[derive(Clone, Debug)]
+pub(crate) struct Req {
+    pub(crate) at: u64,
+    pub(crate) daemon: usize,
+    pub(crate) budget: usize,
+    pub(crate) bound: Tokens,
+    pub(crate) tokens: Tokens,
+    pub(crate) lasts: u64,
+}
+
+/// Requests and faults of one run.
+#[derive(Debug)]
+pub(crate) struct Trace {
+    pub(crate) seed: u64,
+    pub(crate) end: u64,
+    pub(crate) reqs: Vec<Req>,
+    pub(crate) limits: Vec<Tokens>,
+    /// When the hot data centre has no link to the others and to the platform.
+    pub(crate) cut: Span,
+    /// When no daemon reaches the platform.
+    pub(crate) outage: Span,
+    /// Daemon and time of each crash.
+    pub(crate) crashes: Vec<(usize, u64)>,
+    /// Time, budget and tokens.
+    pub(crate) topups: Vec<(u64, usize, Tokens)>,
+}
+
+struct Shape {
+    rate: f64,
+    weights: [f64; 4],
+    budgets: Vec<f64>,
+    /// Limit of each budget as a part of its demand.
+    limit: f64,
+}
+
+fn shape(name: &str) -> Shape {
+    let uneven = [0.5, 0.25, 0.15, 0.1];
+    let (rate, weights, budgets, limit) = match name {
+        "calm" => (14.0, uneven, vec![0.6, 0.3, 0.1], 2.5),
+        "hot dc cut off" => (14.0, uneven, vec![1.0], 0.7),
+        "platform away" => (14.0, uneven, vec![0.7, 0.3], 2.0),
+        "hot everywhere" => (28.0, [0.28, 0.28, 0.28, 0.16], vec![1.0], 1.2),
+        "half the demand" => (14.0, uneven, vec![1.0], 0.5),
+        "three crashes" => (14.0, uneven, vec![1.0], 1.3),
+        "crash in outage" => (14.0, uneven, vec![1.0], 2.0),
+        "target calm" => (350.0, uneven, vec![0.4, 0.3, 0.2, 0.1], 2.0),
+        "target half" => (350.0, uneven, vec![0.4, 0.3, 0.2, 0.1], 0.5),
+        _ => panic!("no scenario {name:?}"),
+    };
+    Shape {
+        rate,
+        weights,
+        budgets,
+        limit,
+    }
+}
+
+impl Trace {
+    /// Builds the requests and faults of a scenario; `scale` divides all times.
+    pub(crate) fn build(name: &str, seed: u64, scale: u64) -> Self {
+        let minute = 60_000 / scale;
+        let end = match name.starts_with("target") {
+            true => 10 * minute,
+            false => 60 * minute,
+        };
+        let shape = shape(name);
+        let mut trace = Self {
+            seed,
+            end,
+            reqs: requests(&shape, seed, end),
+            limits: Vec::new(),
+            cut: 0..0,
+            outage: 0..0,
+            crashes: Vec::new(),
+            topups: Vec::new(),
+        };
+        for b in 0..shape.budgets.len() {
+            let total = trace.total(b) as f64;
+            trace.limits.push((total * shape.limit) as Tokens);
+        }
+        match name {
+            "hot dc cut off" => {
+                trace.cut = 20 * minute..40 * minute;
+                trace.topups.push((25 * minute, 0, trace.total(0)));
+            }
+            "platform away" => trace.outage = 15 * minute..45 * minute,
+            "three crashes" => {
+                trace.crashes = vec![(0, 15 * minute), (0, 30 * minute), (0, 45 * minute)];
+            }
+            "crash in outage" => {
+                trace.outage = 15 * minute..30 * minute;
+                trace.crashes = vec![(1, 20 * minute)];
+            }
+            _ => {}
+        }
+        trace
+    }
+
+    fn total(&self, budget: usize) -> Tokens {
+        let of = self.reqs.iter().filter(|req| req.budget == budget);
+        of.map(|req| req.tokens).sum()
+    }
+
+    /// Mean demand of a daemon in tokens a second, for one budget or for all.
+    pub(crate) fn demand(&self, daemon: usize, budget: Option<usize>) -> f64 {
+        let of = self.reqs.iter().filter(|req| req.daemon == daemon);
+        let of = of.filter(|req| budget.is_none_or(|b| req.budget == b));
+        of.map(|req| req.tokens).sum::<Tokens>() as f64 * 1_000.0 / self.end as f64
+    }
+
+    /// Whether a daemon reaches the platform.
+    pub(crate) fn reaches(&self, at: u64, daemon: usize) -> bool {
+        let cut = DCS[daemon] == HOT && self.cut.contains(&at);
+        !(cut || self.outage.contains(&at))
+    }
+
+    /// Whether the VM of a daemon is being replaced.
+    pub(crate) fn is_down(&self, at: u64, daemon: usize) -> bool {
+        let lost = |t: u64| (t..t + REPLACE_MS).contains(&at);
+        self.crashes.iter().any(|(d, t)| *d == daemon && lost(*t))
+    }
+
+    /// The daemon to which the load balancer sends a request: its own, or another one of the data
+    /// centre while that is being replaced.
+    pub(crate) fn target(&self, at: u64, daemon: usize) -> usize {
+        let near = (0..DAEMONS).filter(|d| DCS[*d] == DCS[daemon]);
+        let mut order = [daemon].into_iter().chain(near).chain(0..DAEMONS);
+        order.find(|d| !self.is_down(at, *d)).unwrap_or(daemon)
+    }
+}
+
+/// Arrivals with a wave of its own for each data centre and bursts of double demand.
+fn requests(shape: &Shape, seed: u64, end: u64) -> Vec<Req> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let phases: Vec<f64> = (0..4).map(|_| rng.random::<f64>() * TAU).collect();
+    let bursts: Vec<u64> = (0..4).map(|_| rng.random_range(0..end)).collect();
+    let (mut reqs, mut at) = (Vec::new(), 0.0);
+    // Arrivals are drawn at the highest rate and thinned to the current one.
+    let peak = 3.0;
+    loop {
+        at += -(1.0 - rng.random::<f64>()).ln() * 1_000.0 / (shape.rate * peak);
+        let ms = at as u64;
+        if ms >= end {
+            return reqs;
+        }
+        let dc = pick(&shape.weights, rng.random());
+        let wave = 1.0 + 0.5 * (at / end as f64 * 3.0 * TAU + phases[dc]).sin();
+        let burst = (bursts[dc]..bursts[dc] + end / 20).contains(&ms);
+        let level = if burst { 2.0 * wave } else { wave };
+        if rng.random::<f64>() * peak >= level {
+            continue;
+        }
+        let near: Vec<usize> = (0..DAEMONS).filter(|d| DCS[*d] == dc).collect();
+        let bound = rng.random_range(200..2_000);
+        let tokens = rng.random_range(bound / 5..=bound);
+        reqs.push(Req {
+            at: ms,
+            daemon: near[rng.random_range(0..near.len())],
+            budget: pick(&shape.budgets, rng.random()),
+            bound,
+            tokens,
+            lasts: 200 + tokens * 15,
+        });
+    }
+}
+
+fn pick(weights: &[f64], mut at: f64) -> usize {
+    for (n, weight) in weights.iter().enumerate() {
+        if at < *weight {
+            return n;
+        }
+        at -= weight;
+    }
+    0
+}
