Size shares for outages of half an hour

The default reserve is 3,600 s; the caps of the drawers follow what each has billed, with the same sum; drawers also ask holders in other data centres while the platform is away; an unpaired daemon without the platform asks for transfers; remainders are returned, at most every 8 s per budget.

The settings file and the schema still name 600 s as their default.

--- a/src/budget/row.rs
+++ b/src/budget/row.rs
@@ -19,7 +19,7 @@
 };
 
 /// Seconds of demand that a share covers unless the row says otherwise.
-const RESERVE_S: u32 = 600;
+const RESERVE_S: u32 = 3_600;
 /// Largest part of the free tokens that one draw takes unless the row says otherwise.
 const FRACTION: f64 = 0.125;
 
--- a/src/budget/slot.rs
+++ b/src/budget/slot.rs
@@ -8,6 +8,7 @@
 use crate::model::{
     BudgetId,
     Code,
+    Incarnation,
     Tokens,
     Version, //
 };
@@ -21,6 +22,8 @@
 const ISSUE_S: f64 = 5.0;
 /// Seconds of demand that a daemon which is no drawer asks for.
 const ASK_S: f64 = 30.0;
+/// Holders that are remembered, because they are asked for transfers while the platform is unavailable.
+const FAR: usize = 8;
 /// A budget without admissions for this long returns its share.
 pub(super) const IDLE_MS: Millis = 60_000;
 
@@ -91,12 +94,16 @@
     pub(super) dry_until: Millis,
     pub(super) short_at: Option<Millis>,
     pub(super) gave_at: Option<Millis>,
+    pub(super) shed_at: Option<Millis>,
     pub(super) ask_at: Millis,
     /// Free tokens in the row when it was last read or written.
     pub(super) free: i64,
     pub(super) version: Version,
     reserve: u32,
-    fraction: f32,
+    /// Largest part of what is free and available here that the share takes.
+    part: f32,
+    /// Other holders, most tokens first, when the row was last read.
+    pub(super) far: Vec<Incarnation>,
     pub(super) flight: Flight,
     pub(super) reason: Code,
     pub(super) asks: u8,
@@ -143,11 +150,13 @@
             dry_until: 0,
             short_at: None,
             gave_at: None,
+            shed_at: None,
             ask_at: 0,
             free: 0,
             version: 0,
-            reserve: 600,
-            fraction: 0.125,
+            reserve: 3_600,
+            part: 0.125,
+            far: Vec::new(),
             flight: Flight::None,
             reason: Code::BudgetExhausted,
             asks: 0,
@@ -264,7 +273,7 @@
             return self.demand(ASK_S).max(self.bound);
         }
         let pool = self.free.max(0) as f64 + self.avail() as f64;
-        let cap = (f64::from(self.fraction) * pool) as Tokens;
+        let cap = (f64::from(self.part) * pool) as Tokens;
         self.demand(self.reserve.into()).min(cap).max(self.bound)
     }
 
@@ -284,7 +293,7 @@
         if !self.wants_draw(mode) {
             return 0;
         }
-        let cap = (f64::from(self.fraction) * free as f64) as Tokens;
+        let cap = (f64::from(self.part) * free as f64) as Tokens;
         let avail = self.avail();
         let sized = self.want(mode).saturating_sub(avail).min(cap);
         let floor = (self.need + self.asked).max(self.bound);
@@ -302,10 +311,11 @@
     }
 
     /// Takes the settings and the free tokens of a row.
-    pub(super) fn adopt(&mut self, version: Version, row: &Row) {
+    pub(super) fn adopt(&mut self, version: Version, row: &Row, inc: &Incarnation) {
         self.version = version;
         self.reserve = row.reserve;
-        self.fraction = row.fraction as f32;
+        self.part = part(row, inc) as f32;
+        self.far = far(row, inc);
         self.free = i64::try_from(row.figures().free).unwrap_or(i64::MAX);
         self.loaded = true;
     }
@@ -406,6 +416,33 @@
     }
 }
 
+/// Part of the free tokens and its own that a drawer may hold. Together the drawers hold as much as
+/// with `fraction` for each of them, divided by what they have billed: with the same part for each,
+/// the busiest data centre would run dry first when it is cut off.
+fn part(row: &Row, inc: &str) -> f64 {
+    let live = || row.shares.iter().filter(|(_, share)| !share.sealed);
+    let total: f64 = live().map(|(_, share)| share.billed as f64).sum();
+    let own = row.shares.get(inc).map_or(0, |share| share.billed) as f64;
+    if total <= 0.0 || row.fraction >= 1.0 {
+        return row.fraction;
+    }
+    let weight = live().count() as f64 * own / total;
+    let ratio = weight * row.fraction / (1.0 - row.fraction);
+    (ratio / (1.0 + ratio)).max(row.fraction)
+}
+
+/// The live holders of most tokens.
+fn far(row: &Row, inc: &Incarnation) -> Vec<Incarnation> {
+    let live = row
+        .shares
+        .iter()
+        .filter(|(id, share)| *id != inc && !share.sealed);
+    let mut holders: Vec<_> = live.map(|(id, s)| (s.outstanding(), id)).collect();
+    holders.sort_by(|a, b| b.cmp(a));
+    let holders = holders.into_iter().take(FAR);
+    holders.map(|(_, id)| id.clone()).collect()
+}
+
 fn signed(tokens: Tokens) -> i64 {
     i64::try_from(tokens).unwrap_or(i64::MAX)
 }
--- a/src/budget/transfer.rs
+++ b/src/budget/transfer.rs
@@ -12,6 +12,7 @@
         HUGE,
         Millis, //
     },
+    work::FAILS,
 };
 use crate::model::{
     BudgetId,
@@ -249,20 +250,21 @@
             return;
         }
         let (budget, turn) = (slot.id.clone(), usize::from(slot.asks));
+        let (far, lost) = (slot.far.clone(), slot.fails >= FAILS);
         let mut holders = drawers(&budget, &self.members);
         holders.retain(|holder| *holder != inc);
+        if !self.online() {
+            let far = far.into_iter().filter(|holder| !holders.contains(holder));
+            holders.extend(far.collect::<Vec<_>>());
+        }
         let mut rounds = std::iter::repeat_n(holders, ASK_ROUNDS).flatten();
         let Some(to) = rounds.nth(turn) else {
             self.slot(i).asks = 0;
-            let online = self.online();
-            return self.refuse(
-                now,
-                i,
-                match online {
-                    true => Code::BudgetExhausted,
-                    false => Code::BudgetUnavailable,
-                },
-            );
+            let code = match self.online() && !lost {
+                true => Code::BudgetExhausted,
+                false => Code::BudgetUnavailable,
+            };
+            return self.refuse(now, i, code);
         };
         let slot = self.slot(i);
         slot.asks += 1;
--- a/src/budget/work.rs
+++ b/src/budget/work.rs
@@ -26,12 +26,14 @@
 /// Longest wait after a failed exchange.
 const BACKOFF_MAX_MS: Millis = 5_000;
 /// Failed exchanges after which waiting requests are refused.
-const FAILS: u8 = 3;
+pub(super) const FAILS: u8 = 3;
 /// Wait for other drawers to return tokens after they were told that the budget is short.
 const SHORT_WAIT_MS: Millis = 1_000;
 /// Shortest interval between two such messages for one budget, and between two returns because of
 /// them. More often, the last tokens of a budget would move back and forth.
 const SHORT_EVERY_MS: Millis = 30_000;
+/// Shortest interval between two returns of a remainder. It bounds the writes for an empty budget.
+const SHED_EVERY_MS: Millis = 8_000;
 /// First time for which requests are refused without reading the row again; it doubles.
 const DRY_MS: Millis = 500;
 /// Longest such time. A top-up is in force within this time.
@@ -158,7 +160,9 @@
     fn seek(&mut self, now: Millis, i: u32) {
         let (mode, online, stopping) = (self.mode, self.online(), self.stopping);
         let slot = self.slot(i);
-        let draws = online && slot.drawer && !stopping;
+        // A daemon that starts during an outage is unpaired and can only ask others.
+        let lost = mode == Mode::Unpaired && slot.fails >= FAILS;
+        let draws = online && slot.drawer && !stopping && !lost;
         let wants = draws && now >= slot.dry_until && slot.wants_draw(mode);
         let gives = slot.keep.is_some_and(|keep| slot.returnable(keep) > 0);
         let gives = gives && slot.retire != Retire::Proposed;
@@ -169,7 +173,9 @@
             slot.flight = Flight::Read;
             let budget = slot.id.clone();
             self.out.push(Action::Read { budget });
-        } else if !draws && slot.need > slot.avail() {
+        }
+        let slot = self.slot(i);
+        if !draws && slot.need > slot.avail() {
             self.ask(now, i);
         }
         self.slot(i).low = self.low(i);
@@ -233,7 +239,7 @@
         slot.posted = old;
         slot.fails = 0;
         slot.fresh = false;
-        slot.adopt(version, &row);
+        slot.adopt(version, &row, &inc);
         if slot.reason == Code::BudgetUnavailable {
             slot.dry_until = 0;
         }
@@ -344,6 +350,13 @@
             .map(|(id, _)| id.clone())
             .collect();
         if told || to.is_empty() {
+            let recent = slot.shed_at.is_some_and(|at| now < at + SHED_EVERY_MS);
+            if slot.avail() > 0 && !recent {
+                // Less than a request needs here, but with other remainders enough for another one.
+                slot.keep = Some(0);
+                slot.shed_at = Some(now);
+                self.mark(i);
+            }
             return self.refuse(now, i, Code::BudgetExhausted);
         }
         slot.short_at = Some(now);
@@ -392,7 +405,8 @@
         slot.fails = slot.fails.saturating_add(1);
         let wait = (BACKOFF_MS << slot.fails.min(8)).min(BACKOFF_MAX_MS);
         slot.retry_at = now + wait / 2 + jitter % wait;
-        if !conflict && slot.fails >= FAILS {
+        let (fails, asks) = (slot.fails, self.mode == Mode::Unpaired);
+        if !conflict && fails >= FAILS && !asks {
             self.refuse(now, i, Code::BudgetUnavailable);
         }
         self.mark(i);
