--- a/src/kernel/context.rs
+++ b/src/kernel/context.rs
@@ -21,11 +21,15 @@
         Configuration,
         DaemonId,
         Incarnation,
+        TargetId,
         Version, //
     },
     node, route,
     settings::Settings,
-    store::HttpStore,
+    store::{
+        HttpStore,
+        Vm, //
+    },
     telemetry::{
         Metrics,
         Tracer, //
@@ -83,7 +87,7 @@
     pub settings: Settings,
     /// Fleet secret.
     pub secret: Arc<[u8]>,
-    /// Name of this process; it stays when the node starts a new incarnation.
+    /// Name of this process: its first incarnation. It stays when the node starts a new one.
     pub process: Incarnation,
     /// Clock of the daemon.
     pub clock: Clock,
@@ -105,12 +109,22 @@
     pub edits: Arc<Mutex<config::Config>>,
     /// What the other daemons have confirmed.
     pub versions: Mutex<BTreeMap<DaemonId, Confirmed>>,
+    /// The platform's list of VMs, as last read.
+    pub vms: Mutex<Arc<[Vm]>>,
+    /// Daemons of the same data centre that are alive.
+    pub near: Mutex<Vec<DaemonId>>,
+    /// Load reports for peers.
+    pub loads: flume::Sender<Vec<(TargetId, route::Load)>>,
+    /// Wakes the thread that reads the head of the configuration.
+    pub wake_config: flume::Sender<()>,
     /// Versions of which peers are to be told.
     pub notices: flume::Sender<Version>,
     /// Work that one plug-in leaves for another.
     pub queues: Queues,
     /// Whether the daemon was told to stop.
     pub stopping: AtomicBool,
+    /// Asks for a planned stop of the daemon.
+    pub stop: flume::Sender<()>,
 }
 
 /// Channels between plug-ins; each receiver is drained by one plug-in.
@@ -124,6 +138,10 @@
     pub changes: flume::Receiver<node::Change>,
     /// Strikes for peers.
     pub strikes: flume::Receiver<route::Strike>,
+    /// Load reports for peers.
+    pub loads: flume::Receiver<Vec<(TargetId, route::Load)>>,
+    /// Wake-ups of the thread that reads the head of the configuration.
+    pub wake_config: flume::Receiver<()>,
     /// Accepted versions of the configuration for peers.
     pub notices: flume::Receiver<Version>,
 }
@@ -154,6 +172,11 @@
         Ok(())
     }
 
+    /// Asks for a planned stop of the daemon; repeating it has no effect.
+    pub(crate) fn halt(&self) {
+        let _ = self.stop.try_send(());
+    }
+
     /// Sets the gauges that are read from the machines when metrics are collected.
     ///
     /// # Examples
--- /dev/null
+++ b/src/node/life/draw.rs
@@ -0,0 +1,213 @@
+//! The drawer of a life: its actions, and what waits for the witness.
+
+use std::{
+    collections::BTreeMap,
+    sync::Arc,
+    time::Duration, //
+};
+
+use super::{
+    Asker,
+    Life,
+    Waiter, //
+};
+use crate::{
+    budget::{
+        self,
+        Mode,
+        Row, //
+    },
+    mirror::{
+        Message,
+        Op,
+        Reply,
+        Request,
+        fence_key, //
+    },
+    model::{
+        BudgetId,
+        Tokens,
+        Version, //
+    },
+    node::Action,
+    store::{
+        Change as Put,
+        Expect,
+        Outcome,
+        StoreFault,
+        Write, //
+    },
+};
+
+impl Life {
+    /// Releases what has been acknowledged, and carries out the drawer's actions.
+    pub(super) fn pass_drawer(&mut self, now: Duration) {
+        loop {
+            let released = self.release(now);
+            let actions = self.drawer.poll(now);
+            if !released && actions.is_empty() {
+                return;
+            }
+            for action in actions {
+                self.draw(now, action);
+            }
+        }
+    }
+
+    pub(super) fn release(&mut self, now: Duration) -> bool {
+        if self.mode == Mode::Sealed {
+            return false;
+        }
+        let counted = self.pair.counted();
+        let later = self.waiters.split_off(&(counted + 1));
+        let released = std::mem::replace(&mut self.waiters, later);
+        let any = !released.is_empty();
+        for waiter in released.into_values().flatten() {
+            match waiter {
+                Waiter::Ready(seq) => self.set_ready(seq),
+                Waiter::Issued(budget, total) => {
+                    self.handle(now, budget::Event::Issued { budget, total });
+                }
+                Waiter::Logged(id) => self.handle(now, budget::Event::Logged(id)),
+                Waiter::Commit(budget, expect, row) => self.commit(now, budget, expect, &row),
+            }
+        }
+        any
+    }
+
+    pub(super) fn draw(&mut self, now: Duration, action: budget::Action) {
+        match action {
+            budget::Action::Read { budget } => {
+                let request = Request::Read(format!("budget/{budget}").into());
+                self.request(Asker::Drawer(budget), request);
+            }
+            budget::Action::Commit {
+                budget,
+                expect,
+                row,
+            } => self.commit_known(now, budget, expect, row),
+            budget::Action::Issue { budget, total } => self.issue(now, budget, total),
+            budget::Action::Log { transfer, sent } => {
+                let budget = transfer.budget;
+                let op = Op::Sent {
+                    budget,
+                    total: sent,
+                };
+                let number = self.pair.append(now, op);
+                self.wait(number, Waiter::Logged(transfer.id));
+            }
+            budget::Action::Retry { budget } => self.actions.push(Action::Retry { budget }),
+            budget::Action::Sealed => self.probe_at = now,
+            budget::Action::Short { budget, to } => {
+                for to in to {
+                    let budget = budget.clone();
+                    self.send(to, Message::Short { budget });
+                }
+            }
+            budget::Action::Ask { to, budget, tokens } => {
+                self.send(to, Message::Ask { budget, tokens });
+            }
+            budget::Action::Send(transfer) => self.send(
+                transfer.id.to.clone(),
+                Message::Transfer {
+                    to: transfer.id.to,
+                    id: transfer.id.number,
+                    budget: transfer.budget,
+                    tokens: transfer.tokens,
+                },
+            ),
+            budget::Action::Confirm(id) => self.send(
+                id.from.clone(),
+                Message::TransferAck {
+                    from: id.from,
+                    id: id.number,
+                },
+            ),
+        }
+    }
+
+    pub(super) fn issue(&mut self, now: Duration, budget: BudgetId, total: Tokens) {
+        let op = Op::Issue {
+            budget: budget.clone(),
+            total,
+        };
+        let number = self.pair.append(now, op);
+        self.known.entry(budget.clone()).or_insert(number);
+        self.wait(number, Waiter::Issued(budget, total));
+    }
+
+    pub(super) fn commit_known(
+        &mut self,
+        now: Duration,
+        budget: BudgetId,
+        expect: Version,
+        row: Row,
+    ) {
+        if !self.known.contains_key(&budget) {
+            let op = Op::Issue {
+                budget: budget.clone(),
+                total: 0,
+            };
+            let number = self.pair.append(now, op);
+            self.known.insert(budget.clone(), number);
+        }
+        let number = self.known[&budget];
+        self.wait(number, Waiter::Commit(budget, expect, row));
+    }
+
+    pub(super) fn commit(&mut self, now: Duration, budget: BudgetId, expect: Version, row: &Row) {
+        let Some(version) = self.pair.version() else {
+            let fault = StoreFault::Unavailable;
+            return self.handle(now, budget::Event::Failed { budget, fault });
+        };
+        let key: Arc<str> = format!("budget/{budget}").into();
+        let writes = vec![
+            Write {
+                key,
+                expect: Expect::Version(expect),
+                change: Put::Put(row.into()),
+            },
+            Write {
+                key: fence_key(&self.inc),
+                expect: Expect::Version(version),
+                change: Put::Check,
+            },
+        ];
+        self.request(Asker::Drawer(budget), Request::Commit(writes));
+    }
+
+    /// Issued figures for a snapshot. The snapshot stands for the log entries before it, so a figure
+    /// that waits for the witness is the one that will count.
+    pub(super) fn issued(&self) -> BTreeMap<BudgetId, Tokens> {
+        let statements = self.drawer.statements();
+        let mut issued: BTreeMap<_, _> = statements.map(|s| (s.budget, s.issued)).collect();
+        for waiter in self.waiters.values().flatten() {
+            if let Waiter::Issued(budget, total) = waiter {
+                issued.insert(budget.clone(), *total);
+            }
+        }
+        issued
+    }
+
+    pub(super) fn drawn(&mut self, now: Duration, budget: BudgetId, reply: Reply) {
+        let event = match reply {
+            Reply::Row(row) => {
+                let row = row.and_then(|row| Some((row.version, Row::try_from(row.value).ok()?)));
+                budget::Event::Row { budget, row }
+            }
+            Reply::Commit(Outcome::Applied(versions)) => budget::Event::Committed {
+                budget,
+                version: versions[0],
+            },
+            Reply::Commit(Outcome::Conflict { key, row }) => {
+                if key == fence_key(&self.inc) {
+                    self.pair.observe(now, row.as_ref());
+                }
+                budget::Event::Conflict { budget }
+            }
+            Reply::Failed(fault) => budget::Event::Failed { budget, fault },
+            reply => panic!("reply {reply:?} does not answer the drawer"),
+        };
+        self.handle(now, event);
+    }
+}
--- /dev/null
+++ b/src/node/machine/peers.rs
@@ -0,0 +1,123 @@
+//! Messages from peers, and which peers are live.
+
+use std::time::Duration;
+
+use super::Node;
+use crate::{
+    budget::{
+        self,
+        Transfer,
+        TransferId, //
+    },
+    mirror::{
+        Message,
+        Peer, //
+    },
+    model::{
+        Incarnation,
+        daemon_of, //
+    },
+    node::{
+        Action,
+        Change, //
+    },
+};
+
+impl Node {
+    /// Reports a seal by this daemon.
+    pub(super) fn sealed(&mut self, now: Duration, inc: Incarnation) {
+        self.current().handle(now, budget::Event::Gone(inc.clone()));
+        self.actions.push(Action::Send {
+            to: inc.clone(),
+            message: Message::Sealed { inc: inc.clone() },
+        });
+        self.actions.push(Action::Change(Change::SealedPeer(inc)));
+    }
+
+    pub(super) fn receive(&mut self, now: Duration, from: Incarnation, message: Message) {
+        match &message {
+            Message::Mirror { .. } | Message::Attach { .. } => {
+                if let Some(message) = self.witness.receive(now, &message) {
+                    self.actions.push(Action::Send { to: from, message });
+                }
+            }
+            Message::MirrorAck { inc, .. }
+            | Message::AttachAck { inc, .. }
+            | Message::Sealed { inc } => {
+                if let Some(life) = self.lives.iter_mut().find(|life| life.inc == *inc) {
+                    life.receive(now, &from, &message);
+                }
+            }
+            _ => self.transfer(now, from, message),
+        }
+    }
+
+    pub(super) fn transfer(&mut self, now: Duration, from: Incarnation, message: Message) {
+        let me = self.incarnation().clone();
+        let event = match message {
+            Message::Ask { budget, tokens } => budget::Event::Ask {
+                from,
+                budget,
+                tokens,
+            },
+            Message::Short { budget } => budget::Event::Short { budget },
+            // Tokens for an incarnation that was replaced stay in transit until an operator
+            // settles them.
+            Message::Transfer {
+                to,
+                id,
+                budget,
+                tokens,
+            } if to == me => budget::Event::Received(Transfer {
+                id: TransferId {
+                    from,
+                    to,
+                    number: id,
+                },
+                budget,
+                tokens,
+            }),
+            Message::TransferAck { from: sender, id } if sender == me => {
+                budget::Event::Delivered(TransferId {
+                    from: sender,
+                    to: from,
+                    number: id,
+                })
+            }
+            _ => return,
+        };
+        self.current().handle(now, event);
+    }
+
+    pub(super) fn peer_up(&mut self, now: Duration, inc: Incarnation, peer: Peer) {
+        let old = self
+            .peers
+            .keys()
+            .find(|old| **old != inc && daemon_of(old) == daemon_of(&inc));
+        if let Some(old) = old.cloned() {
+            self.peer_down(now, &old);
+        }
+        self.witness.peer_up(&inc);
+        self.peers.insert(inc, peer);
+        self.members(now);
+    }
+
+    pub(super) fn peer_down(&mut self, now: Duration, inc: &Incarnation) {
+        self.peers.remove(inc);
+        self.witness.peer_down(now, inc);
+        for life in &mut self.lives {
+            life.pair.peer_down(now, inc);
+        }
+        self.members(now);
+    }
+
+    /// Tells the drawer the live incarnations of the data centre.
+    pub(super) fn members(&mut self, now: Duration) {
+        let me = self.incarnation().clone();
+        let near = self.peers.iter().filter(|(_, p)| p.dc == self.identity.dc);
+        let mut members: Vec<Incarnation> = near.map(|(inc, _)| inc.clone()).collect();
+        members.push(me);
+        members.sort();
+        self.current().handle(now, budget::Event::Members(members));
+    }
+}
--- a/tests/node_run.rs
+++ b/tests/node_run.rs
@@ -1,9 +1,11 @@
 //! Randomised runs of a fleet. They guard against overspend, double and missing bills, tokens that
 //! vanish from a budget, and seals that orphan more than was issued.
 
+#[allow(dead_code)] // Each test file uses a part of the world.
 mod world;
 
 use std::{
+    collections::HashSet,
     env,
     panic,
     time::Duration, //
@@ -24,10 +26,33 @@
 /// Steps in which a planned stop must end.
 const STOP: u64 = 2_400;
 
+/// Each guard with a seed that fails without it.
+const GUARDS: [(Broken, u64); 5] = [
+    (Broken::FenceCheck, 1),
+    (Broken::LedgerCheck, 18),
+    (Broken::BudgetVersion, 1),
+    (Broken::UnknownBatches, 4),
+    (Broken::AckAfterSeal, 29),
+];
+/// Seeds to search when the known one no longer fails.
+const WINDOW: u64 = 150;
+
 fn setting(name: &str, default: u64) -> u64 {
     env::var(name).map_or(default, |text| text.parse().expect("a number"))
 }
 
+/// Pauses that end about when the witness seals, so that the daemon races with its seal.
+fn pause(world: &mut World, nodes: usize) {
+    if world.rng.random_range(0..150) == 0 {
+        let pick = world.rng.random_range(0..nodes);
+        let pause = Duration::from_millis(world.rng.random_range(9_500..11_500));
+        world.procs[pick].paused = world.now + pause;
+        if world.chance(50) {
+            world.procs[pick].blind = world.now + pause * 2;
+        }
+    }
+}
+
 fn inject(world: &mut World, nodes: usize, dcs: usize) {
     let pick = world.rng.random_range(0..nodes);
     let long = Duration::from_millis(world.rng.random_range(500..25_000));
@@ -50,7 +75,8 @@
             world.cut.insert(dc.into(), world.now + long);
         }
         28..32 => world.lost_answers = 60 - world.lost_answers,
-        32..40 => {
+        32..36 => world.procs[pick].blind = world.now + long,
+        36..44 => {
             let budget = world.budgets[pick % world.budgets.len()].clone();
             world.top_up(&budget, 700);
         }
@@ -75,69 +101,101 @@
     world.add_budget("write", 9_000);
     world.loss = 4;
     for _ in 0..setting("CUMINLOOM_STEPS", STEPS) {
-        inject(&mut world, nodes, dcs);
+        match seed % 3 {
+            0 => pause(&mut world, nodes),
+            _ => inject(&mut world, nodes, dcs),
+        }
         load(&mut world, nodes);
         world.step();
     }
-    world.loss = 0;
-    world.lost_answers = 0;
-    world.outage = Duration::ZERO;
-    world.cut.clear();
-    for proc in &mut world.procs {
-        proc.paused = Duration::ZERO;
-        proc.restart = Duration::ZERO;
-    }
-    for _ in 0..HEAL {
-        world.step();
-    }
-    for proc in &mut world.procs {
-        proc.node.as_mut().unwrap().stop();
-    }
-    for _ in 0..STOP {
-        if world.procs.iter().any(|proc| !proc.stopped) {
-            world.step();
-        }
-    }
-    for proc in &world.procs {
-        let figures = proc.node.as_ref().map(|node| node.snapshot());
-        assert!(proc.stopped, "a planned stop ends: {figures:?}");
-    }
-    world.check_end();
+    world.settle(HEAL, STOP);
     world
 }
 
 #[test]
 fn invariants_hold_under_faults() {
     let first = setting("CUMINLOOM_FIRST", 0);
-    let (mut failed, mut admitted) = (Vec::new(), 0);
+    let (mut failed, mut admitted, mut modes) = (Vec::new(), 0, HashSet::new());
     let seeds = setting("CUMINLOOM_SEEDS", SEEDS);
     for seed in first..first + seeds {
         match panic::catch_unwind(|| run(seed, Broken::Nothing)) {
-            Ok(world) => admitted += world.admitted,
+            Ok(world) => {
+                admitted += world.admitted;
+                modes.extend(world.modes);
+            }
             Err(_) => failed.push(seed),
         }
     }
     assert!(failed.is_empty(), "seeds {failed:?} fail");
     // A fleet that refuses everything would keep every invariant.
     assert!(admitted > 100 * seeds, "{admitted} requests admitted");
+    assert_eq!(modes.len(), 5, "every mode occurs");
 }
 
-fn fails(seed: u64, broken: Broken) -> bool {
-    panic::catch_unwind(|| run(seed, broken)).is_err()
+/// Message of the check that fails, if one does.
+fn failure(seed: u64, broken: Broken) -> Option<String> {
+    let panic = panic::catch_unwind(|| run(seed, broken)).err()?;
+    let text = panic.downcast_ref::<&str>().map(|text| (*text).to_owned());
+    text.or_else(|| panic.downcast_ref::<String>().cloned())
 }
 
-/// Each guard is needed: with it switched off the first failing seed is found.
+/// A guard without which no run fails is either not needed or not tested. The known seed is tried
+/// first; other seeds follow, because a change of the drawer changes all runs.
 #[test]
-#[ignore = "searches for seeds; run it after a change of the fake"]
-fn search_guards() {
-    for broken in [
-        Broken::FenceCheck,
-        Broken::LedgerCheck,
-        Broken::BudgetVersion,
-        Broken::UnknownBatches,
-        Broken::AckAfterSeal,
-    ] {
-        let seed = (0..setting("CUMINLOOM_SEEDS", SEEDS)).find(|seed| fails(*seed, broken));
-        println!("{broken:?}: {seed:?}");
+fn each_guard_is_needed() {
+    for (broken, known) in GUARDS {
+        let mut seeds = [known].into_iter().chain(0..WINDOW);
+        let found = seeds.find_map(|seed| Some((seed, failure(seed, broken)?)));
+        let (seed, message) = found.unwrap_or_else(|| panic!("{broken:?} changes nothing"));
+        println!("{broken:?} off: seed {seed} fails: {message}");
+        assert_eq!(failure(seed, Broken::Nothing), None, "seed {seed}");
     }
 }
+
+/// A calm fleet of three daemons in one data centre, with load on one budget for a minute, over
+/// which the drawers estimate demand.
+fn calm(limit: u64) -> World {
+    let mut world = World::new(11, 3, 1, Broken::Nothing);
+    world.add_budget("chat", limit);
+    serve(&mut world, 1_200);
+    world
+}
+
+fn serve(world: &mut World, steps: u64) {
+    let budget = world.budgets[0].clone();
+    for step in 0..steps {
+        for p in 0..3 {
+            if step % 4 == p as u64 {
+                world.admit(p, &budget);
+            }
+        }
+        world.step();
+    }
+}
+
+/// Guards against orphans that stay although the VM of an attached daemon is gone for good.
+#[test]
+fn orphans_return_when_the_vm_is_gone() {
+    let mut world = calm(100_000);
+    world.crash(0);
+    world.procs[0].restart = Duration::MAX;
+    serve(&mut world, 240);
+    assert!(world.row("chat").figures().orphaned > 0, "the seal orphans");
+    serve(&mut world, 1_200);
+    assert_eq!(world.row("chat").figures().orphaned, 0);
+    world.settle(HEAL, STOP);
+}
+
+/// Guards against refusals during an outage of the platform while the share suffices.
+#[test]
+fn a_detached_fleet_serves_on() {
+    let mut world = calm(1_000_000);
+    world.outage = world.now + Duration::from_secs(60);
+    serve(&mut world, 160);
+    let (admitted, refused) = (world.admitted, world.refused);
+    serve(&mut world, 1_000);
+    let more = world.refused - refused;
+    assert_eq!(more, 0, "nothing is refused");
+    assert!(world.admitted >= admitted + 700);
+    world.settle(HEAL, STOP);
+}
