--- a/standins/src/process.rs
+++ b/standins/src/process.rs
@@ -127,6 +127,19 @@
         self.addrs[name]
     }
 
+    /// Number of the process.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cuminloom_standins::process::Process;
+    /// let process = Process::spawn("/bin/sleep".as_ref(), &["60"], &[]).unwrap();
+    /// assert!(process.id() > 0);
+    /// ```
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Pauses the process (SIGSTOP).
     ///
     /// # Errors
