Draw for other daemons' questions when the share is issued whole

Cause: 43 of 4,638 requests to nearly unspent budgets were refused as exhausted (tests/capacity_bounds.rs, no_refusal_with_idle_budgets). A drawer compared what others ask with all it had left, but only tokens that are not issued can be sent, so a share that was issued whole answered none.

Ruled out: a timing effect; the refusals stay with any ask interval in the trial.

Change: a drawer also draws when the tokens that are not issued don't cover its own need and the questions.

--- a/src/budget/slot.rs
+++ b/src/budget/slot.rs
@@ -277,10 +277,20 @@
         self.demand(self.reserve.into()).min(cap).max(self.bound)
     }
 
+    /// Tokens to draw so that other daemons' questions can be answered. Issued tokens can't be sent,
+    /// so a share that is issued whole answers none however much of it is left.
+    fn lacking(&self) -> Tokens {
+        match self.asked {
+            0 => 0,
+            asked => (self.need + asked).saturating_sub(self.unissued()),
+        }
+    }
+
     /// Whether the share is below its low-water mark and the row may have tokens for it.
     pub(super) fn wants_draw(&self, mode: Mode) -> bool {
         let wanted = self.need + self.asked;
         wanted > self.avail()
+            || self.lacking() > 0
             || (self.avail() < self.want(mode) / 2 && (self.free > 0 || !self.loaded))
     }
 
@@ -297,7 +307,8 @@
         let avail = self.avail();
         let sized = self.want(mode).saturating_sub(avail).min(cap);
         let floor = (self.need + self.asked).max(self.bound);
-        let draw = sized.max(floor.saturating_sub(avail)).min(free);
+        let floor = floor.saturating_sub(avail).max(self.lacking());
+        let draw = sized.max(floor).min(free);
         // Less than one request's bound is of no use here, but may be of use to another drawer.
         let useful = match self.need {
             0 if self.asked > 0 => 0,
