Count the bills of an incarnation sealed before its first batch

The audit summed the bills of incarnations that have a ledger row. A daemon that is killed before its first batch has none, but its requests are billed in the seal object, so the audit reported each of these tokens as a discrepancy. Seen in the tests of a killed and of a paused daemon and of a killed holder of keys: row billed 704, bills 0 (killed), settled 810, bills 106 (paused), row 6, bills 0 (keys). All three passed after the change.

The sum now covers all incarnations with a fence row, with or without a ledger.

--- a/src/bill/count.rs
+++ b/src/bill/count.rs
@@ -23,6 +23,7 @@
     },
     store::{
         Objects,
+        Row,
         StoreFault,
         Table, //
     },
@@ -31,6 +32,9 @@
 /// Rows read in one exchange.
 const PAGE: usize = 500;
 
+/// Prefix of the keys of fence rows.
+const FENCES: &str = "fence/";
+
 /// Prefix of the keys of ledger rows.
 const LEDGERS: &str = "ledger/";
 
@@ -53,19 +57,37 @@
 /// assert_eq!(bill::count(&store), Err(StoreFault::Unavailable));
 /// ```
 pub fn count<S: Table + Objects>(store: &S) -> Result<BTreeMap<BudgetId, Bills>, StoreFault> {
+    let mut incs = BTreeMap::new();
+    // An incarnation that was sealed before its first batch has no ledger row, but its seal object
+    // counts.
+    for row in list(store, FENCES)? {
+        incs.insert(
+            Incarnation::from(&row.key[FENCES.len()..]),
+            Ledger::default(),
+        );
+    }
+    for row in list(store, LEDGERS)? {
+        let ledger = Ledger::from_value(&row.value).ok_or(StoreFault::Unknown)?;
+        incs.insert(row.key[LEDGERS.len()..].into(), ledger);
+    }
     let mut sums = BTreeMap::new();
-    let mut after = Arc::from("");
+    for (inc, ledger) in &incs {
+        count_one(store, inc, *ledger, &mut sums)?;
+    }
+    Ok(sums)
+}
+
+fn list<S: Table>(store: &S, prefix: &str) -> Result<Vec<Row>, StoreFault> {
+    let mut rows: Vec<Row> = Vec::new();
     loop {
-        let rows = store.list(LEDGERS, &after, PAGE)?;
-        let Some(last) = rows.last() else {
-            return Ok(sums);
-        };
-        after = last.key.clone();
-        for row in &rows {
-            let inc: Incarnation = row.key[LEDGERS.len()..].into();
-            let ledger = Ledger::from_value(&row.value).ok_or(StoreFault::Unknown)?;
-            count_one(store, &inc, ledger, &mut sums)?;
+        let after = rows
+            .last()
+            .map_or_else(|| Arc::from(""), |row| row.key.clone());
+        let page = store.list(prefix, &after, PAGE)?;
+        if page.is_empty() {
+            return Ok(rows);
         }
+        rows.extend(page);
     }
 }
 
