Report a target that closes without an answer as may-have-run

minreq makes up a 503 without headers when the connection closes before the answer.

A reply without headers is now a fault with verdict may-have-run, as it is for the platform already.

--- a/src/target/send.rs
+++ b/src/target/send.rs
@@ -184,6 +184,14 @@
         request = request.with_header(*name, value.as_str());
     }
     let inner = request.send_lazy().map_err(|err| fault_of(&err))?;
+    // `minreq` makes up a 503 without headers when the connection closes before the answer. The
+    // target may have run the request, so this must not pass for its own refusal.
+    if inner.headers.is_empty() {
+        return Err(Fault::may_have_run(
+            Code::TargetFailed,
+            "the target closed the connection without an answer",
+        ));
+    }
     let header = |name: &str| {
         let found = inner
             .headers
