--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -85,8 +85,10 @@
     pub dcs: Vec<(&'static str, usize)>,
     /// Limit of the only budget, `lamps`, in tokens.
     pub limit: Tokens,
-    /// Arguments of each engine; every data centre has one engine.
+    /// Arguments of each engine.
     pub engine: Vec<&'static str>,
+    /// Engines of each data centre.
+    pub engines: usize,
     /// Level of the daemons' logs.
     pub log: &'static str,
     /// Items of the configuration beside those that every deployment has.
@@ -105,6 +107,7 @@
             dcs: vec![("cebu-north", 2), ("cebu-south", 1)],
             limit: 1_000_000,
             engine: vec!["--ttft-ms", "5", "--tokens-per-second", "500"],
+            engines: 1,
             log: "warn",
             items: Vec::new(),
             budgets: Vec::new(),
@@ -137,13 +140,13 @@
 pub struct Fleet {
     /// The platform.
     pub platform: Process,
-    /// The engines, one in each data centre.
+    /// The engines, in the order of their data centres.
     pub engines: Vec<Process>,
     /// The plain service.
     pub service: Process,
     /// The daemons.
     pub members: Vec<Member>,
-    /// Links between daemons of different data centres pass through it.
+    /// Links between daemons of different data centres pass through it; `None` with one data centre.
     relay: Option<Process>,
     plan: Plan,
     net: u8,
@@ -356,10 +359,9 @@
     }
 
     fn control_links(&self, dc: &str, mode: &str) -> io::Result<()> {
-        let relay = self
-            .relay
-            .as_ref()
-            .expect("the relay runs with the daemons");
+        let Some(relay) = &self.relay else {
+            return Ok(());
+        };
         for (name, from, to) in self.links() {
             if from == dc || to == dc {
                 post(
@@ -456,10 +458,14 @@
         let engines: Vec<Value> = self
             .engines
             .iter()
-            .zip(&self.plan.dcs)
-            .map(|(engine, (dc, _))| {
-                let addr = engine.addr("engine").to_string();
-                json!({ "id": format!("runner-{dc}"), "addr": addr, "dc": dc })
+            .enumerate()
+            .map(|(index, engine)| {
+                let (dc, _) = self.plan.dcs[index / self.plan.engines];
+                let id = match index % self.plan.engines {
+                    0 => format!("runner-{dc}"),
+                    n => format!("runner-{dc}-{}", n + 1),
+                };
+                json!({ "id": id, "addr": engine.addr("engine").to_string(), "dc": dc })
             })
             .collect();
         let desk = json!({
--- a/standins/src/start.rs
+++ b/standins/src/start.rs
@@ -39,7 +39,7 @@
 
 pub(crate) fn start_engines(plan: &Plan) -> io::Result<Vec<Process>> {
     let start = |_| Process::standin("engine-standin", &plan.engine, &["engine", "control"]);
-    plan.dcs.iter().map(start).collect()
+    (0..plan.dcs.len() * plan.engines).map(start).collect()
 }
 
 pub(crate) fn start_daemon(settings: &Path, log: Option<&Path>) -> io::Result<Process> {
