Release a claim by a row that late writes can't overtake

The claim's write, given up while the platform hung, took effect after the release had found no row, and nothing removed it.

Ruled out: reading again for some time, since no time bounds a late write; deleting the row, because a second outstanding write would find it absent.

Change: a release writes a row that says so, under the version that it read or as absent; a released row may be claimed again under its version.

--- a/src/claim/row.rs
+++ b/src/claim/row.rs
@@ -54,6 +54,9 @@
     Claimed,
     /// The target answered.
     Ran(Recorded),
+    /// The request certainly did not run. The row stays, so that a write of this claim that arrives
+    /// late finds another version and has no effect; the key may be claimed again.
+    Released,
 }
 
 /// A claimed key.
@@ -89,7 +92,7 @@
     /// ```
     pub fn encode(&self) -> Value {
         let outcome = match &self.state {
-            ClaimState::Claimed => None,
+            ClaimState::Claimed | ClaimState::Released => None,
             ClaimState::Ran(recorded) => Some(wire::Recorded {
                 status: recorded.status,
                 kind: recorded.kind.to_string(),
@@ -101,6 +104,7 @@
             nonce: self.nonce,
             print: self.print.to_string(),
             at: self.at,
+            released: self.state == ClaimState::Released,
             outcome,
         };
         serde_json::to_value(row).expect("wire types have string keys")
@@ -117,6 +121,7 @@
     pub fn decode(value: &Value) -> Option<Self> {
         let row: wire::ClaimRow = serde_json::from_value(value.clone()).ok()?;
         let state = match row.outcome {
+            None if row.released => ClaimState::Released,
             None => ClaimState::Claimed,
             Some(recorded) => ClaimState::Ran(decode_recorded(recorded)?),
         };
--- a/src/claim/service.rs
+++ b/src/claim/service.rs
@@ -153,24 +153,30 @@
     }
 }
 
-/// Applies one write. A conflict means that an earlier try was applied, so there is nothing to do.
+/// Applies one write. A conflict means that the row has changed: a release looks at it again, and a
+/// record was applied by an earlier try.
 fn apply<T: Table>(table: &T, after: After) -> Result<(), StoreFault> {
-    let (mut claim, recorded) = match after {
-        After::Release(claim) => (claim, None),
-        After::Record(claim, recorded) => (claim, Some(recorded)),
-    };
-    if claim.release().is_none() {
+    match after {
+        After::Release(claim) => release(table, &claim),
+        After::Record(claim, recorded) => match claim.record(recorded) {
+            None => Ok(()),
+            Some(write) => table.commit(&[write]).map(drop),
+        },
+    }
+}
+
+fn release<T: Table>(table: &T, claim: &Claim) -> Result<(), StoreFault> {
+    let mut write = claim.release();
+    loop {
+        if let Some(write) = write.take()
+            && let Outcome::Applied(_) = table.commit(&[write])?
+        {
+            return Ok(());
+        }
         let row = table.read(&claim.row_key())?;
-        if !row.is_some_and(|row| claim.found(&row)) {
+        write = claim.release_found(row.as_ref());
+        if write.is_none() {
             return Ok(());
         }
     }
-    let write = match recorded {
-        None => claim.release(),
-        Some(recorded) => claim.record(recorded),
-    };
-    match write.map(|write| table.commit(&[write])) {
-        None | Some(Ok(Outcome::Applied(_) | Outcome::Conflict { .. })) => Ok(()),
-        Some(Err(fault)) => Err(fault),
-    }
 }
--- a/src/claim/step.rs
+++ b/src/claim/step.rs
@@ -158,7 +158,7 @@
                 Step::Decided(Decision::Proceed)
             }
             Answer::Commit(Ok(Outcome::Conflict { row: Some(row), .. }))
-            | Answer::Read(Ok(Some(row))) => Step::Decided(self.judge(&row)),
+            | Answer::Read(Ok(Some(row))) => self.judge(&row),
             // The lost write was not applied, or another claim was released meanwhile. An older
             // copy of the write could still arrive, so writing again waits for the next request.
             Answer::Commit(Ok(Outcome::Conflict { row: None, .. })) | Answer::Read(Ok(None)) => {
@@ -182,20 +182,22 @@
     ///     at: 1_764_800_000,
     ///     state: ClaimState::Claimed,
     /// };
-    /// // Nothing is known to be recorded, so there is nothing to release.
+    /// // Nothing is known to be recorded, so the row has to be read first.
     /// assert!(Claim::new("anod", "deposit-17", row).release().is_none());
     /// ```
     pub fn release(&self) -> Option<Write> {
         let version = self.version?;
-        Some(self.write(Expect::Version(version), Change::Delete))
+        Some(self.write(Expect::Version(version), Change::Put(self.released())))
     }
 
-    /// Returns the write that records the answer of the target.
+    /// Returns the write that releases the claim when the row was found as `found`, or `None` when
+    /// the row belongs to another request. A write of this claim may still be on its way: the
+    /// released row makes its expectation fail.
     ///
     /// # Examples
     ///
     /// ```
-    /// use cuminloom::claim::{Claim, ClaimRow, ClaimState, Recorded};
+    /// use cuminloom::claim::{Claim, ClaimRow, ClaimState};
     /// let row = ClaimRow {
     ///     owner: "vm-1.0a".into(),
     ///     nonce: 1,
@@ -203,28 +205,37 @@
     ///     at: 1_764_800_000,
     ///     state: ClaimState::Claimed,
     /// };
-    /// let claim = Claim::new("anod", "deposit-17", row);
-    /// assert!(claim.record(Recorded::new(200, "text/plain", b"ok")).is_none());
+    /// assert!(Claim::new("anod", "deposit-17", row).release_found(None).is_some());
     /// ```
-    pub fn record(&self, recorded: Recorded) -> Option<Write> {
-        let version = self.version?;
-        let row = ClaimRow {
-            state: ClaimState::Ran(recorded),
-            ..self.row.clone()
+    pub fn release_found(&self, found: Option<&Row>) -> Option<Write> {
+        let expect = match found {
+            None => Expect::Absent,
+            Some(row) => {
+                let claim = ClaimRow::decode(&row.value)?;
+                if !self.is_ours(&claim) && claim.state != ClaimState::Released {
+                    return None;
+                }
+                Expect::Version(row.version)
+            }
         };
-        Some(self.write(Expect::Version(version), Change::Put(row.encode())))
+        Some(self.write(expect, Change::Put(self.released())))
+    }
+
+    fn released(&self) -> serde_json::Value {
+        let state = ClaimState::Released;
+        ClaimRow {
+            state,
+            ..self.row.clone()
+        }
+        .encode()
     }
 
-    /// Takes the row as read for a release after a refusal with `cleanup`; returns whether it holds
-    /// this claim.
+    /// Returns the write that records the answer of the target.
     ///
     /// # Examples
     ///
     /// ```
-    /// use cuminloom::{
-    ///     claim::{Claim, ClaimRow, ClaimState},
-    ///     store::Row,
-    /// };
+    /// use cuminloom::claim::{Claim, ClaimRow, ClaimState, Recorded};
     /// let row = ClaimRow {
     ///     owner: "vm-1.0a".into(),
     ///     nonce: 1,
@@ -232,17 +243,16 @@
     ///     at: 1_764_800_000,
     ///     state: ClaimState::Claimed,
     /// };
-    /// let mut claim = Claim::new("anod", "deposit-17", row.clone());
-    /// let stored = Row { key: "claim/anod/deposit-17".into(), version: 3, value: row.encode() };
-    /// assert!(claim.found(&stored));
-    /// assert!(claim.release().is_some());
+    /// let claim = Claim::new("anod", "deposit-17", row);
+    /// assert!(claim.record(Recorded::new(200, "text/plain", b"ok")).is_none());
     /// ```
-    pub fn found(&mut self, row: &Row) -> bool {
-        let ours = ClaimRow::decode(&row.value).is_some_and(|found| self.is_ours(&found));
-        if ours {
-            self.version = Some(row.version);
-        }
-        ours
+    pub fn record(&self, recorded: Recorded) -> Option<Write> {
+        let version = self.version?;
+        let row = ClaimRow {
+            state: ClaimState::Ran(recorded),
+            ..self.row.clone()
+        };
+        Some(self.write(Expect::Version(version), Change::Put(row.encode())))
     }
 
     /// Key of the claim's row.
@@ -276,37 +286,35 @@
         found.owner == self.row.owner && found.nonce == self.row.nonce
     }
 
-    fn judge(&mut self, row: &Row) -> Decision {
+    fn judge(&mut self, row: &Row) -> Step {
         let Some(found) = ClaimRow::decode(&row.value) else {
             let fault = Fault::may_have_run(Code::Internal, "the claim of the key is unreadable");
-            return Decision::Refuse {
+            return Step::Decided(Decision::Refuse {
                 fault,
                 cleanup: false,
-            };
+            });
         };
+        if found.state == ClaimState::Released {
+            let claim = Change::Put(self.row.encode());
+            return Step::Commit(self.write(Expect::Version(row.version), claim));
+        }
         if self.is_ours(&found) {
             self.version = Some(row.version);
-            return Decision::Proceed;
+            return Step::Decided(Decision::Proceed);
         }
-        if found.print != self.row.print {
+        let fault = if found.print != self.row.print {
             let detail = "the idempotency key was used with another request";
-            let fault = Fault::not_run(Code::KeyReused, detail);
-            return Decision::Refuse {
-                fault,
-                cleanup: false,
-            };
-        }
-        match found.state {
-            ClaimState::Ran(recorded) => Decision::Replay(recorded),
-            ClaimState::Claimed => {
-                let detail = "a request with this idempotency key was accepted before";
-                let fault = Fault::may_have_run(Code::AlreadyClaimed, detail);
-                Decision::Refuse {
-                    fault,
-                    cleanup: false,
-                }
-            }
-        }
+            Fault::not_run(Code::KeyReused, detail)
+        } else if let ClaimState::Ran(recorded) = found.state {
+            return Step::Decided(Decision::Replay(recorded));
+        } else {
+            let detail = "a request with this idempotency key was accepted before";
+            Fault::may_have_run(Code::AlreadyClaimed, detail)
+        };
+        Step::Decided(Decision::Refuse {
+            fault,
+            cleanup: false,
+        })
     }
 
     fn read_again(&mut self) -> Step {
--- a/src/wire/claim.rs
+++ b/src/wire/claim.rs
@@ -18,6 +18,9 @@
     pub owner: ::std::string::String,
     #[doc = "SHA-256 of the request, in hex."]
     pub print: ::std::string::String,
+    #[doc = "Whether the claim was given up; the key may be claimed again."]
+    #[serde(default)]
+    pub released: bool,
 }
 #[doc = "Row of the table that claims an idempotency key."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
--- a/tests/claim_run.rs
+++ b/tests/claim_run.rs
@@ -127,7 +127,7 @@
         let Some(decision) = world.advance(&mut attempts[at]) else {
             continue;
         };
-        let mut attempt = attempts.swap_remove(at);
+        let attempt = attempts.swap_remove(at);
         match decision {
             Decision::Proceed => world.send(&attempt.claim),
             Decision::Replay(_) => assert!(world.ran > 0, "seed {seed}: replay without a run"),
@@ -137,10 +137,8 @@
             } => {
                 assert_eq!(fault.verdict, Verdict::NotRun);
                 let row = world.store.read(&attempt.claim.row_key());
-                if row.is_some_and(|row| attempt.claim.found(&row)) {
-                    let release = attempt.claim.release().expect("the row was found");
-                    world.commit(release);
-                }
+                let release = attempt.claim.release_found(row.as_ref());
+                release.map(|write| world.commit(write));
             }
             Decision::Refuse { .. } => {}
         }
@@ -230,3 +228,35 @@
         assert_eq!(fault.verdict, Verdict::MayHaveRun);
     }
 }
+
+/// Guards against a key that stays claimed for ever, because a write that was given up takes effect
+/// after the claim was released: seen when a platform that hung answered again.
+#[test]
+fn a_write_that_arrives_after_the_release_has_no_effect() {
+    let mut store = MemStore::default();
+    let mut first = start(0);
+    let Step::Commit(late) = first.step.clone() else {
+        panic!("a claim starts with a write")
+    };
+    first.step = first.claim.answer(Answer::Commit(Err(StoreFault::Unknown)));
+    let release = first
+        .claim
+        .release_found(store.read(&first.claim.row_key()).as_ref());
+    store.commit(&[release.expect("no other request has the key")]);
+    store.commit(&[late]);
+
+    let mut again = start(1);
+    let Step::Commit(write) = again.step.clone() else {
+        panic!("a claim starts with a write")
+    };
+    let step = again
+        .claim
+        .answer(Answer::Commit(Ok(store.commit(&[write]))));
+    let Step::Commit(write) = step else {
+        panic!("a released key is not claimed again: {step:?}")
+    };
+    let step = again
+        .claim
+        .answer(Answer::Commit(Ok(store.commit(&[write]))));
+    assert_eq!(step, Step::Decided(Decision::Proceed));
+}
