--- a/src/admin/budgets.rs
+++ b/src/admin/budgets.rs
@@ -242,7 +242,11 @@
         }
         check_limit(body.limit)?;
         let mut new = Row::create(customer.into(), body.limit);
-        size(&mut new, body.reserve, body.fraction)?;
+        let defaults = self.setup.budget;
+        let reserve = u32::try_from(defaults.reserve.as_secs()).unwrap_or(LONGEST_RESERVE);
+        let reserve = body.reserve.unwrap_or(reserve);
+        let fraction = body.fraction.unwrap_or(defaults.fraction);
+        size(&mut new, Some(reserve), Some(fraction))?;
         self.record(request, id, |row| match row {
             Some(_) => {
                 let detail = format!("there is a budget {id:?} already");
--- a/src/admin/plugin.rs
+++ b/src/admin/plugin.rs
@@ -6,10 +6,6 @@
         Arc,
         PoisonError, //
     },
-    time::{
-        SystemTime,
-        UNIX_EPOCH, //
-    },
 };
 
 use error_stack::{
@@ -43,9 +39,6 @@
     store::StoreFault,
 };
 
-/// Longest body of a request of an operator, in bytes.
-const BODY_LIMIT: usize = 4 << 20;
-
 inventory::submit! {
     Plugin { name: "admin", stage: Stage::Border, start: spawn } as DaemonPlugin
 }
@@ -94,18 +87,7 @@
 }
 
 fn spawn(ctx: &Arc<Context>) -> Result<Running, Report<StartFault>> {
-    let setup = Setup {
-        listen: ctx.settings.admin.listen,
-        operators: ctx.settings.admin.operators.clone(),
-        daemon: ctx.settings.daemon.id.clone(),
-        body_limit: BODY_LIMIT,
-        now: || {
-            SystemTime::now()
-                .duration_since(UNIX_EPOCH)
-                .unwrap_or_default()
-                .as_secs()
-        },
-    };
+    let setup = Setup::of(&ctx.settings);
     let admin = bind(
         setup,
         ctx.store.clone(),
--- a/src/admin/server.rs
+++ b/src/admin/server.rs
@@ -45,6 +45,7 @@
         TargetId, //
     },
     settings::{
+        BudgetDefaults,
         Operator,
         Settings, //
     },
@@ -70,6 +71,8 @@
     pub daemon: DaemonId,
     /// Longest accepted body, in bytes.
     pub body_limit: usize,
+    /// Sizing of a new budget that names none.
+    pub budget: BudgetDefaults,
     /// Seconds since the Unix epoch, for the history.
     pub now: fn() -> u64,
 }
@@ -91,6 +94,7 @@
             operators: settings.admin.operators.clone(),
             daemon: settings.daemon.id.clone(),
             body_limit: BODY_LIMIT,
+            budget: settings.budget,
             // A clock before the epoch is wrong anyway; the time is for people only.
             now: || UNIX_EPOCH.elapsed().map_or(0, |time| time.as_secs()),
         }
@@ -159,6 +163,7 @@
 ///     operators: Vec::new(),
 ///     daemon: "vm-1".into(),
 ///     body_limit: 1 << 20,
+///     budget: cuminloom::settings::BudgetDefaults::default(),
 ///     now: || 0,
 /// };
 /// let store = HttpStore::open("127.0.0.1:1".parse().unwrap());
--- a/src/settings/load.rs
+++ b/src/settings/load.rs
@@ -39,12 +39,11 @@
 const BODY_LIMIT: usize = 4 << 20;
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
 const VM_LIST_LAG: Duration = Duration::from_secs(600);
-const RESERVE: Duration = Duration::from_secs(600);
-const FRACTION_OF_FREE: f64 = 0.125;
+pub(super) const RESERVE: Duration = Duration::from_secs(3_600);
+pub(super) const FRACTION_OF_FREE: f64 = 0.125;
 const URGENT: usize = 256;
 const PATIENT: usize = 1024;
 const URGENT_HEADROOM: f64 = 0.2;
-const BILL_INTERVAL: Duration = Duration::from_secs(2);
 const SAMPLE: f64 = 0.01;
 
 pub(super) fn all(root: &Value<'_>, faults: &mut Faults<'_>) -> Settings {
@@ -57,7 +56,6 @@
         peer: peers(root.need_group("peer", faults), &daemon, faults),
         budget: budget(root.group("budget", faults), faults),
         queue: queue(root.group("queue", faults), faults),
-        bill_interval: bill(root.group("bill", faults), faults),
         trace: trace(root.group("trace", faults), faults),
         log: log(root.group("log", faults), faults),
         daemon,
@@ -207,12 +205,6 @@
     queue
 }
 
-fn bill(mut group: Group<'_, '_>, faults: &mut Faults<'_>) -> Duration {
-    let interval = group.or("interval_ms", &MILLIS, BILL_INTERVAL, faults);
-    group.finish(faults);
-    interval
-}
-
 fn trace(mut group: Group<'_, '_>, faults: &mut Faults<'_>) -> Trace {
     let trace = Trace {
         addr: group.optional("addr", &REMOTE, faults),
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -47,8 +47,6 @@
     pub budget: BudgetDefaults,
     /// Bounds of the queues of a service.
     pub queue: Queues,
-    /// Time between bill batches.
-    pub bill_interval: Duration,
     /// Export of traces.
     pub trace: Trace,
     /// Most detailed level that is logged.
@@ -153,6 +151,15 @@
     pub fraction: f64,
 }
 
+impl Default for BudgetDefaults {
+    fn default() -> Self {
+        Self {
+            reserve: load::RESERVE,
+            fraction: load::FRACTION_OF_FREE,
+        }
+    }
+}
+
 /// Bounds of the queues of a service.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Queues {
--- a/src/target/send.rs
+++ b/src/target/send.rs
@@ -36,8 +36,12 @@
 /// connection was not made may go to another target.
 const CONNECT_LIMIT: Duration = Duration::from_secs(1);
 
-/// Largest head of an answer, in bytes.
-const MAX_HEAD: usize = 64 << 10;
+/// Size of the two buffers of a connection, in bytes. The library's default of 128 KiB each would take
+/// 200 MB for 780 streams.
+const BUFFER: usize = 16 << 10;
+
+/// Largest head of an answer, in bytes. It has to fit into the buffer.
+const MAX_HEAD: usize = BUFFER;
 
 /// Content type of an answer that names none.
 const UNTYPED: &str = "application/octet-stream";
@@ -52,6 +56,8 @@
         .max_redirects_will_error(false)
         .max_idle_connections(0)
         .max_response_header_size(MAX_HEAD)
+        .input_buffer_size(BUFFER)
+        .output_buffer_size(BUFFER)
         .timeout_connect(Some(CONNECT_LIMIT))
         .user_agent("")
         .accept_encoding("")
--- a/src/wire/budget.rs
+++ b/src/wire/budget.rs
@@ -18,7 +18,7 @@
     #[serde(default)]
     pub received: u64,
     #[doc = "Seconds of recent demand that a share covers."]
-    #[serde(default = "defaults::default_u64::<u32, 600>")]
+    #[serde(default = "defaults::default_u64::<u32, 3600>")]
     pub reserve: u32,
     #[doc = "Number of changes of the limit, from 1."]
     pub revision: u64,
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -29,10 +29,8 @@
     config::{
         self,
         Change,
-        Config,
-        Kind, //
+        Config, //
     },
-    model::Tokens,
     store::{
         self,
         Expect,
@@ -52,6 +50,7 @@
 };
 
 use crate::{
+    plan::items,
     process::Process,
     start::{
         is_ready,
@@ -62,6 +61,8 @@
     },
 };
 
+pub use crate::plan::Plan;
+
 /// Ports of every daemon.
 const CALLER_PORT: u16 = 8080;
 const ADMIN_PORT: u16 = 8090;
@@ -78,45 +79,6 @@
 /// Deployments started by this process.
 static FLEETS: AtomicU8 = AtomicU8::new(0);
 
-/// What to start.
-#[derive(Clone, Debug)]
-pub struct Plan {
-    /// Data centres and the number of daemons in each.
-    pub dcs: Vec<(&'static str, usize)>,
-    /// Limit of the only budget, `lamps`, in tokens.
-    pub limit: Tokens,
-    /// Arguments of each engine.
-    pub engine: Vec<&'static str>,
-    /// Engines of each data centre.
-    pub engines: usize,
-    /// Level of the daemons' logs.
-    pub log: &'static str,
-    /// Items of the configuration beside those that every deployment has.
-    pub items: Vec<(Kind, &'static str, Value)>,
-    /// Budgets beside `lamps`, with their limits in tokens.
-    pub budgets: Vec<(&'static str, Tokens)>,
-    /// Groups of the daemons' settings that replace or add to the usual ones.
-    pub settings: Value,
-    /// Whether the daemons' logs go to [`Member::log`] instead of the standard error output.
-    pub capture: bool,
-}
-
-impl Default for Plan {
-    fn default() -> Self {
-        Self {
-            dcs: vec![("cebu-north", 2), ("cebu-south", 1)],
-            limit: 1_000_000,
-            engine: vec!["--ttft-ms", "5", "--tokens-per-second", "500"],
-            engines: 1,
-            log: "warn",
-            items: Vec::new(),
-            budgets: Vec::new(),
-            settings: json!({}),
-            capture: false,
-        }
-    }
-}
-
 /// One daemon of the deployment.
 #[derive(Debug)]
 pub struct Member {
@@ -410,7 +372,10 @@
     fn seed(&self) -> io::Result<()> {
         let store = self.store();
         let edits = Mutex::new(Config::default());
-        for (kind, name, item) in self.items().into_iter().chain(self.plan.items.clone()) {
+        for (kind, name, item) in items(&self.plan, &self.engines, &self.service)
+            .into_iter()
+            .chain(self.plan.items.clone())
+        {
             let item: Item = serde_json::from_value(item).map_err(io::Error::other)?;
             let change = Change {
                 kind,
@@ -452,77 +417,6 @@
         Ok(())
     }
 
-    fn items(&self) -> Vec<(Kind, &'static str, Value)> {
-        let hash = hex::encode(Sha256::digest(KEY));
-        let other = hex::encode(Sha256::digest("hsin-key"));
-        let engines: Vec<Value> = self
-            .engines
-            .iter()
-            .enumerate()
-            .map(|(index, engine)| {
-                let (dc, _) = self.plan.dcs[index / self.plan.engines];
-                let id = match index % self.plan.engines {
-                    0 => format!("runner-{dc}"),
-                    n => format!("runner-{dc}-{}", n + 1),
-                };
-                json!({ "id": id, "addr": engine.addr("engine").to_string(), "dc": dc })
-            })
-            .collect();
-        let desk = json!({
-            "id": "desk-1",
-            "addr": self.service.addr("service").to_string(),
-            "dc": self.plan.dcs[0].0,
-        });
-        let profile = |service: &str, urgency: &str, repeat: &str, charge: u64| {
-            json!({ "profile": {
-                "customers": ["anod"], "service": service, "budget": "lamps",
-                "urgency": urgency, "repeat": repeat, "output": 64, "charge": charge,
-            } })
-        };
-        vec![
-            (
-                Kind::Customer,
-                "anod",
-                json!({ "customer": { "keys": [hash] } }),
-            ),
-            (
-                Kind::Customer,
-                "hsin",
-                json!({ "customer": { "keys": [other] } }),
-            ),
-            (
-                Kind::Service,
-                "loom-writers",
-                json!({ "service": { "kind": "engine", "model": "small", "targets": engines } }),
-            ),
-            (
-                Kind::Service,
-                "order-desk",
-                json!({ "service": { "kind": "plain", "targets": [desk] } }),
-            ),
-            (
-                Kind::Profile,
-                "chat",
-                profile("loom-writers", "urgent", "idempotent", 0),
-            ),
-            (
-                Kind::Profile,
-                "write-up",
-                profile("loom-writers", "patient", "idempotent", 0),
-            ),
-            (
-                Kind::Profile,
-                "deposit",
-                profile("order-desk", "urgent", "once", 3),
-            ),
-            (
-                Kind::Profile,
-                "stock",
-                profile("order-desk", "urgent", "idempotent", 1),
-            ),
-        ]
-    }
-
     /// Name, data centre and address of each daemon.
     fn places(&self) -> impl Iterator<Item = (String, &'static str, Ipv4Addr)> + '_ {
         let process = (std::process::id() % 200) as u8;
@@ -592,7 +486,6 @@
                 "secret": { "file": self.folder.join("secret") },
                 "peers": others,
             },
-            "bill": { "interval_ms": 500 },
             "log": { "level": self.plan.log },
         });
         let extra = self.plan.settings.as_object().cloned();
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod cli;
 pub mod engine;
 pub mod fleet;
+mod plan;
 pub mod platform;
 pub mod process;
 mod queue;
--- a/tests/admin_api.rs
+++ b/tests/admin_api.rs
@@ -43,7 +43,10 @@
         BudgetId,
         Version, //
     },
-    settings::Operator,
+    settings::{
+        BudgetDefaults,
+        Operator, //
+    },
     store::{
         Change,
         Expect,
@@ -167,6 +170,7 @@
         operators: vec![operator("ann"), operator("ben")],
         daemon: "vm-1".into(),
         body_limit: 4_000,
+        budget: BudgetDefaults::default(),
         now: || 1_700_000_000,
     };
     let (platform, peers) = (Platform::default(), Arc::<Peers>::default());
