--- a/src/bill/book.rs
+++ b/src/bill/book.rs
@@ -1,3 +1,5 @@
+//! Open requests, finished requests and their batches of one incarnation.
+
 use std::{
     collections::{
         BTreeMap,
--- a/src/bill/writer.rs
+++ b/src/bill/writer.rs
@@ -1,3 +1,5 @@
+//! Writes bill objects and commits them to the ledger row.
+
 use std::{
     collections::{
         BTreeMap,
--- a/src/mirror/choose.rs
+++ b/src/mirror/choose.rs
@@ -1,3 +1,5 @@
+//! Choice of the witness.
+
 use std::collections::BTreeMap;
 
 use sha2::{
--- a/src/mirror/fence.rs
+++ b/src/mirror/fence.rs
@@ -1,3 +1,5 @@
+//! The fence row of an incarnation, and the keys of its rows.
+
 use std::sync::Arc;
 
 use serde_json::Value;
--- a/src/mirror/log.rs
+++ b/src/mirror/log.rs
@@ -1,3 +1,5 @@
+//! Operations on their way to the witness: batches, acknowledgements, repetition.
+
 use std::{
     collections::VecDeque,
     time::Duration, //
--- a/src/mirror/op.rs
+++ b/src/mirror/op.rs
@@ -1,3 +1,5 @@
+//! Operations of the log, and messages about mirroring and transfers.
+
 use serde::{
     Deserialize,
     Serialize, //
--- a/src/mirror/request.rs
+++ b/src/mirror/request.rs
@@ -1,3 +1,5 @@
+//! Operations on the platform that the machines ask for, and their answers.
+
 use std::sync::Arc;
 
 use crate::store::{
--- a/src/mirror/seal.rs
+++ b/src/mirror/seal.rs
@@ -1,3 +1,5 @@
+//! The seal of a lost incarnation, step by step.
+
 use std::{
     collections::BTreeMap,
     sync::Arc,
--- a/src/mirror/state.rs
+++ b/src/mirror/state.rs
@@ -1,3 +1,5 @@
+//! What the operation log says of an incarnation, and its snapshot for a new witness.
+
 use std::collections::BTreeMap;
 
 use serde::{
--- a/src/mirror/witness.rs
+++ b/src/mirror/witness.rs
@@ -1,3 +1,5 @@
+//! The witness's records of the incarnations that it watches.
+
 use std::{
     collections::BTreeMap,
     time::Duration, //
--- a/src/node/health.rs
+++ b/src/node/health.rs
@@ -1,3 +1,5 @@
+//! Whether the platform responds, judged by the answers to operations.
+
 use std::{
     collections::BTreeMap,
     time::Duration, //
--- a/src/node/retire.rs
+++ b/src/node/retire.rs
@@ -1,3 +1,5 @@
+//! Sealed incarnations of this process whose requests and bills are not accounted for.
+
 use std::time::Duration;
 
 use super::life::{
--- a/src/node/scan.rs
+++ b/src/node/scan.rs
@@ -1,3 +1,5 @@
+//! Search of the fence rows for incarnations that nobody has sealed or released.
+
 use std::{
     collections::{
         BTreeMap,
