Serve the users' platform through a thin adapter and a new data plane

The whole path: a caller's request through an event-driven data plane (edge/) to a runner and back, with routes, keys and runners from the store's feeds and prepaid tokens in the store's rows. platform/ translates settings, header fields, the configuration, runners' entries and the store's calls.

--- /dev/null
+++ b/edge/src/catalog/config.rs
@@ -0,0 +1,185 @@
+//! The operator's configuration, and the route and customer of a request.
+
+use std::{
+    collections::HashMap,
+    sync::Arc,
+    time::Duration, //
+};
+
+use super::{
+    CustomerId,
+    ServiceId, //
+};
+
+/// What may be repeated on a route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeat {
+    /// A request may run more than once.
+    Idempotent,
+    /// A request may run once at most.
+    Once,
+    /// A stream that runs once at most.
+    Stream,
+    /// A stream that may go on at another runner after its last event.
+    Resumable,
+}
+
+impl Repeat {
+    /// Whether a second run is allowed.
+    pub fn may_repeat(self) -> bool {
+        matches!(self, Repeat::Idempotent | Repeat::Resumable)
+    }
+
+    /// Whether the answer is a stream of events.
+    pub fn is_stream(self) -> bool {
+        matches!(self, Repeat::Stream | Repeat::Resumable)
+    }
+}
+
+/// One route of the operator's configuration.
+#[derive(Clone, Debug)]
+pub struct Route {
+    /// Name that the operator gave.
+    pub name: Arc<str>,
+    /// Host that the route serves.
+    pub host: Arc<str>,
+    /// Path prefix, beginning and ending with a slash.
+    pub prefix: Arc<str>,
+    /// What may be repeated.
+    pub repeat: Repeat,
+    /// Longest time that a request may wait for its answer.
+    pub timeout: Duration,
+    /// Time within which an answer is worth most.
+    pub objective: Duration,
+    /// Longest pause between two events that is still on time.
+    pub pause: Duration,
+    /// Rank, 0 first.
+    pub rank: u8,
+    /// Services with their weights.
+    pub services: Vec<(ServiceId, u32)>,
+    /// Runners to which one request may be sent.
+    pub attempts: u32,
+    /// Whether requests need no key.
+    pub public: bool,
+}
+
+/// One service.
+#[derive(Clone, Debug)]
+pub struct Service {
+    /// Name.
+    pub name: ServiceId,
+    /// Connections that one runner accepts from all callers.
+    pub connections: u32,
+    /// Requests that one engine runs at once; `None` for a plain service.
+    pub batch: Option<u32>,
+    /// Tokens that one event of a stream holds at most.
+    pub stride: u64,
+    /// Tokens that fit into the memory of one engine.
+    pub memory: u64,
+}
+
+/// Limits on what a caller may send.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Largest head, in bytes.
+    pub head: usize,
+    /// Largest body, in bytes.
+    pub body: usize,
+    /// Longest time for a head.
+    pub header_time: Duration,
+    /// Longest time for which a kept connection may be idle.
+    pub idle_time: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits {
+            head: 16 * 1024,
+            body: 4 * 1024 * 1024,
+            header_time: Duration::from_secs(3),
+            idle_time: Duration::from_secs(15),
+        }
+    }
+}
+
+/// One customer.
+#[derive(Clone, Debug)]
+pub struct Customer {
+    /// Name.
+    pub name: CustomerId,
+    /// Rank that goes before the rank of the route.
+    pub rank: Option<u8>,
+    /// Tokens that the customer may consume in all; `None` without a budget.
+    pub prepaid: Option<u64>,
+}
+
+/// One version of the operator's configuration.
+#[derive(Clone, Debug, Default)]
+pub struct Config {
+    /// Version that the operator gave.
+    pub version: u64,
+    /// Routes by host, longest prefix first.
+    pub hosts: HashMap<Arc<str>, Vec<Arc<Route>>>,
+    /// Services by name.
+    pub services: HashMap<ServiceId, Service>,
+    /// Customers by key; `None` if requests carry no keys.
+    pub keys: Option<HashMap<Arc<str>, Arc<Customer>>>,
+    /// Customers.
+    pub customers: Vec<Arc<Customer>>,
+    /// Limits on callers.
+    pub limits: Limits,
+}
+
+/// Outcome of the search for a request's route and customer.
+#[derive(Clone, Debug)]
+pub enum Lookup {
+    /// The request is allowed.
+    Found(Arc<Route>, Option<Arc<Customer>>),
+    /// No route matches.
+    NoRoute,
+    /// The key is missing or unknown.
+    NoKey,
+}
+
+impl Config {
+    /// Puts the routes of each host into the order in which they are tried.
+    pub fn add_routes(&mut self, routes: Vec<Route>) {
+        for route in routes {
+            self.hosts
+                .entry(Arc::clone(&route.host))
+                .or_default()
+                .push(Arc::new(route));
+        }
+        for list in self.hosts.values_mut() {
+            list.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
+        }
+    }
+
+    /// Route and customer of a request to `host` and `path` with `key`.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cuminloom_edge::catalog::{Config, Lookup};
+    ///
+    /// let config = Config::default();
+    /// assert!(matches!(config.find("h", "/a/", None), Lookup::NoRoute));
+    /// ```
+    pub fn find(&self, host: &str, path: &str, key: Option<&str>) -> Lookup {
+        let route = self
+            .hosts
+            .get(host)
+            .and_then(|list| list.iter().find(|r| path.starts_with(&*r.prefix)));
+        let Some(route) = route else {
+            return Lookup::NoRoute;
+        };
+        let Some(keys) = &self.keys else {
+            return Lookup::Found(Arc::clone(route), None);
+        };
+        let customer = key.and_then(|k| keys.get(k)).cloned();
+        if customer.is_none() && !route.public {
+            return Lookup::NoKey;
+        }
+        Lookup::Found(Arc::clone(route), customer)
+    }
+}
--- /dev/null
+++ b/edge/src/catalog/mod.rs
@@ -0,0 +1,29 @@
+//! What the operator and the runners have declared: routes, customers, services and runners.
+
+mod config;
+mod runner;
+
+pub use config::{
+    Config,
+    Customer,
+    Limits,
+    Lookup,
+    Repeat,
+    Route,
+    Service, //
+};
+pub use runner::{
+    Directory,
+    Runner,
+    RunnerChange,
+    RunnerState, //
+};
+
+use std::sync::Arc;
+
+/// Name of a service.
+pub type ServiceId = Arc<str>;
+/// Name of a customer.
+pub type CustomerId = Arc<str>;
+/// Id of one incarnation of a runner.
+pub type RunnerId = Arc<str>;
--- /dev/null
+++ b/edge/src/fleet/writer.rs
@@ -0,0 +1,122 @@
+//! Writing the daemon's row, and reading the rows of all daemons.
+
+use std::{
+    rc::Rc,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use tokio::time::{
+    sleep,
+    timeout, //
+};
+
+use super::follow::count;
+use crate::{
+    border::{
+        Store,
+        StoreFault, //
+    },
+    prepaid::{
+        BEAT,
+        Commit, //
+    },
+    serve::Core,
+};
+
+/// Time between two readings of all rows.
+const READ_PAUSE: Duration = Duration::from_millis(1000);
+
+/// Pause after a failed call.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// Crashing requests that the row names at most.
+const MAX_STRIKES: usize = 32;
+
+/// Reads the rows of all daemons for as long as the process runs.
+pub async fn follow_rows<D, S: Store>(core: Rc<Core<D>>, store: Rc<S>) {
+    loop {
+        match store.rows().await {
+            Ok(rows) => {
+                count(&core, "rows", "ok");
+                core.ledger.borrow_mut().read(rows, true);
+                take_strikes(&core);
+                core.granted.notify_waiters();
+                core.wanted.notify_one();
+                sleep(READ_PAUSE).await;
+            }
+            Err(fault) => {
+                count(&core, "rows", "failed");
+                log::debug!("event=rows_unread error=\"{fault}\"");
+                sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+fn take_strikes<D>(core: &Core<D>) {
+    let now = Instant::now();
+    let ledger = core.ledger.borrow();
+    let mut strikes = core.strikes.borrow_mut();
+    for (name, row) in ledger.others() {
+        if !row.strikes.is_empty() {
+            strikes.told(name, &row.strikes, now);
+        }
+    }
+}
+
+/// Writes the daemon's row on each beat, and at once when requests wait for tokens.
+pub async fn write_rows<D, S: Store>(core: Rc<Core<D>>, store: Rc<S>) {
+    let mut lost = None;
+    loop {
+        let wait = if lost.is_some() { PAUSE } else { BEAT };
+        let _ = timeout(wait, core.wanted.notified()).await;
+        let again = write_once(&core, &*store, &mut lost).await;
+        core.granted.notify_waiters();
+        if again {
+            core.wanted.notify_one();
+        }
+    }
+}
+
+/// Writes the row once. Returns whether to write again at once.
+async fn write_once<D, S: Store>(core: &Core<D>, store: &S, lost: &mut Option<Instant>) -> bool {
+    let now = Instant::now();
+    let strikes = core.strikes.borrow().own(now, MAX_STRIKES);
+    let plan = core.ledger.borrow_mut().plan(now, strikes);
+    let Some(plan) = plan else {
+        return false;
+    };
+    match store.commit(&plan.batch).await {
+        Ok(commit) => {
+            let conflict = matches!(commit, Commit::Conflict(_));
+            count(core, "commit", if conflict { "conflict" } else { "ok" });
+            if let Some(at) = lost.take() {
+                log::info!(
+                    "event=writes_regained after_ms={}",
+                    at.elapsed().as_millis()
+                );
+            }
+            let mut ledger = core.ledger.borrow_mut();
+            ledger.outcome(&plan, commit, Instant::now());
+            if ledger.is_fenced() {
+                log::error!("event=row_lost cause=\"another process has taken it over\"");
+                return false;
+            }
+            conflict
+        }
+        Err(fault) => {
+            count(core, "commit", "failed");
+            if lost.is_none() {
+                *lost = Some(now);
+                log::warn!("event=writes_lost error=\"{fault}\"");
+            }
+            if let StoreFault::Refused(_) = fault {
+                core.ledger.borrow_mut().refused(&plan);
+            }
+            false
+        }
+    }
+}
--- /dev/null
+++ b/edge/src/http/head.rs
@@ -0,0 +1,342 @@
+//! Heads of requests and responses.
+
+use std::fmt;
+
+use bytes::{
+    Buf,
+    Bytes,
+    BytesMut, //
+};
+
+use super::Framing;
+
+/// Fields that a head may have at most.
+const MAX_FIELDS: usize = 100;
+
+/// Fields that concern one connection only and are never forwarded.
+const HOP_FIELDS: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Why a head was rejected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HeadFault {
+    /// The bytes are no HTTP/1 head.
+    Malformed,
+    /// The framing of the body is ambiguous or unsupported.
+    Framing,
+    /// The `Host` field is missing or stands more than once.
+    Host,
+    /// The request target is no path.
+    Target,
+}
+
+impl fmt::Display for HeadFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            HeadFault::Malformed => "malformed head",
+            HeadFault::Framing => "ambiguous or unsupported body framing",
+            HeadFault::Host => "missing or repeated host",
+            HeadFault::Target => "request target is not a path",
+        })
+    }
+}
+
+impl std::error::Error for HeadFault {}
+
+/// Header fields in the order in which they were received.
+#[derive(Clone, Debug, Default)]
+pub struct Fields(Vec<(Bytes, Bytes)>);
+
+impl Fields {
+    /// First value of the field `name`, compared without regard to case.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use bytes::BytesMut;
+    /// use cuminloom_edge::http::parse_request;
+    ///
+    /// let mut buf = BytesMut::from("GET /a HTTP/1.1\r\nHost: h\r\nX-One: 1\r\n\r\n");
+    /// let head = parse_request(&mut buf).unwrap().unwrap();
+    /// assert_eq!(head.fields.get("x-one"), Some("1"));
+    /// ```
+    pub fn get(&self, name: &str) -> Option<&str> {
+        self.all(name).next()
+    }
+
+    /// All values of the field `name` that are UTF-8.
+    pub fn all<'a, 'n>(&'a self, name: &'n str) -> impl Iterator<Item = &'a str> + use<'a, 'n> {
+        self.0
+            .iter()
+            .filter(move |(n, _)| n.eq_ignore_ascii_case(name.as_bytes()))
+            .filter_map(|(_, v)| std::str::from_utf8(v).ok())
+    }
+
+    /// Names and values in order.
+    pub fn iter(&self) -> impl Iterator<Item = (&[u8], &[u8])> {
+        self.0.iter().map(|(n, v)| (&n[..], &v[..]))
+    }
+
+    /// Whether `Connection` lists `token`.
+    pub fn connection_has(&self, token: &str) -> bool {
+        self.all("connection")
+            .flat_map(|v| v.split(','))
+            .any(|t| t.trim().eq_ignore_ascii_case(token))
+    }
+
+    /// Fields that may be forwarded: neither hop-by-hop, nor named by `Connection`, nor the length.
+    pub fn forwarded(&self) -> impl Iterator<Item = (&[u8], &[u8])> {
+        let listed: Vec<String> = self
+            .all("connection")
+            .flat_map(|v| v.split(','))
+            .map(|t| t.trim().to_ascii_lowercase())
+            .collect();
+        self.iter().filter(move |(n, _)| {
+            let is = |s: &str| n.eq_ignore_ascii_case(s.as_bytes());
+            !is("content-length")
+                && !HOP_FIELDS.iter().any(|h| is(h))
+                && !listed.iter().any(|l| is(l))
+        })
+    }
+}
+
+/// Head of a request.
+#[derive(Clone, Debug)]
+pub struct RequestHead {
+    /// Method as received.
+    pub method: String,
+    /// Path with the query, beginning with a slash.
+    pub target: String,
+    /// Minor version of HTTP/1.
+    pub minor: u8,
+    /// Header fields.
+    pub fields: Fields,
+    /// Framing of the body.
+    pub framing: Framing,
+}
+
+impl RequestHead {
+    /// Path without the query.
+    pub fn path(&self) -> &str {
+        self.target.split('?').next().unwrap_or("")
+    }
+
+    /// Host name without a port.
+    pub fn host(&self) -> &str {
+        let host = self.fields.get("host").unwrap_or("");
+        host.rsplit_once(':')
+            .filter(|(_, port)| port.bytes().all(|b| b.is_ascii_digit()))
+            .map_or(host, |(name, _)| name)
+    }
+
+    /// Whether the connection may carry another request.
+    pub fn keeps_alive(&self) -> bool {
+        if self.minor == 0 {
+            return self.fields.connection_has("keep-alive");
+        }
+        !self.fields.connection_has("close")
+    }
+}
+
+/// Head of a response.
+#[derive(Clone, Debug)]
+pub struct ResponseHead {
+    /// Status code.
+    pub status: u16,
+    /// Header fields.
+    pub fields: Fields,
+    /// Framing of the body.
+    pub framing: Framing,
+    /// Whether the connection may carry another request after the body.
+    pub keep: bool,
+}
+
+fn slices(buf: &Bytes, headers: &[httparse::Header<'_>]) -> Fields {
+    let fields = headers
+        .iter()
+        .map(|h| {
+            (
+                buf.slice_ref(h.name.as_bytes()),
+                buf.slice_ref(h.value.trim_ascii()),
+            )
+        })
+        .collect();
+    Fields(fields)
+}
+
+fn chunked(fields: &Fields) -> Result<bool, HeadFault> {
+    let mut codings = fields.all("transfer-encoding");
+    let Some(first) = codings.next() else {
+        return Ok(false);
+    };
+    if codings.next().is_some() || !first.eq_ignore_ascii_case("chunked") {
+        return Err(HeadFault::Framing);
+    }
+    Ok(true)
+}
+
+fn length(fields: &Fields) -> Result<Option<u64>, HeadFault> {
+    let mut lengths = fields.all("content-length");
+    let Some(first) = lengths.next() else {
+        return Ok(None);
+    };
+    if lengths.next().is_some() || first.is_empty() || !first.bytes().all(|b| b.is_ascii_digit()) {
+        return Err(HeadFault::Framing);
+    }
+    first.parse().map(Some).map_err(|_| HeadFault::Framing)
+}
+
+fn request_framing(fields: &Fields, minor: u8) -> Result<Framing, HeadFault> {
+    let chunked = chunked(fields)?;
+    let length = length(fields)?;
+    match (chunked, length) {
+        (true, Some(_)) => Err(HeadFault::Framing),
+        (true, None) if minor == 0 => Err(HeadFault::Framing),
+        (true, None) => Ok(Framing::Chunked),
+        (false, Some(n)) => Ok(Framing::Length(n)),
+        (false, None) => Ok(Framing::Length(0)),
+    }
+}
+
+fn response_framing(status: u16, fields: &Fields) -> Result<Framing, HeadFault> {
+    let chunked = chunked(fields)?;
+    let length = length(fields)?;
+    if status == 204 || status == 304 || status < 200 {
+        return Ok(Framing::Length(0));
+    }
+    match (chunked, length) {
+        (true, Some(_)) => Err(HeadFault::Framing),
+        (true, None) => Ok(Framing::Chunked),
+        (false, Some(n)) => Ok(Framing::Length(n)),
+        (false, None) => Ok(Framing::Close),
+    }
+}
+
+fn path_of(target: &str) -> Result<String, HeadFault> {
+    if target.starts_with('/') {
+        return Ok(target.to_owned());
+    }
+    let rest = target.strip_prefix("http://").ok_or(HeadFault::Target)?;
+    let slash = rest.find('/').ok_or(HeadFault::Target)?;
+    Ok(rest[slash..].to_owned())
+}
+
+/// Takes a request head from the start of `buf`; `None` while it is incomplete.
+///
+/// # Errors
+///
+/// Fails if the bytes are no HTTP/1 head, or if the framing, the host or the target is not clear.
+///
+/// # Examples
+///
+/// ```
+/// use bytes::BytesMut;
+/// use cuminloom_edge::http::{HeadFault, parse_request};
+///
+/// let both = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
+/// assert_eq!(parse_request(&mut BytesMut::from(both)).unwrap_err(), HeadFault::Framing);
+/// assert!(parse_request(&mut BytesMut::from("GET / HT")).unwrap().is_none());
+/// ```
+pub fn parse_request(buf: &mut BytesMut) -> Result<Option<RequestHead>, HeadFault> {
+    if memchr::memmem::find(buf, b"\n\r\n").is_none()
+        && memchr::memmem::find(buf, b"\n\n").is_none()
+    {
+        // Rejects what can never become a head without waiting for its end.
+        let mut headers = [httparse::EMPTY_HEADER; MAX_FIELDS];
+        return match httparse::Request::new(&mut headers).parse(buf) {
+            Err(_) => Err(HeadFault::Malformed),
+            Ok(_) => Ok(None),
+        };
+    }
+    let (size, minor) = {
+        let mut headers = [httparse::EMPTY_HEADER; MAX_FIELDS];
+        let mut request = httparse::Request::new(&mut headers);
+        match request.parse(buf) {
+            Err(_) => return Err(HeadFault::Malformed),
+            Ok(httparse::Status::Partial) => return Ok(None),
+            Ok(httparse::Status::Complete(n)) => (n, request.version.unwrap_or(1)),
+        }
+    };
+    let raw = buf.split_to(size).freeze();
+    let mut headers = [httparse::EMPTY_HEADER; MAX_FIELDS];
+    let mut request = httparse::Request::new(&mut headers);
+    request.parse(&raw).map_err(|_| HeadFault::Malformed)?;
+    let fields = slices(&raw, request.headers);
+    let hosts = fields.all("host").count();
+    if hosts != 1 {
+        return Err(HeadFault::Host);
+    }
+    Ok(Some(RequestHead {
+        method: request.method.unwrap_or("").to_owned(),
+        target: path_of(request.path.unwrap_or(""))?,
+        minor,
+        framing: request_framing(&fields, minor)?,
+        fields,
+    }))
+}
+
+/// Takes a response head from the start of `buf`; `None` while it is incomplete.
+///
+/// # Errors
+///
+/// Fails if the bytes are no HTTP/1 head or the framing is not clear.
+pub fn parse_response(buf: &mut BytesMut) -> Result<Option<ResponseHead>, HeadFault> {
+    let size = {
+        let mut headers = [httparse::EMPTY_HEADER; MAX_FIELDS];
+        let mut response = httparse::Response::new(&mut headers);
+        match response.parse(buf) {
+            Err(_) => return Err(HeadFault::Malformed),
+            Ok(httparse::Status::Partial) => return Ok(None),
+            Ok(httparse::Status::Complete(n)) => n,
+        }
+    };
+    let raw = buf.split_to(size).freeze();
+    let mut headers = [httparse::EMPTY_HEADER; MAX_FIELDS];
+    let mut response = httparse::Response::new(&mut headers);
+    response.parse(&raw).map_err(|_| HeadFault::Malformed)?;
+    let fields = slices(&raw, response.headers);
+    let status = response.code.unwrap_or(0);
+    let framing = response_framing(status, &fields)?;
+    let keep =
+        response.version == Some(1) && framing != Framing::Close && !fields.connection_has("close");
+    Ok(Some(ResponseHead {
+        status,
+        fields,
+        framing,
+        keep,
+    }))
+}
+
+/// Reason phrase of a status code that the daemon answers with itself.
+pub fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        401 => "Unauthorized",
+        402 => "Payment Required",
+        404 => "Not Found",
+        408 => "Request Timeout",
+        413 => "Content Too Large",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Response",
+    }
+}
+
+/// Drops the first `n` bytes of `buf`.
+pub(super) fn skip(buf: &mut BytesMut, n: usize) {
+    buf.advance(n);
+}
--- /dev/null
+++ b/edge/src/http/link.rs
@@ -0,0 +1,196 @@
+//! A TCP connection with a read buffer.
+
+use std::{
+    fmt,
+    io,
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use bytes::BytesMut;
+use tokio::{
+    net::{
+        TcpSocket,
+        TcpStream, //
+    },
+    time::timeout,
+};
+
+use super::{
+    HeadFault,
+    ResponseHead,
+    parse_response, //
+};
+
+/// Largest head of a response, in bytes.
+const MAX_HEAD: usize = 64 * 1024;
+
+/// Size by which the read buffer grows, in bytes.
+const READ_SIZE: usize = 8 * 1024;
+
+/// Time without an acknowledgement from the peer after which the kernel closes a connection; shorter
+/// than the bound after which a machine counts as out of touch.
+const USER_TIMEOUT: Duration = Duration::from_millis(2500);
+
+/// Why a connection failed.
+#[derive(Debug)]
+pub enum LinkFault {
+    /// The connection could not be opened.
+    Connect(io::Error),
+    /// The connection broke.
+    Io(io::Error),
+    /// The peer closed the connection before the end of a message.
+    Closed,
+    /// The peer sent bytes that are no message.
+    Protocol(HeadFault),
+    /// The peer did not answer in time.
+    Timeout,
+}
+
+impl fmt::Display for LinkFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            LinkFault::Connect(e) => write!(f, "connect: {e}"),
+            LinkFault::Io(e) => write!(f, "connection: {e}"),
+            LinkFault::Closed => f.write_str("closed early"),
+            LinkFault::Protocol(e) => write!(f, "protocol: {e}"),
+            LinkFault::Timeout => f.write_str("no answer in time"),
+        }
+    }
+}
+
+impl std::error::Error for LinkFault {}
+
+/// A TCP connection with a read buffer.
+#[derive(Debug)]
+pub struct Link {
+    stream: TcpStream,
+    /// Bytes that were received and not yet taken.
+    pub buf: BytesMut,
+}
+
+/// Reads more bytes from `stream` into `buf`; zero at the end of the stream.
+///
+/// # Errors
+///
+/// Fails if the connection breaks.
+pub async fn read_some(stream: &TcpStream, buf: &mut BytesMut) -> io::Result<usize> {
+    loop {
+        buf.reserve(READ_SIZE);
+        match stream.try_read_buf(buf) {
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => stream.readable().await?,
+            done => return done,
+        }
+    }
+}
+
+/// Writes all of `bytes` to `stream`.
+///
+/// # Errors
+///
+/// Fails if the connection breaks.
+pub async fn write_all(stream: &TcpStream, mut bytes: &[u8]) -> io::Result<()> {
+    while !bytes.is_empty() {
+        match stream.try_write(bytes) {
+            Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+            Ok(n) => bytes = &bytes[n..],
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => stream.writable().await?,
+            Err(e) => return Err(e),
+        }
+    }
+    Ok(())
+}
+
+/// Makes the drop of `stream` a reset, so that the peer does not take it for an orderly end.
+pub fn reset_on_drop(stream: &TcpStream) {
+    if let Err(e) = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
+        log::debug!("event=socket_option option=linger error=\"{e}\"");
+    }
+}
+
+/// Sets the options that every connection of the data plane has.
+pub fn prepare(stream: &TcpStream) {
+    let socket = socket2::SockRef::from(stream);
+    if let Err(e) = socket.set_tcp_nodelay(true) {
+        log::debug!("event=socket_option option=nodelay error=\"{e}\"");
+    }
+    if let Err(e) = socket.set_tcp_user_timeout(Some(USER_TIMEOUT)) {
+        log::debug!("event=socket_option option=user_timeout error=\"{e}\"");
+    }
+}
+
+impl Link {
+    /// Wraps an accepted connection.
+    pub fn accepted(stream: TcpStream) -> Link {
+        prepare(&stream);
+        Link {
+            stream,
+            buf: BytesMut::new(),
+        }
+    }
+
+    /// Opens a connection to `addr`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection is refused or not open within `limit`.
+    pub async fn open(addr: SocketAddr, limit: Duration) -> Result<Link, LinkFault> {
+        let socket = TcpSocket::new_v4().map_err(LinkFault::Connect)?;
+        let stream = timeout(limit, socket.connect(addr))
+            .await
+            .map_err(|_| LinkFault::Connect(io::ErrorKind::TimedOut.into()))?
+            .map_err(LinkFault::Connect)?;
+        Ok(Link::accepted(stream))
+    }
+
+    /// Reads more bytes into the buffer; zero at the end of the stream.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection breaks.
+    pub async fn fill(&mut self) -> io::Result<usize> {
+        read_some(&self.stream, &mut self.buf).await
+    }
+
+    /// Writes all of `bytes`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection breaks.
+    pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        write_all(&self.stream, bytes).await
+    }
+
+    /// Whether the peer has sent bytes or closed the connection while nothing was expected.
+    pub fn is_stale(&mut self) -> bool {
+        if !self.buf.is_empty() {
+            return true;
+        }
+        let mut byte = [0_u8; 1];
+        !matches!(
+            self.stream.try_read(&mut byte),
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock
+        )
+    }
+
+    /// Reads the next response head, without interim responses.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection ends or breaks first, or the bytes are no response.
+    pub async fn read_response(&mut self) -> Result<ResponseHead, LinkFault> {
+        loop {
+            match parse_response(&mut self.buf).map_err(LinkFault::Protocol)? {
+                Some(head) if head.status < 200 => continue,
+                Some(head) => return Ok(head),
+                None if self.buf.len() > MAX_HEAD => {
+                    return Err(LinkFault::Protocol(HeadFault::Malformed));
+                }
+                None => {}
+            }
+            if self.fill().await.map_err(LinkFault::Io)? == 0 {
+                return Err(LinkFault::Closed);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/edge/src/prepaid/ledger.rs
@@ -0,0 +1,517 @@
+//! The state machine of a daemon's grants.
+
+use std::{
+    collections::{
+        BTreeMap,
+        HashMap, //
+    },
+    net::SocketAddr,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use super::{
+    Account,
+    Batch,
+    Commit,
+    DaemonRow,
+    Expect,
+    Grant,
+    Row,
+    Rows,
+    SumRow, //
+};
+use crate::{
+    catalog::CustomerId,
+    decide::Fingerprint, //
+};
+
+/// Time without an accepted write after which a daemon turns to its reserve, in milliseconds. Longer
+/// than a VM takes to lose power and start again, so that such a restart does not strand the reserve.
+pub const DETACH: Duration = Duration::from_millis(2800);
+
+/// Time between two writes of the daemon's row. The age of the row at a restart contains it twice.
+pub const BEAT: Duration = Duration::from_millis(400);
+
+/// Age of the row up to which a successor takes the reserve as untouched: DETACH less the error of
+/// two steady clocks over that time.
+const UNTOUCHED_MS: u64 = 2750;
+
+/// Demand that is issued ahead: the daemon has to serve from it until it may turn to its reserve.
+const ISSUE_S: f64 = 2.2;
+
+/// Demand that the reserve covers: the cuts that are planned for last up to 9 s.
+const RESERVE_S: f64 = 8.0;
+
+/// Part of a customer's remaining tokens that all reserves together may take.
+const RESERVE_PART: f64 = 0.4;
+
+/// Part of the remaining tokens that all daemons together issue ahead.
+const ISSUE_PART: f64 = 0.3;
+
+/// Part of the remaining tokens that daemons without demand reserve together.
+const IDLE_PART: f64 = 0.15;
+
+/// Surplus that is not worth a write, in tokens.
+const SLACK_TOKENS: u64 = 3000;
+
+/// Whether a request's tokens could be taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admit {
+    /// They were taken.
+    Taken,
+    /// There is no room now; a write may bring it.
+    Wait,
+    /// The customer's remaining tokens do not cover the request.
+    Exhausted,
+}
+
+/// Tokens that one request has taken.
+#[derive(Clone, Debug)]
+pub struct Spending {
+    /// Customer who pays.
+    pub customer: CustomerId,
+    /// Tokens that it may consume at most.
+    pub cost: u64,
+}
+
+/// A write that was sent.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// The rows.
+    pub batch: Batch,
+    number: u64,
+    grants: BTreeMap<String, Grant>,
+}
+
+/// State of the daemon's grants.
+#[derive(Debug)]
+pub struct Ledger {
+    node: String,
+    process: u64,
+    peer: Option<SocketAddr>,
+    /// Whether the row of the process before was read and replaced.
+    owned: bool,
+    /// Whether another process has replaced the row.
+    fenced: bool,
+    leaving: bool,
+    number: u64,
+    version: u64,
+    seen: u64,
+    contact: Option<Instant>,
+    accounts: HashMap<String, Account>,
+    sums: HashMap<String, (u64, SumRow)>,
+    others: HashMap<String, (u64, DaemonRow)>,
+    limits: HashMap<String, u64>,
+    inherited: Option<DaemonRow>,
+    known: bool,
+}
+
+impl Ledger {
+    /// A ledger of the process `process` on the VM `node`.
+    pub fn new(node: &str, process: u64, peer: Option<SocketAddr>) -> Ledger {
+        Ledger {
+            node: node.to_owned(),
+            process,
+            peer,
+            owned: false,
+            fenced: false,
+            leaving: false,
+            number: 0,
+            version: 0,
+            seen: 0,
+            contact: None,
+            accounts: HashMap::new(),
+            sums: HashMap::new(),
+            others: HashMap::new(),
+            limits: HashMap::new(),
+            inherited: None,
+            known: false,
+        }
+    }
+
+    /// Takes over the limits of a configuration, in tokens by customer.
+    pub fn set_limits(&mut self, limits: HashMap<String, u64>) {
+        self.limits = limits;
+    }
+
+    /// Marks the daemon as stopping: what open requests don't need goes back.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Whether another process has replaced the row; nothing may be spent then.
+    pub fn is_fenced(&self) -> bool {
+        self.fenced
+    }
+
+    /// Whether the row is this process's own.
+    pub fn is_owned(&self) -> bool {
+        self.owned
+    }
+
+    /// Whether the store has accepted a write within [`DETACH`].
+    pub fn is_attached(&self, now: Instant) -> bool {
+        self.contact
+            .is_some_and(|at| now.duration_since(at) < DETACH)
+    }
+
+    /// Time since the store accepted a write.
+    pub fn contact_age(&self, now: Instant) -> Option<Duration> {
+        self.contact.map(|at| now.duration_since(at))
+    }
+
+    /// Rows of the other daemons.
+    pub fn others(&self) -> impl Iterator<Item = (&str, &DaemonRow)> {
+        self.others.iter().map(|(n, (_, row))| (n.as_str(), row))
+    }
+
+    /// Daemons that may be there, this one among them.
+    pub fn members(&self) -> u32 {
+        1 + self.others.values().filter(|(_, row)| !row.leaving).count() as u32
+    }
+
+    /// Account of `customer`, for the figures in log lines.
+    pub fn account(&self, customer: &str) -> Option<&Account> {
+        self.accounts.get(customer)
+    }
+
+    /// Customers with their accounts.
+    pub fn accounts(&self) -> impl Iterator<Item = (&str, &Account)> {
+        self.accounts.iter().map(|(n, a)| (n.as_str(), a))
+    }
+
+    /// Tokens of `customer` that are neither consumed nor taken by an open request, as far as this
+    /// daemon knows.
+    pub fn remaining(&self, customer: &str) -> u64 {
+        let limit = self.limits.get(customer).copied().unwrap_or(0);
+        let others: u64 = self
+            .others
+            .values()
+            .filter_map(|(_, row)| row.grants.get(customer))
+            .map(|g| g.spent + g.open)
+            .sum();
+        let own = self.accounts.get(customer).map_or(0, Account::used);
+        limit.saturating_sub(others + own)
+    }
+
+    fn free(&self, customer: &str) -> u64 {
+        let limit = self.limits.get(customer).copied().unwrap_or(0);
+        let committed = self.sums.get(customer).map_or(0, |(_, s)| s.committed);
+        limit.saturating_sub(committed)
+    }
+
+    /// Takes `cost` tokens of `customer` for a request.
+    pub fn admit(&mut self, customer: &str, cost: u64, now: Instant) -> Admit {
+        if self.fenced || !self.owned {
+            return Admit::Wait;
+        }
+        let attached = self.is_attached(now);
+        let account = self.accounts.entry(customer.to_owned()).or_default();
+        if account.reserve(cost, attached) {
+            return Admit::Taken;
+        }
+        if attached && self.known && self.remaining(customer) < cost {
+            return Admit::Exhausted;
+        }
+        Admit::Wait
+    }
+
+    /// Adds to or takes from the tokens that requests wait for.
+    pub fn want(&mut self, customer: &str, cost: u64, waits: bool) {
+        let account = self.accounts.entry(customer.to_owned()).or_default();
+        account.wanted = if waits {
+            account.wanted + cost
+        } else {
+            account.wanted.saturating_sub(cost)
+        };
+    }
+
+    /// Whether requests wait for a write.
+    pub fn is_wanted(&self) -> bool {
+        self.accounts.values().any(|a| a.wanted > 0)
+    }
+
+    /// Ends a request that consumed `used` tokens.
+    pub fn settle(&mut self, spending: &Spending, used: u64, now: Instant) {
+        let account = self
+            .accounts
+            .entry(spending.customer.to_string())
+            .or_default();
+        account.settle(spending.cost, used);
+        account.rate.add(used, now);
+    }
+
+    /// Takes over rows that were read.
+    pub fn read(&mut self, rows: Rows, whole: bool) {
+        let now = rows.now;
+        if whole {
+            self.known = true;
+        }
+        for row in rows.rows {
+            match row {
+                Row::Sum(name, version, sum) => {
+                    let entry = self.sums.entry(name).or_insert((0, SumRow::default()));
+                    if version >= entry.0 {
+                        *entry = (version, sum);
+                    }
+                }
+                Row::Daemon(name, version, row) if name == self.node => {
+                    self.read_own(version, row, now);
+                }
+                Row::Daemon(name, version, row) => {
+                    let newer = self.others.get(&name).is_none_or(|(v, _)| version >= *v);
+                    if newer {
+                        self.others.insert(name, (version, row));
+                    }
+                }
+            }
+        }
+        if whole && !self.owned && self.inherited.is_none() {
+            // No row of a process before: there is nothing to take over.
+            self.inherited = Some(DaemonRow::default());
+        }
+    }
+
+    fn read_own(&mut self, version: u64, row: DaemonRow, now: u64) {
+        if version < self.version {
+            return;
+        }
+        if self.owned && row.process != self.process {
+            self.fenced = true;
+            return;
+        }
+        if row.process == self.process {
+            if version > self.version {
+                self.landed(version, row.number, &row.grants);
+            }
+            return;
+        }
+        self.version = version;
+        let untouched = now.saturating_sub(row.seen) < UNTOUCHED_MS;
+        let mut taken = row.clone();
+        for grant in taken.grants.values_mut() {
+            grant.spent = if untouched { grant.issued } else { grant.cap };
+            grant.issued = grant.spent;
+            grant.open = 0;
+        }
+        log::info!(
+            "event=grants_inherited process={} age_ms={} reserve_untouched={untouched} customers={}",
+            row.process,
+            now.saturating_sub(row.seen),
+            taken.grants.len()
+        );
+        self.inherited = Some(taken);
+    }
+
+    /// Composes the next write; `None` if the rows have not been read yet or the row is lost.
+    pub fn plan(&mut self, now: Instant, strikes: Vec<(Fingerprint, u32)>) -> Option<Plan> {
+        if self.fenced || !self.known {
+            return None;
+        }
+        if !self.owned {
+            return self.plan_first(strikes);
+        }
+        let mut batch = Batch {
+            expect: vec![Expect::Daemon(self.node.clone(), self.version)],
+            ..Batch::default()
+        };
+        let mut grants = BTreeMap::new();
+        let names: Vec<String> = self.account_names();
+        for name in names {
+            let old = self
+                .accounts
+                .get(&name)
+                .map(|a| a.confirmed)
+                .unwrap_or_default();
+            let new = self.next_grant(&name, now);
+            if new.cap != old.cap {
+                let (version, sum) = self.sums.get(&name).copied().unwrap_or_default();
+                let committed = (sum.committed + new.cap).saturating_sub(old.cap);
+                batch.expect.push(Expect::Sum(name.clone(), version));
+                batch.sums.push((name.clone(), SumRow { committed }));
+            }
+            grants.insert(name, new);
+        }
+        Some(self.finish_plan(batch, grants, strikes))
+    }
+
+    fn account_names(&mut self) -> Vec<String> {
+        let mut names: Vec<String> = self.limits.keys().cloned().collect();
+        names.extend(self.accounts.keys().cloned());
+        names.sort();
+        names.dedup();
+        names
+    }
+
+    fn plan_first(&mut self, strikes: Vec<(Fingerprint, u32)>) -> Option<Plan> {
+        let row = self.inherited.clone()?;
+        let batch = Batch {
+            expect: vec![Expect::Daemon(self.node.clone(), self.version)],
+            ..Batch::default()
+        };
+        Some(self.finish_plan(batch, row.grants, strikes))
+    }
+
+    fn finish_plan(
+        &mut self,
+        mut batch: Batch,
+        grants: BTreeMap<String, Grant>,
+        strikes: Vec<(Fingerprint, u32)>,
+    ) -> Plan {
+        self.number += 1;
+        batch.daemon = Some((
+            self.node.clone(),
+            DaemonRow {
+                process: self.process,
+                number: self.number,
+                seen: self.seen,
+                peer: self.peer,
+                leaving: self.leaving,
+                grants: grants.clone(),
+                strikes,
+            },
+        ));
+        if self.owned {
+            for (name, grant) in &grants {
+                let account = self.accounts.entry(name.clone()).or_default();
+                account.doubt.push(*grant);
+            }
+        }
+        Plan {
+            batch,
+            number: self.number,
+            grants,
+        }
+    }
+
+    fn next_grant(&self, name: &str, now: Instant) -> Grant {
+        let empty = Account::default();
+        let account = self.accounts.get(name).unwrap_or(&empty);
+        let old = account.confirmed;
+        let rate = account.rate.per_second(now);
+        let used = account.used();
+        let mut grant = Grant {
+            spent: account.spent,
+            open: account.open,
+            rate: rate as u64,
+            ..old
+        };
+        if self.leaving {
+            grant.cap = used;
+            grant.issued = used;
+            return grant;
+        }
+        let remaining = self.remaining(name) as f64;
+        let share = self.share(name, rate);
+        let members = f64::from(self.members());
+        let ahead = (rate * ISSUE_S).min(remaining * share * ISSUE_PART);
+        let idle = remaining * IDLE_PART / members;
+        let reserve = (rate * RESERVE_S)
+            .min(remaining * share * RESERVE_PART)
+            .max(idle);
+        let issue = used + account.wanted + ahead as u64;
+        let wish = issue + reserve as u64;
+        grant.cap = if wish > old.cap {
+            let lack = wish - old.cap;
+            let urgent = issue > old.cap;
+            let worth = urgent || lack > SLACK_TOKENS || lack > old.cap.saturating_sub(used) / 2;
+            if worth {
+                old.cap + lack.min(self.free(name))
+            } else {
+                old.cap
+            }
+        } else if old.cap - wish > SLACK_TOKENS + reserve as u64 / 3 {
+            wish
+        } else {
+            old.cap
+        };
+        grant.issued = issue.min(grant.cap).max(used.min(grant.cap));
+        grant
+    }
+
+    fn share(&self, name: &str, rate: f64) -> f64 {
+        let others: f64 = self
+            .others
+            .values()
+            .filter(|(_, row)| !row.leaving)
+            .filter_map(|(_, row)| row.grants.get(name))
+            .map(|g| g.rate as f64)
+            .sum();
+        let total = others + rate;
+        if total < 1.0 {
+            return 1.0 / f64::from(self.members());
+        }
+        rate / total
+    }
+
+    fn landed(&mut self, version: u64, number: u64, grants: &BTreeMap<String, Grant>) {
+        let first = !self.owned;
+        self.owned = true;
+        self.version = version;
+        self.number = self.number.max(number);
+        for (name, grant) in grants {
+            let account = self.accounts.entry(name.clone()).or_default();
+            account.confirmed = *grant;
+            if first {
+                account.spent += grant.spent;
+            }
+        }
+        for account in self.accounts.values_mut() {
+            account.doubt.clear();
+        }
+    }
+
+    /// Notes the outcome of `plan`.
+    pub fn outcome(&mut self, plan: &Plan, commit: Commit, now: Instant) {
+        match commit {
+            Commit::Done { version, now: time } => {
+                self.landed(version, plan.number, &plan.grants);
+                for (name, sum) in &plan.batch.sums {
+                    self.sums.insert(name.clone(), (version, *sum));
+                }
+                self.contact = Some(now);
+                self.seen = self.seen.max(time);
+            }
+            Commit::Conflict(rows) => {
+                // The write did not happen, and an earlier one in doubt has either landed, which the
+                // rows show, or may still do so.
+                self.refused(plan);
+                self.read(rows, false);
+            }
+        }
+    }
+
+    /// Notes that the store refused `plan`: nothing was done and nothing will be.
+    pub fn refused(&mut self, plan: &Plan) {
+        for (name, grant) in &plan.grants {
+            if let Some(account) = self.accounts.get_mut(name)
+                && let Some(i) = account.doubt.iter().rposition(|g| g == grant)
+            {
+                account.doubt.remove(i);
+            }
+        }
+    }
+
+    /// Whether the store holds no tokens for this daemon beyond what it consumed.
+    pub fn is_returned(&self) -> bool {
+        self.accounts
+            .values()
+            .all(|a| a.doubt.is_empty() && a.confirmed.cap <= a.used())
+    }
+
+    /// Grants that this daemon believes to hold at the store, for the audit.
+    pub fn audit(&self, customer: &str) -> (u64, u64, u64, u64) {
+        let limit = self.limits.get(customer).copied().unwrap_or(0);
+        let committed = self.sums.get(customer).map_or(0, |(_, s)| s.committed);
+        let account = self.accounts.get(customer);
+        (
+            limit,
+            committed,
+            account.map_or(0, |a| a.confirmed.cap),
+            account.map_or(0, Account::used),
+        )
+    }
+}
--- /dev/null
+++ b/edge/src/serve/mod.rs
@@ -0,0 +1,22 @@
+//! Serving callers: connections, the way of a request to a runner, and the answer.
+
+mod answer;
+mod client;
+mod core;
+mod exchange;
+mod listen;
+mod ready;
+mod relay;
+mod send;
+mod upstream;
+
+pub use self::core::{
+    Bounds,
+    Core, //
+};
+pub use listen::{
+    Listener,
+    bind, //
+};
+pub use ready::bind_ready;
+pub use upstream::Upstream;
--- /dev/null
+++ b/edge/src/serve/ready.rs
@@ -0,0 +1,91 @@
+//! Readiness for the balancer, and metrics.
+
+use std::{
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration, //
+};
+
+use bytes::BytesMut;
+use tokio::{
+    net::TcpStream,
+    task::spawn_local,
+    time::timeout, //
+};
+
+use super::{
+    Core,
+    listen::listen, //
+};
+use crate::http::{
+    RequestHead,
+    parse_request,
+    read_some,
+    reason,
+    write_all, //
+};
+
+/// Longest time for which a connection of the balancer or a scraper is idle.
+const IDLE: Duration = Duration::from_secs(10);
+
+/// Answers `GET /readyz` and `GET /metrics` at `address`.
+///
+/// # Errors
+///
+/// Fails if the address can't be bound.
+pub fn bind_ready<D: 'static>(core: &Rc<Core<D>>, address: SocketAddr) -> io::Result<()> {
+    let listener = listen(address)?;
+    let core = Rc::clone(core);
+    spawn_local(async move {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    spawn_local(serve_conn(Rc::clone(&core), stream));
+                }
+                Err(e) => {
+                    log::warn!("event=accept_failed error=\"{e}\"");
+                    tokio::time::sleep(Duration::from_millis(50)).await;
+                }
+            }
+        }
+    });
+    Ok(())
+}
+
+async fn serve_conn<D>(core: Rc<Core<D>>, stream: TcpStream) {
+    let mut buf = BytesMut::new();
+    loop {
+        let head = match parse_request(&mut buf) {
+            Ok(Some(head)) => head,
+            Ok(None) => match timeout(IDLE, read_some(&stream, &mut buf)).await {
+                Ok(Ok(n)) if n > 0 => continue,
+                _ => return,
+            },
+            Err(_) => return,
+        };
+        let keep = head.keeps_alive();
+        let bytes = answer(&core, &head, keep);
+        if write_all(&stream, &bytes).await.is_err() || !keep {
+            return;
+        }
+    }
+}
+
+fn answer<D>(core: &Core<D>, head: &RequestHead, keep: bool) -> Vec<u8> {
+    let (status, body) = match head.path() {
+        "/metrics" => (200, core.metrics.text()),
+        "/readyz" if core.is_ready() => (200, b"ready\n".to_vec()),
+        "/readyz" => (503, b"not ready\n".to_vec()),
+        _ => (404, b"not found\n".to_vec()),
+    };
+    let close = if keep { "" } else { "Connection: close\r\n" };
+    let mut out = format!(
+        "HTTP/1.1 {status} {}\r\n{close}Content-Type: text/plain\r\nContent-Length: {}\r\n\r\n",
+        reason(status),
+        body.len()
+    )
+    .into_bytes();
+    out.extend_from_slice(&body);
+    out
+}
--- /dev/null
+++ b/edge/src/telemetry/metrics.rs
@@ -0,0 +1,92 @@
+//! Counters and latency histograms.
+
+use prometheus::{
+    Encoder,
+    Histogram,
+    HistogramOpts,
+    IntCounterVec,
+    IntGaugeVec,
+    Opts,
+    Registry,
+    TextEncoder, //
+};
+
+/// Upper bounds of the latency histograms, in seconds.
+const BUCKETS: [f64; 12] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 15.0,
+];
+
+/// Metrics of one daemon.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Ended requests, by route kind and status.
+    pub requests: IntCounterVec,
+    /// Sends to runners, by outcome.
+    pub sends: IntCounterVec,
+    /// Calls to the store, by call and outcome.
+    pub store: IntCounterVec,
+    /// Time to the first byte of an answer, in seconds.
+    pub first: Histogram,
+    /// Time to the end of an answer, in seconds.
+    pub total: Histogram,
+    /// Tokens by customer and account (limit, committed, held, used).
+    pub tokens: IntGaugeVec,
+}
+
+impl Metrics {
+    /// Registers the metrics.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a name is registered twice.
+    pub fn open() -> Result<Metrics, prometheus::Error> {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str, labels: &[&str]| {
+            IntCounterVec::new(Opts::new(name, help), labels)
+        };
+        let histogram = |name: &str, help: &str| {
+            Histogram::with_opts(HistogramOpts::new(name, help).buckets(BUCKETS.to_vec()))
+        };
+        let metrics = Metrics {
+            requests: counter(
+                "cuminloom_requests_total",
+                "Ended requests.",
+                &["kind", "status"],
+            )?,
+            sends: counter("cuminloom_sends_total", "Sends to runners.", &["outcome"])?,
+            store: counter(
+                "cuminloom_store_calls_total",
+                "Calls to the store.",
+                &["call", "outcome"],
+            )?,
+            first: histogram("cuminloom_first_byte_seconds", "Time to the first byte.")?,
+            total: histogram("cuminloom_answer_seconds", "Time to the end of the answer.")?,
+            tokens: IntGaugeVec::new(
+                Opts::new("cuminloom_tokens", "Tokens by customer and account."),
+                &["customer", "account"],
+            )?,
+            registry,
+        };
+        metrics
+            .registry
+            .register(Box::new(metrics.requests.clone()))?;
+        metrics.registry.register(Box::new(metrics.sends.clone()))?;
+        metrics.registry.register(Box::new(metrics.store.clone()))?;
+        metrics.registry.register(Box::new(metrics.first.clone()))?;
+        metrics.registry.register(Box::new(metrics.total.clone()))?;
+        metrics
+            .registry
+            .register(Box::new(metrics.tokens.clone()))?;
+        Ok(metrics)
+    }
+
+    /// All metrics in the text format of Prometheus.
+    pub fn text(&self) -> Vec<u8> {
+        let mut out = Vec::new();
+        if let Err(e) = TextEncoder::new().encode(&self.registry.gather(), &mut out) {
+            log::warn!("event=metrics_failed error=\"{e}\"");
+        }
+        out
+    }
+}
