Release reserves by the time without a write, and follow prompt prefixes strictly

Their customers had tokens left, but these were issued 2.2 s ahead to seven daemons, held back by a fixed slack of 3,000 tokens a daemon, and charged whole at restarts. Requests waited 700 ms before the refusal.

Ruled out: wrong charges.

Change: the reserve is released by the square of the time since the last accepted write in place of a cliff; 0.8 s are issued ahead; the last requests of a customer are served from the common pool; a request that can't get tokens is refused after two writes. Placement counts the tokens to be read and the time to the first event against the objective. A runner whose address answers 421 gets nothing for 4 s.

--- a/edge/src/decide/place.rs
+++ b/edge/src/decide/place.rs
@@ -17,8 +17,21 @@
 /// daemons send there too, but their backlog is not known.
 const BACKLOG_WEIGHT: f64 = 2.0;
 
-/// Part of the shared tokens that the runner preferred by all daemons is assumed to hold.
-const AFFINITY_PART: f64 = 0.6;
+/// Part of the shared tokens that the runner preferred by all daemons is assumed to hold, and the
+/// next one.
+const AFFINITY_PARTS: [f64; 2] = [1.0, 0.4];
+
+/// Prompt tokens that an engine reads in a millisecond, from the users' sheet.
+const PREFILL_TOKENS_PER_MS: f64 = 64.0;
+
+/// Weight of the time to the first event, beside the tokens that are read again.
+const TIME_WEIGHT: f64 = 0.3;
+
+/// Part of the objective up to which the time to the first event counts little.
+const EASY_PART: f64 = 0.5;
+
+/// Weight of the time beyond that.
+const LATE_WEIGHT: f64 = 3.0;
 
 /// Score of a runner that fails all of its requests, in prompt tokens.
 const FAILING_TOKENS: f64 = 60_000.0;
@@ -45,6 +58,8 @@
     pub prompt: u64,
     /// Tokens of the parts that other requests share.
     pub shared: u64,
+    /// Time within which the first event is worth most, in milliseconds.
+    pub objective_ms: f64,
 }
 
 /// What is known of a runner.
@@ -74,21 +89,28 @@
     pub remote: bool,
 }
 
+/// Score of an engine: the tokens that it reads, and the time to the first event.
+fn engine_score(c: &Candidate, demand: &Demand) -> f64 {
+    let part = AFFINITY_PARTS.get(c.affinity).copied().unwrap_or(0.0);
+    let warm = (part * demand.shared as f64)
+        .max(c.warm as f64)
+        .min(demand.prompt as f64);
+    let read = demand.prompt as f64 - warm;
+    let over = (c.running - f64::from(c.slots)).max(0.0);
+    let ahead = BACKLOG_WEIGHT * c.backlog as f64
+        + RUNNING_TOKENS * c.running
+        + WAITING_TOKENS * (c.waiting + over);
+    let time = ahead + read;
+    let easy = EASY_PART * demand.objective_ms * PREFILL_TOKENS_PER_MS;
+    read + TIME_WEIGHT * time + LATE_WEIGHT * (time - easy).max(0.0)
+}
+
 fn score(c: &Candidate, demand: &Demand) -> f64 {
-    let assumed = if c.affinity == 0 {
-        AFFINITY_PART * demand.shared as f64
+    let mut score = if demand.prompt > 0 {
+        engine_score(c, demand)
     } else {
-        0.0
+        WAITING_TOKENS * (c.running + c.waiting) / f64::from(c.slots.max(1))
     };
-    let warm = assumed.max(c.warm as f64).min(demand.prompt as f64);
-    let mut score = demand.prompt as f64 - warm;
-    score += BACKLOG_WEIGHT * c.backlog as f64;
-    let over = (c.running - f64::from(c.slots)).max(0.0);
-    if demand.prompt > 0 {
-        score += RUNNING_TOKENS * c.running + WAITING_TOKENS * (c.waiting + over);
-    } else {
-        score += WAITING_TOKENS * (c.running + c.waiting) / f64::from(c.slots.max(1));
-    }
     score += FAILING_TOKENS * c.failing * c.failing;
     if c.remote {
         score += REMOTE_TOKENS;
--- a/edge/src/fleet/stop.rs
+++ b/edge/src/fleet/stop.rs
@@ -18,13 +18,16 @@
 
 use crate::serve::Core;
 
-/// Time for which new connections are taken after the stop began; the balancer needs two of its
+/// Time for which new requests are served after the stop began; the balancer needs two of its
 /// looks, a second apart, to send them elsewhere.
 const LAST_CALLS: Duration = Duration::from_millis(2600);
 
 /// Time before the end of the grace at which the process ends in any case.
 const MARGIN: Duration = Duration::from_millis(400);
 
+/// Longest time for which an idle daemon tries to give its tokens back.
+const RETURN_TIME: Duration = Duration::from_millis(1500);
+
 /// Pause between two looks at the open requests.
 const LOOK: Duration = Duration::from_millis(50);
 
@@ -45,23 +48,15 @@
     core.wanted.notify_one();
     log::info!("event=stop_begun open={}", core.open());
     let end = core.bounds.grace.saturating_sub(MARGIN);
-    let mut idle_since = None;
-    loop {
+    sleep(LAST_CALLS.min(end)).await;
+    core.close();
+    while begun.elapsed() < end {
+        core.wanted.notify_one();
         sleep(LOOK).await;
-        let time = begun.elapsed();
-        if time >= end {
-            break;
-        }
-        if core.open() > 0 || time < LAST_CALLS {
-            idle_since = None;
-            continue;
-        }
-        let since = *idle_since.get_or_insert_with(Instant::now);
-        if since.elapsed() >= 4 * LOOK && core.ledger.borrow().is_returned() {
+        if core.open() == 0 && core.ledger.borrow().is_returned() {
             break;
         }
-        core.wanted.notify_one();
-        if since.elapsed() > Duration::from_secs(1) {
+        if core.open() == 0 && begun.elapsed() > LAST_CALLS + RETURN_TIME {
             break;
         }
     }
--- a/edge/src/prepaid/grant.rs
+++ b/edge/src/prepaid/grant.rs
@@ -22,6 +22,17 @@
     pub rate: u64,
 }
 
+impl Grant {
+    /// Tokens up to which may be spent when the part `released` of the reserve is.
+    pub fn released(&self, released: f64) -> u64 {
+        let reserve = self.cap.saturating_sub(self.issued);
+        self.issued + (reserve as f64 * released) as u64
+    }
+}
+
+/// Weight of one request in the usual cost.
+const COST_WEIGHT: f64 = 0.1;
+
 /// What this daemon knows of its own grant.
 #[derive(Clone, Debug, Default)]
 pub struct Account {
@@ -37,6 +48,8 @@
     pub rate: Rate,
     /// Tokens that requests wait for, beyond what there is room for.
     pub wanted: u64,
+    /// Moving average of the tokens that one request may consume.
+    pub usual_cost: f64,
 }
 
 impl Account {
@@ -45,33 +58,37 @@
         self.spent + self.open
     }
 
-    /// Tokens up to which the daemon may spend. While writes are in doubt it is the least of what
-    /// any of them allows.
-    pub fn bound(&self, attached: bool) -> u64 {
-        let of = |g: &Grant| if attached { g.issued } else { g.cap };
+    /// Tokens up to which the daemon may spend when the part `released` of the reserve is. While
+    /// writes are in doubt it is the least of what any of them allows.
+    pub fn bound(&self, released: f64) -> u64 {
         self.doubt
             .iter()
-            .map(of)
-            .fold(of(&self.confirmed), u64::min)
+            .map(|g| g.released(released))
+            .fold(self.confirmed.released(released), u64::min)
     }
 
     /// Takes `cost` tokens for a request, if there is room.
-    pub fn reserve(&mut self, cost: u64, attached: bool) -> bool {
-        if self.used() + cost > self.bound(attached) {
+    pub fn reserve(&mut self, cost: u64, released: f64) -> bool {
+        if self.used() + cost > self.bound(released) {
             return false;
         }
         self.open += cost;
         true
     }
 
+    /// Notes the cost of a request.
+    pub fn note_cost(&mut self, cost: u64) {
+        let weight = if self.usual_cost == 0.0 {
+            1.0
+        } else {
+            COST_WEIGHT
+        };
+        self.usual_cost += weight * (cost as f64 - self.usual_cost);
+    }
+
     /// Ends a request that took `cost` tokens and consumed `used`.
     pub fn settle(&mut self, cost: u64, used: u64) {
         self.open = self.open.saturating_sub(cost);
         self.spent += used;
     }
-
-    /// Cap below which the row may not go: all that open requests may still consume.
-    pub fn floor(&self) -> u64 {
-        self.used()
-    }
 }
--- a/edge/src/prepaid/ledger.rs
+++ b/edge/src/prepaid/ledger.rs
@@ -28,42 +28,58 @@
     decide::Fingerprint, //
 };
 
-/// Time without an accepted write after which a daemon turns to its reserve, in milliseconds. Longer
-/// than a VM takes to lose power and start again, so that such a restart does not strand the reserve.
-pub const DETACH: Duration = Duration::from_millis(2800);
-
 /// Time between two writes of the daemon's row. The age of the row at a restart contains it twice.
 pub const BEAT: Duration = Duration::from_millis(400);
 
-/// Age of the row up to which a successor takes the reserve as untouched: DETACH less the error of
-/// two steady clocks over that time.
-const UNTOUCHED_MS: u64 = 2750;
+/// Time since the last accepted write within which another write is likely to bring tokens.
+const ATTACHED: Duration = Duration::from_millis(900);
+
+/// Time without an accepted write after which the reserve begins to be released, in seconds: two
+/// beats and the answer of a slow store.
+const RELEASE_FROM_S: f64 = 0.7;
+
+/// Time in which the whole reserve is released, in seconds. The release grows as the square of the
+/// time, so that a VM that restarts within two seconds strands little of it.
+const RELEASE_S: f64 = 3.3;
 
-/// Demand that is issued ahead: the daemon has to serve from it until it may turn to its reserve.
-const ISSUE_S: f64 = 2.2;
+/// Factor on the age of a row for the error of the two steady clocks.
+const CLOCK_ERROR: f64 = 1.02;
 
-/// Demand that the reserve covers: the cuts that are planned for last up to 9 s.
-const RESERVE_S: f64 = 8.0;
+/// Demand that is issued ahead, in seconds: until the release begins.
+const ISSUE_S: f64 = 0.8;
 
-/// Part of a customer's remaining tokens that all reserves together may take.
-const RESERVE_PART: f64 = 0.4;
+/// Demand that the reserve covers, in seconds: planned cuts last up to 9 s, and demand varies.
+const RESERVE_S: f64 = 10.0;
 
-/// Part of the remaining tokens that all daemons together issue ahead.
+/// Part of a customer's spare tokens that all reserves together may take.
+const RESERVE_PART: f64 = 0.5;
+
+/// Part of the spare tokens that all daemons together issue ahead.
 const ISSUE_PART: f64 = 0.3;
 
-/// Part of the remaining tokens that daemons without demand reserve together.
+/// Part of the spare tokens that daemons without demand reserve together.
 const IDLE_PART: f64 = 0.15;
 
+/// Requests of usual size a daemon that stay in the common pool before any reserve.
+const POOL_REQUESTS: f64 = 3.0;
+
 /// Surplus that is not worth a write, in tokens.
 const SLACK_TOKENS: u64 = 3000;
 
+/// Part of the remaining tokens that the surplus of all daemons together may be.
+const SLACK_PART: u64 = 16;
+
 /// Whether a request's tokens could be taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Admit {
     /// They were taken.
     Taken,
-    /// There is no room now; a write may bring it.
-    Wait,
+    /// There is no room now; the next write may bring it.
+    Grant,
+    /// There is no room now; the reserve that is released within this time brings it.
+    Release(Duration),
+    /// There is no room, and the store can't be asked for more.
+    Refused,
     /// The customer's remaining tokens do not cover the request.
     Exhausted,
 }
@@ -107,6 +123,12 @@
     limits: HashMap<String, u64>,
     inherited: Option<DaemonRow>,
     known: bool,
+    landings: u64,
+}
+
+/// Part of the reserve that a daemon may spend `age` seconds after the last accepted write.
+fn release(age: f64) -> f64 {
+    ((age - RELEASE_FROM_S) / RELEASE_S).clamp(0.0, 1.0).powi(2)
 }
 
 impl Ledger {
@@ -129,6 +151,7 @@
             limits: HashMap::new(),
             inherited: None,
             known: false,
+            landings: 0,
         }
     }
 
@@ -152,10 +175,21 @@
         self.owned
     }
 
-    /// Whether the store has accepted a write within [`DETACH`].
+    /// Whether the store has accepted a write lately.
     pub fn is_attached(&self, now: Instant) -> bool {
         self.contact
-            .is_some_and(|at| now.duration_since(at) < DETACH)
+            .is_some_and(|at| now.duration_since(at) < ATTACHED)
+    }
+
+    /// Part of the reserve that is released now.
+    fn released(&self, now: Instant) -> f64 {
+        self.contact
+            .map_or(0.0, |at| release(now.duration_since(at).as_secs_f64()))
+    }
+
+    /// Writes that the store has accepted.
+    pub fn landings(&self) -> u64 {
+        self.landings
     }
 
     /// Time since the store accepted a write.
@@ -205,18 +239,43 @@
 
     /// Takes `cost` tokens of `customer` for a request.
     pub fn admit(&mut self, customer: &str, cost: u64, now: Instant) -> Admit {
-        if self.fenced || !self.owned {
-            return Admit::Wait;
+        if self.fenced {
+            return Admit::Refused;
+        }
+        if !self.owned {
+            return Admit::Grant;
         }
         let attached = self.is_attached(now);
+        let released = self.released(now);
         let account = self.accounts.entry(customer.to_owned()).or_default();
-        if account.reserve(cost, attached) {
+        if account.reserve(cost, released) {
+            account.note_cost(cost);
             return Admit::Taken;
         }
-        if attached && self.known && self.remaining(customer) < cost {
+        if !attached {
+            return self.release_wait(customer, cost, now);
+        }
+        if self.known && self.remaining(customer) < cost {
             return Admit::Exhausted;
         }
-        Admit::Wait
+        Admit::Grant
+    }
+
+    /// Time until the release of the reserve covers `cost`.
+    fn release_wait(&self, customer: &str, cost: u64, now: Instant) -> Admit {
+        let (Some(account), Some(contact)) = (self.accounts.get(customer), self.contact) else {
+            return Admit::Refused;
+        };
+        let need = account.used() + cost;
+        if need > account.bound(1.0) {
+            return Admit::Refused;
+        }
+        let grant = account.confirmed;
+        let part =
+            need.saturating_sub(grant.issued) as f64 / (grant.cap - grant.issued).max(1) as f64;
+        let at = RELEASE_FROM_S + RELEASE_S * part.min(1.0).sqrt();
+        let age = now.duration_since(contact).as_secs_f64();
+        Admit::Release(Duration::from_secs_f64((at - age).max(0.02)))
     }
 
     /// Adds to or takes from the tokens that requests wait for.
@@ -290,15 +349,21 @@
             return;
         }
         self.version = version;
-        let untouched = now.saturating_sub(row.seen) < UNTOUCHED_MS;
+        let age = now.saturating_sub(row.seen) as f64 / 1000.0 * CLOCK_ERROR;
+        let part = release(age);
         let mut taken = row.clone();
         for grant in taken.grants.values_mut() {
-            grant.spent = if untouched { grant.issued } else { grant.cap };
+            grant.spent = grant.released(part);
             grant.issued = grant.spent;
             grant.open = 0;
         }
+        let charged: u64 = row
+            .grants
+            .iter()
+            .map(|(name, old)| taken.grants[name].spent - old.spent - old.open)
+            .sum();
         log::info!(
-            "event=grants_inherited process={} age_ms={} reserve_untouched={untouched} customers={}",
+            "event=grants_inherited process={} age_ms={} released={part:.3} customers={} charged_unknown={charged}",
             row.process,
             now.saturating_sub(row.seen),
             taken.grants.len()
@@ -404,26 +469,28 @@
             grant.issued = used;
             return grant;
         }
-        let remaining = self.remaining(name) as f64;
+        let remaining = self.remaining(name);
+        let members = u64::from(self.members());
+        let pool = POOL_REQUESTS * members as f64 * account.usual_cost;
+        let spare = (remaining as f64 - pool).max(0.0);
         let share = self.share(name, rate);
-        let members = f64::from(self.members());
-        let ahead = (rate * ISSUE_S).min(remaining * share * ISSUE_PART);
-        let idle = remaining * IDLE_PART / members;
+        let ahead = (rate * ISSUE_S).min(spare * share * ISSUE_PART);
+        let idle = spare * IDLE_PART / members as f64;
         let reserve = (rate * RESERVE_S)
-            .min(remaining * share * RESERVE_PART)
-            .max(idle);
+            .min(spare * share * RESERVE_PART)
+            .max(idle) as u64;
         let issue = used + account.wanted + ahead as u64;
-        let wish = issue + reserve as u64;
+        let wish = issue + reserve;
+        let slack = SLACK_TOKENS.min(remaining / (SLACK_PART * members));
         grant.cap = if wish > old.cap {
             let lack = wish - old.cap;
-            let urgent = issue > old.cap;
-            let worth = urgent || lack > SLACK_TOKENS || lack > old.cap.saturating_sub(used) / 2;
+            let worth = issue > old.cap || lack > slack;
             if worth {
                 old.cap + lack.min(self.free(name))
             } else {
                 old.cap
             }
-        } else if old.cap - wish > SLACK_TOKENS + reserve as u64 / 3 {
+        } else if old.cap - wish > slack + reserve / 3 {
             wish
         } else {
             old.cap
@@ -473,6 +540,7 @@
                     self.sums.insert(name.clone(), (version, *sum));
                 }
                 self.contact = Some(now);
+                self.landings += 1;
                 self.seen = self.seen.max(time);
             }
             Commit::Conflict(rows) => {
--- a/edge/src/prepaid/mod.rs
+++ b/edge/src/prepaid/mod.rs
@@ -18,7 +18,6 @@
 pub use ledger::{
     Admit,
     BEAT,
-    DETACH,
     Ledger,
     Plan,
     Spending, //
--- a/edge/src/serve/client.rs
+++ b/edge/src/serve/client.rs
@@ -43,6 +43,9 @@
 /// lost to a reset.
 const LINGER: Duration = Duration::from_millis(300);
 
+/// Time after which a caller that reaches a stopping daemon is asked to come back, elsewhere.
+const STOP_RETRY: Duration = Duration::from_millis(50);
+
 /// Why no request could be read.
 enum ReadFault {
     /// The caller has closed the connection, or was idle too long.
@@ -57,17 +60,26 @@
     let mut buf = BytesMut::new();
     loop {
         let limits = core.limits();
-        let read = read_request(&stream, &mut buf, &limits).await;
+        let read = read_request(&core, &stream, &mut buf, &limits).await;
         let (head, body) = match read {
             Ok(request) => request,
             Err(ReadFault::Gone) => return,
             Err(ReadFault::Rejected(status, code)) => {
                 log::info!("event=request_rejected status={status} code={code}");
-                reject(&stream, status, code).await;
+                answer_last(&stream, &Refusal::rejected(status, code)).await;
                 return;
             }
         };
         let at = Instant::now();
+        if core.is_closing() {
+            log::info!(
+                "event=request_rejected status=503 code=stopping target={}",
+                head.target
+            );
+            let refusal = Refusal::not_run("stopping", STOP_RETRY);
+            answer_last(&stream, &refusal).await;
+            return;
+        }
         let work = exchange(&core, head, body, at, &stream);
         let keep = tokio::select! {
             biased;
@@ -96,17 +108,19 @@
     }
 }
 
-async fn read_request(
+async fn read_request<D>(
+    core: &Core<D>,
     stream: &TcpStream,
     buf: &mut BytesMut,
     limits: &Limits,
 ) -> Result<(RequestHead, Bytes), ReadFault> {
-    let head = read_head(stream, buf, limits).await?;
+    let head = read_head(core, stream, buf, limits).await?;
     let body = read_body(stream, buf, limits, &head).await?;
     Ok((head, body))
 }
 
-async fn read_head(
+async fn read_head<D>(
+    core: &Core<D>,
     stream: &TcpStream,
     buf: &mut BytesMut,
     limits: &Limits,
@@ -131,7 +145,15 @@
         let time = started.map_or(limits.idle_time, |at| {
             limits.header_time.saturating_sub(at.elapsed())
         });
-        match timeout(time, read_some(stream, buf)).await {
+        let closed = core.closed.notified();
+        if core.is_closing() && buf.is_empty() {
+            return Err(ReadFault::Gone);
+        }
+        let read = tokio::select! {
+            read = timeout(time, read_some(stream, buf)) => read,
+            () = closed, if started.is_none() => return Err(ReadFault::Gone),
+        };
+        match read {
             Err(_) if started.is_some() => return Err(ReadFault::Rejected(408, "head_timeout")),
             Err(_) | Ok(Ok(0) | Err(_)) => return Err(ReadFault::Gone),
             Ok(Ok(_)) => {}
@@ -179,10 +201,12 @@
     }
 }
 
-/// Answers with a rejection and closes the connection.
-async fn reject(stream: &TcpStream, status: u16, code: &'static str) {
-    let bytes = Refusal::rejected(status, code).bytes(None, false);
-    if write_all(stream, &bytes).await.is_err() {
+/// Writes an answer after which the connection closes.
+async fn answer_last(stream: &TcpStream, refusal: &Refusal) {
+    if write_all(stream, &refusal.bytes(None, false))
+        .await
+        .is_err()
+    {
         return;
     }
     if let Err(e) = socket2::SockRef::from(stream).shutdown(std::net::Shutdown::Write) {
--- a/edge/src/serve/core.rs
+++ b/edge/src/serve/core.rs
@@ -94,6 +94,9 @@
     upstreams: RefCell<HashMap<RunnerId, Rc<Upstream>>>,
     allowances: RefCell<HashMap<ServiceId, Allowance>>,
     stopping: Cell<Option<Instant>>,
+    closing: Cell<bool>,
+    /// Wakes idle connections that have to close.
+    pub closed: Notify,
     open: Cell<u32>,
     dialect: PhantomData<D>,
 }
@@ -124,6 +127,8 @@
             upstreams: RefCell::default(),
             allowances: RefCell::default(),
             stopping: Cell::new(None),
+            closing: Cell::new(false),
+            closed: Notify::new(),
             open: Cell::new(0),
             dialect: PhantomData,
         })
@@ -238,6 +243,17 @@
         }
     }
 
+    /// Serves no more requests: idle connections close, and what still comes is refused as not run.
+    pub fn close(&self) {
+        self.closing.set(true);
+        self.closed.notify_waiters();
+    }
+
+    /// Whether no more requests are served.
+    pub fn is_closing(&self) -> bool {
+        self.closing.get()
+    }
+
     /// Time since the planned stop began.
     pub fn stopping_for(&self, now: Instant) -> Option<Duration> {
         self.stopping.get().map(|at| now.duration_since(at))
--- a/edge/src/serve/exchange.rs
+++ b/edge/src/serve/exchange.rs
@@ -14,7 +14,10 @@
 use bytes::Bytes;
 use tokio::{
     net::TcpStream,
-    time::timeout_at, //
+    time::{
+        timeout,
+        timeout_at, //
+    },
 };
 
 use super::{
@@ -74,8 +77,19 @@
 /// Deadline of a request that names none.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
 
-/// Time for which a request waits for tokens while the store can be asked.
-const GRANT_WAIT: Duration = Duration::from_millis(700);
+/// Longest time for which a request waits for writes to bring tokens: until the reserve is released
+/// instead.
+const GRANT_WAIT: Duration = Duration::from_millis(1200);
+
+/// Accepted writes after which there are no tokens in the store: the first may have been under way
+/// when the request came.
+const GRANT_WRITES: u64 = 2;
+
+/// Time after which a request that waits for a write looks whether the store was lost.
+const GRANT_LOOK: Duration = Duration::from_millis(100);
+
+/// Shortest time for which callers wait for the first event of a stream.
+const LEAST_PATIENCE: Duration = Duration::from_millis(1600);
 
 /// Time after which a caller is asked to come back when tokens can't be had.
 const GRANT_RETRY: Duration = Duration::from_millis(1500);
@@ -111,6 +125,12 @@
         self.deadline.saturating_duration_since(now)
     }
 
+    /// Time for which the caller is likely to wait for the first byte.
+    fn patience(&self) -> Duration {
+        let stay = (self.route.objective * 3).max(LEAST_PATIENCE);
+        stay.min(self.deadline.duration_since(self.at).mul_f64(0.8))
+    }
+
     /// Prompt tokens.
     pub(super) fn prompt(&self) -> u64 {
         self.ask.tokens.map_or(0, |t| t.prompt)
@@ -494,32 +514,14 @@
         customer: Arc::clone(&customer.name),
         cost,
     };
-    let until = (call.at + GRANT_WAIT).min(call.deadline);
-    let mut admit = core
-        .ledger
-        .borrow_mut()
-        .admit(&customer.name, cost, call.at);
-    if admit == Admit::Wait {
-        let wait = Wanted::new(core, &spending);
-        while admit == Admit::Wait {
-            let landed = core.granted.notified();
-            let end = tokio::time::Instant::from_std(until);
-            if timeout_at(end, landed).await.is_err() {
-                break;
-            }
-            admit = core
-                .ledger
-                .borrow_mut()
-                .admit(&customer.name, cost, Instant::now());
-        }
-        drop(wait);
-    }
+    let admit = wait_for_tokens(core, call, &spending).await;
     let now = Instant::now();
     let ledger = core.ledger.borrow();
     log::info!(
-        "event=tokens id={} customer={} cost={cost} outcome={admit:?} remaining={} attached={} contact_ms={} waited_ms={}",
+        "event=tokens id={} customer={} prompt={} cost={cost} outcome={admit:?} remaining={} attached={} contact_ms={} waited_ms={}",
         call.ask.id,
         customer.name,
+        tokens.prompt,
         ledger.remaining(&customer.name),
         ledger.is_attached(now),
         ledger.contact_age(now).map_or(-1, |d| d.as_millis() as i64),
@@ -531,13 +533,52 @@
             Ok(charge)
         }
         Admit::Exhausted => Err(Refusal::rejected(402, "budget_exhausted")),
-        Admit::Wait => {
+        Admit::Grant | Admit::Refused | Admit::Release(_) => {
             let retry = retry_after(GRANT_RETRY, call.left(now));
             Err(Refusal::not_run("no_grant", retry))
         }
     }
 }
 
+/// Takes tokens as soon as there are some: at once, after the next writes, or as the reserve is
+/// released. Ends as soon as it is clear that there are none in time.
+async fn wait_for_tokens<D: Dialect>(
+    core: &Rc<Core<D>>,
+    call: &Call,
+    spending: &Spending,
+) -> Admit {
+    let ask = |now| {
+        core.ledger
+            .borrow_mut()
+            .admit(&spending.customer, spending.cost, now)
+    };
+    let mut admit = ask(call.at);
+    let begun = core.ledger.borrow().landings();
+    let mut wanted = None;
+    loop {
+        let now = Instant::now();
+        match admit {
+            Admit::Taken | Admit::Exhausted | Admit::Refused => return admit,
+            Admit::Release(time) if now + time > call.at + call.patience() => return admit,
+            Admit::Release(time) => {
+                // Another request may take what is released: look again before the time is over.
+                let landed = core.granted.notified();
+                let _ = timeout(time, landed).await;
+            }
+            Admit::Grant => {
+                let landings = core.ledger.borrow().landings() - begun;
+                if landings >= GRANT_WRITES || now > call.at + GRANT_WAIT {
+                    return admit;
+                }
+                wanted.get_or_insert_with(|| Wanted::new(core, spending));
+                let landed = core.granted.notified();
+                let _ = timeout(GRANT_LOOK, landed).await;
+            }
+        }
+        admit = ask(Instant::now());
+    }
+}
+
 /// Tokens that a waiting request asks the writer for.
 struct Wanted<'a, D> {
     core: &'a Rc<Core<D>>,
@@ -621,24 +662,26 @@
         .iter()
         .zip(&runners)
         .map(|(upstream, runner)| Candidate {
-            tried: trail.tried.contains(&runner.id),
             remote: runner.zone != core.zone,
             ..upstream.candidate(now, parts, connections)
         })
+        .zip(&runners)
+        .map(|(c, runner)| Candidate {
+            tried: c.tried || trail.tried.contains(&runner.id),
+            ..c
+        })
         .collect();
     if let Some(key) = key {
-        let first = runners
-            .iter()
-            .enumerate()
-            .max_by_key(|(_, r)| affinity(key, &r.id))
-            .map(|(i, _)| i);
-        if let Some(first) = first {
-            candidates[first].affinity = 0;
+        let mut order: Vec<usize> = (0..runners.len()).collect();
+        order.sort_by_key(|i| std::cmp::Reverse(affinity(key, &runners[*i].id)));
+        for (rank, i) in order.into_iter().enumerate() {
+            candidates[i].affinity = rank;
         }
     }
     let demand = Demand {
         prompt: call.prompt(),
         shared: parts[..shared].iter().map(|p| u64::from(p.tokens)).sum(),
+        objective_ms: call.route.objective.as_secs_f64() * 1000.0,
     };
     let salt = fingerprint("", &call.ask.id, &[]);
     place(&candidates, &demand, salt).map(|i| Rc::clone(&upstreams[i]))
@@ -669,6 +712,9 @@
         if trail.ran == 0 {
             charge.read.set(false);
         }
+        if status == 421 {
+            upstream.mark_replaced(Instant::now());
+        }
         let detail = format!("status {status}");
         return Err(Stopped::Runner(SendFault::new(Failure::TurnedAway, detail)));
     }
--- a/edge/src/serve/upstream.rs
+++ b/edge/src/serve/upstream.rs
@@ -55,6 +55,10 @@
 /// Longest time for a connection that only asks whether a silent runner is there.
 const PROBE_TIME: Duration = Duration::from_millis(60);
 
+/// Time for which a runner gets no requests after another one has answered at its address, unless
+/// its entry changes.
+const REPLACED: Duration = Duration::from_secs(4);
+
 /// Weight of one outcome in the share of failures.
 const OUTCOME_WEIGHT: f64 = 0.2;
 
@@ -80,6 +84,7 @@
     pause: Cell<Duration>,
     down: Cell<Option<Instant>>,
     heard: Cell<Instant>,
+    replaced: Cell<Option<Instant>>,
     warm: RefCell<HashMap<u64, Instant>>,
 }
 
@@ -97,6 +102,7 @@
             pause: Cell::new(PAUSE),
             down: Cell::new(None),
             heard: Cell::new(Instant::now()),
+            replaced: Cell::new(None),
             warm: RefCell::default(),
         }
     }
@@ -141,7 +147,10 @@
             failing: self.failing(now),
             suspect: self.down.get().is_some_and(|until| now < until),
             full: held >= connections && self.idle.borrow().is_empty(),
-            tried: false,
+            tried: self
+                .replaced
+                .get()
+                .is_some_and(|at| now.duration_since(at) < REPLACED),
             remote: false,
         }
     }
@@ -189,6 +198,12 @@
         self.idle.borrow_mut().clear();
     }
 
+    /// Notes that another runner answers at the address.
+    pub fn mark_replaced(&self, now: Instant) {
+        self.replaced.set(Some(now));
+        self.idle.borrow_mut().clear();
+    }
+
     /// Notes that the runner has sent something.
     pub fn hear(&self, now: Instant) {
         self.heard.set(now);
