--- a/edge/src/fleet/follow.rs
+++ b/edge/src/fleet/follow.rs
@@ -107,10 +107,11 @@
             Ok(feed) => {
                 let now = Instant::now();
                 if contact.succeeded() {
-                    let grace = core.bounds.lapse_grace;
+                    let grace = core.bounds.get().lapse_grace;
                     core.directory.borrow_mut().store_returned(now, grace);
                 }
                 since = Some(feed.version);
+                core.follow_runners(now);
                 count(&core, "runners", "ok");
                 apply(&core, feed.items, feed.whole, now);
                 sleep(RUNNER_PAUSE).await;
--- a/edge/src/fleet/stop.rs
+++ b/edge/src/fleet/stop.rs
@@ -47,7 +47,7 @@
     core.stop(begun);
     core.wanted.notify_one();
     log::info!("event=stop_begun open={}", core.open());
-    let end = core.bounds.grace.saturating_sub(MARGIN);
+    let end = core.bounds.get().grace.saturating_sub(MARGIN);
     sleep(LAST_CALLS.min(end)).await;
     core.close();
     while begun.elapsed() < end {
--- a/edge/src/serve/core.rs
+++ b/edge/src/serve/core.rs
@@ -72,7 +72,7 @@
     /// Data centre of the VM.
     pub zone: Arc<str>,
     /// Bounds that the deployment sets.
-    pub bounds: Bounds,
+    pub bounds: Cell<Bounds>,
     /// Metrics.
     pub metrics: Metrics,
     /// Prepaid budgets.
@@ -91,6 +91,7 @@
     pub strikes: RefCell<Strikes>,
     version: RefCell<Option<Version>>,
     confirmed: Cell<Option<Instant>>,
+    followed: Cell<Option<Instant>>,
     upstreams: RefCell<HashMap<RunnerId, Rc<Upstream>>>,
     allowances: RefCell<HashMap<ServiceId, Allowance>>,
     stopping: Cell<Option<Instant>>,
@@ -113,7 +114,7 @@
         Rc::new(Core {
             node: node.to_owned(),
             zone: Arc::from(zone),
-            bounds,
+            bounds: Cell::new(bounds),
             metrics,
             ledger: RefCell::new(ledger),
             granted: Notify::new(),
@@ -124,6 +125,7 @@
             strikes: RefCell::default(),
             version: RefCell::new(None),
             confirmed: Cell::new(None),
+            followed: Cell::new(None),
             upstreams: RefCell::default(),
             allowances: RefCell::default(),
             stopping: Cell::new(None),
@@ -191,6 +193,24 @@
             .is_some_and(|at| now.duration_since(at) < FRESH)
     }
 
+    /// Notes that the store has told the runners' entries, as of now.
+    pub fn follow_runners(&self, now: Instant) {
+        self.followed.set(Some(now));
+    }
+
+    /// Whether the store has told the runners' entries lately.
+    pub fn runners_followed(&self, now: Instant) -> bool {
+        self.followed
+            .get()
+            .is_some_and(|at| now.duration_since(at) < FRESH)
+    }
+
+    /// Takes over changed bounds.
+    pub fn set_bounds(&self, bounds: Bounds) {
+        self.bounds.set(bounds);
+        self.allowances.borrow_mut().clear();
+    }
+
     /// Time since the configuration was known to be the newest, in milliseconds.
     pub fn config_age_ms(&self, now: Instant) -> u64 {
         self.confirmed
@@ -225,11 +245,8 @@
     pub fn allowance<R>(&self, service: &ServiceId, f: impl FnOnce(&mut Allowance) -> R) -> R {
         let mut map = self.allowances.borrow_mut();
         let allowance = map.entry(Arc::clone(service)).or_insert_with(|| {
-            Allowance::new(
-                self.bounds.retry_ratio,
-                self.bounds.retry_extra,
-                self.bounds.retry_window,
-            )
+            let bounds = self.bounds.get();
+            Allowance::new(bounds.retry_ratio, bounds.retry_extra, bounds.retry_window)
         });
         f(allowance)
     }
