--- a/edge/src/prepaid/ledger.rs
+++ b/edge/src/prepaid/ledger.rs
@@ -360,7 +360,11 @@
         let charged: u64 = row
             .grants
             .iter()
-            .map(|(name, old)| taken.grants[name].spent - old.spent - old.open)
+            .map(|(name, old)| {
+                taken.grants[name]
+                    .spent
+                    .saturating_sub(old.spent + old.open)
+            })
             .sum();
         log::info!(
             "event=grants_inherited process={} age_ms={} released={part:.3} customers={} charged_unknown={charged}",
--- a/edge/src/serve/exchange.rs
+++ b/edge/src/serve/exchange.rs
@@ -304,7 +304,7 @@
             .observe(first.duration_since(call.at).as_secs_f64());
     }
     log::info!(
-        "event=request_done id={} route={} customer={} rank={} config={} status={status} code={code} verdict={verdict} events={} first_ms={} ms={} sends={}",
+        "event=request_done id={} route={} customer={} rank={} config={} status={status} code={code} verdict={verdict} events={} first_ms={} pause_ms={} ms={} sends={}",
         call.ask.id,
         call.route.name,
         call.customer.as_ref().map_or("-", |c| &*c.name),
@@ -314,6 +314,7 @@
         relay
             .first
             .map_or(-1, |t| t.duration_since(call.at).as_millis() as i64),
+        relay.pause.as_millis(),
         total.as_millis(),
         trail.text
     );
--- a/edge/src/serve/relay.rs
+++ b/edge/src/serve/relay.rs
@@ -3,7 +3,10 @@
 use std::{
     cell::Cell,
     rc::Rc,
-    time::Instant, //
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use tokio::net::TcpStream;
@@ -38,6 +41,9 @@
     pub started: bool,
     /// Time of the first event.
     pub first: Option<Instant>,
+    /// Longest pause between two events.
+    pub pause: Duration,
+    newest: Option<Instant>,
 }
 
 /// Why a relay ended before the last event.
@@ -63,6 +69,7 @@
             let done = take_events(reply, &mut events).map_err(Stopped::Runner)?;
             let broken = self.compose(call, reply, &mut events, &mut bytes);
             if !bytes.is_empty() {
+                self.note_pause(Instant::now());
                 if self.first.is_none() {
                     self.first = Some(Instant::now());
                     reply.flight.first_event();
@@ -95,6 +102,14 @@
         }
     }
 
+    fn note_pause(&mut self, now: Instant) {
+        let pause = self
+            .newest
+            .map_or(Duration::ZERO, |t| now.duration_since(t));
+        self.pause = self.pause.max(pause);
+        self.newest = Some(now);
+    }
+
     async fn finish(
         &mut self,
         call: &Call,
--- /dev/null
+++ b/edge/tests/budget_run.rs
@@ -0,0 +1,112 @@
+//! Seeded runs of several ledgers against a store that fails.
+
+mod budget_world;
+
+use budget_world::{
+    Faults,
+    Outcome,
+    World,
+    limits, //
+};
+
+const SEEDS: u64 = 60;
+
+fn play(seed: u64, total: u64, faults: Faults) -> Outcome {
+    let mut world = World::new(seed, 7, limits(6, total), faults);
+    world.run(2, 0);
+    world.run(15, 60);
+    world.top_up("c0", total / 8);
+    world.run(20, 60)
+}
+
+fn assert_kept(name: &str, total: u64, faults: Faults) {
+    for seed in 1..=SEEDS {
+        let outcome = play(seed, total, faults);
+        assert_eq!(outcome.overspent, 0, "{name}, seed {seed}: {outcome:?}");
+        assert_eq!(outcome.uncommitted, 0, "{name}, seed {seed}: {outcome:?}");
+        assert!(outcome.served > 0, "{name}, seed {seed}: {outcome:?}");
+    }
+}
+
+/// Demand of one run, in tokens: 35 s, 60 requests a second, 3,000 tokens in the mean.
+const DEMAND: u64 = 6_300_000;
+
+/// Guards against spending beyond the limit while writes are lost and performed late.
+#[test]
+fn lost_and_late_writes_never_overspend() {
+    let faults = Faults {
+        lost: 20,
+        late: 20,
+        ..Faults::default()
+    };
+    assert_kept("lost and late", DEMAND / 2, faults);
+}
+
+/// Guards against a restarted process that spends what the one before has spent.
+#[test]
+fn kills_and_cuts_never_overspend() {
+    let faults = Faults {
+        kill: 6,
+        cut: 6,
+        lost: 5,
+        late: 5,
+        kill_all_at: Some(20_000),
+        ..Faults::default()
+    };
+    assert_kept("kills and cuts", DEMAND / 2, faults);
+}
+
+/// Guards against two faults at once, with VMs that are suspended beside all others.
+#[test]
+fn all_faults_at_once_never_overspend() {
+    let faults = Faults {
+        kill: 4,
+        cut: 8,
+        freeze: 8,
+        lost: 10,
+        late: 10,
+        kill_all_at: Some(26_000),
+        cut_all_at: Some(18_000),
+        ..Faults::default()
+    };
+    assert_kept("all faults", DEMAND / 3, faults);
+}
+
+/// Shows that the runs above have teeth: a successor that trusts the row overspends.
+#[test]
+fn trusting_restart_overspends() {
+    let faults = Faults {
+        kill: 12,
+        cut: 12,
+        trusting_restart: true,
+        ..Faults::default()
+    };
+    let over = (1..=SEEDS).any(|seed| play(seed, DEMAND / 4, faults).overspent > 0);
+    assert!(over, "no seed overspends without the guard");
+}
+
+/// Guards against refusals of what would fit when nothing fails and there is enough.
+#[test]
+fn ample_budgets_refuse_nothing() {
+    for seed in 1..=10 {
+        let outcome = play(seed, DEMAND * 3, Faults::default());
+        assert_eq!(outcome.refused_fitting, 0, "seed {seed}: {outcome:?}");
+    }
+}
+
+/// Guards against reserves that do not carry through a cut of all machines from the store: the cut
+/// may refuse at most one in ten of what would fit.
+#[test]
+fn a_cut_of_all_machines_is_served_from_reserves() {
+    for seed in 1..=10 {
+        let faults = Faults {
+            cut_all_at: Some(12_000),
+            ..Faults::default()
+        };
+        let outcome = play(seed, DEMAND * 2, faults);
+        assert!(
+            outcome.refused_fitting * 10 <= outcome.asked,
+            "seed {seed}: {outcome:?}"
+        );
+    }
+}
--- /dev/null
+++ b/edge/tests/budget_world/mod.rs
@@ -0,0 +1,556 @@
+//! Several ledgers, a store that loses and delays writes, kills, cuts and freezes, on a clock of its
+//! own. The world counts what requests truly consume.
+
+use std::{
+    collections::HashMap,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use cuminloom_edge::prepaid::{
+    Admit,
+    Batch,
+    Commit,
+    DaemonRow,
+    Expect,
+    Ledger,
+    Plan,
+    Row,
+    Rows,
+    Spending,
+    SumRow, //
+};
+
+/// Length of one step, in milliseconds.
+pub(crate) const STEP_MS: u64 = 50;
+
+/// Time between two writes of a daemon, in milliseconds, as in the daemon itself.
+const BEAT_MS: u64 = 400;
+
+/// Time between two readings of all rows, in milliseconds, as in the daemon itself.
+const READ_MS: u64 = 1000;
+
+/// Time after which a daemon gives up an answer, in milliseconds.
+const ANSWER_MS: u64 = 1200;
+
+/// Writes that one request waits for at most, with conflicts.
+const MAX_WRITES: usize = 8;
+
+/// Small generator with a fixed seed.
+pub(crate) struct Random(u64);
+
+impl Random {
+    pub(crate) fn new(seed: u64) -> Random {
+        Random(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1)
+    }
+
+    pub(crate) fn next(&mut self) -> u64 {
+        self.0 ^= self.0 << 13;
+        self.0 ^= self.0 >> 7;
+        self.0 ^= self.0 << 17;
+        self.0
+    }
+
+    pub(crate) fn below(&mut self, n: u64) -> u64 {
+        self.next() % n.max(1)
+    }
+
+    pub(crate) fn chance(&mut self, percent: u64) -> bool {
+        self.below(100) < percent
+    }
+}
+
+/// The store: rows under versions, as the platform's store keeps them.
+#[derive(Default)]
+pub(crate) struct FakeStore {
+    version: u64,
+    daemons: HashMap<String, (u64, DaemonRow)>,
+    sums: HashMap<String, (u64, SumRow)>,
+}
+
+impl FakeStore {
+    fn holds(&self, expect: &Expect) -> bool {
+        match expect {
+            Expect::Daemon(name, v) => self.daemons.get(name).map_or(0, |r| r.0) == *v,
+            Expect::Sum(name, v) => self.sums.get(name).map_or(0, |r| r.0) == *v,
+        }
+    }
+
+    pub(crate) fn apply(&mut self, batch: &Batch, now: u64) -> Commit {
+        if !batch.expect.iter().all(|e| self.holds(e)) {
+            let rows = batch.expect.iter().filter_map(|e| self.row(e)).collect();
+            return Commit::Conflict(Rows { rows, now });
+        }
+        self.version += 1;
+        if let Some((name, row)) = &batch.daemon {
+            self.daemons
+                .insert(name.clone(), (self.version, row.clone()));
+        }
+        for (name, sum) in &batch.sums {
+            self.sums.insert(name.clone(), (self.version, *sum));
+        }
+        Commit::Done {
+            version: self.version,
+            now,
+        }
+    }
+
+    fn row(&self, expect: &Expect) -> Option<Row> {
+        match expect {
+            Expect::Daemon(name, _) => {
+                let (v, row) = self.daemons.get(name)?;
+                Some(Row::Daemon(name.clone(), *v, row.clone()))
+            }
+            Expect::Sum(name, _) => {
+                let (v, sum) = self.sums.get(name)?;
+                Some(Row::Sum(name.clone(), *v, *sum))
+            }
+        }
+    }
+
+    pub(crate) fn rows(&self, now: u64) -> Rows {
+        let daemons = self
+            .daemons
+            .iter()
+            .map(|(n, (v, r))| Row::Daemon(n.clone(), *v, r.clone()));
+        let sums = self
+            .sums
+            .iter()
+            .map(|(n, (v, s))| Row::Sum(n.clone(), *v, *s));
+        Rows {
+            rows: daemons.chain(sums).collect(),
+            now,
+        }
+    }
+
+    /// Tokens of `customer` that are committed, and the sum of the daemons' caps.
+    pub(crate) fn committed(&self, customer: &str) -> (u64, u64) {
+        let sum = self.sums.get(customer).map_or(0, |(_, s)| s.committed);
+        let caps = self
+            .daemons
+            .values()
+            .filter_map(|(_, row)| row.grants.get(customer))
+            .map(|g| g.cap)
+            .sum();
+        (sum, caps)
+    }
+}
+
+struct OpenRequest {
+    spending: Spending,
+    used: u64,
+    ends: u64,
+}
+
+struct Node {
+    name: String,
+    ledger: Option<Ledger>,
+    back: u64,
+    cut: u64,
+    frozen: u64,
+    clock: u64,
+    beat: u64,
+    read: u64,
+    waiting: Option<u64>,
+    open: Vec<OpenRequest>,
+}
+
+/// Rates of the faults, in percent of the seconds of a daemon.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Faults {
+    pub(crate) kill: u64,
+    pub(crate) cut: u64,
+    pub(crate) freeze: u64,
+    pub(crate) lost: u64,
+    pub(crate) late: u64,
+    pub(crate) kill_all_at: Option<u64>,
+    pub(crate) cut_all_at: Option<u64>,
+    /// Lets a restarted process believe that nothing was spent after the row was written.
+    pub(crate) trusting_restart: bool,
+}
+
+/// What a run has come to.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Outcome {
+    pub(crate) asked: u64,
+    pub(crate) served: u64,
+    pub(crate) refused: u64,
+    pub(crate) refused_fitting: u64,
+    pub(crate) overspent: u64,
+    pub(crate) writes: u64,
+    pub(crate) uncommitted: u64,
+}
+
+pub(crate) struct World {
+    pub(crate) store: FakeStore,
+    random: Random,
+    start: Instant,
+    now: u64,
+    nodes: Vec<Node>,
+    late: Vec<(u64, Batch)>,
+    limits: HashMap<String, u64>,
+    consumed: HashMap<String, u64>,
+    processes: u64,
+    faults: Faults,
+    outcome: Outcome,
+}
+
+impl World {
+    pub(crate) fn new(
+        seed: u64,
+        nodes: usize,
+        limits: HashMap<String, u64>,
+        faults: Faults,
+    ) -> World {
+        let mut world = World {
+            store: FakeStore::default(),
+            random: Random::new(seed),
+            start: Instant::now(),
+            now: 0,
+            nodes: Vec::new(),
+            late: Vec::new(),
+            limits,
+            consumed: HashMap::new(),
+            processes: 0,
+            faults,
+            outcome: Outcome::default(),
+        };
+        for i in 0..nodes {
+            let name = format!("vm-{i}");
+            let ledger = Some(world.process(&name));
+            world.nodes.push(Node {
+                name,
+                ledger,
+                back: 0,
+                cut: 0,
+                frozen: 0,
+                clock: 0,
+                beat: 0,
+                read: 0,
+                waiting: None,
+                open: Vec::new(),
+            });
+        }
+        world
+    }
+
+    fn process(&mut self, name: &str) -> Ledger {
+        self.processes += 1;
+        let mut ledger = Ledger::new(name, self.processes, None);
+        ledger.set_limits(self.limits.clone());
+        ledger
+    }
+
+    /// Raises the limit of `customer`.
+    pub(crate) fn top_up(&mut self, customer: &str, tokens: u64) {
+        *self.limits.entry(customer.to_owned()).or_default() += tokens;
+        for node in &mut self.nodes {
+            if let Some(ledger) = &mut node.ledger {
+                ledger.set_limits(self.limits.clone());
+            }
+        }
+    }
+
+    /// Plays `seconds` with `per_second` requests a second in all.
+    pub(crate) fn run(&mut self, seconds: u64, per_second: u64) -> Outcome {
+        let end = self.now + seconds * 1000;
+        while self.now < end {
+            self.now += STEP_MS;
+            self.strike();
+            self.deliver_late();
+            for i in 0..self.nodes.len() {
+                self.step(i);
+            }
+            let requests = per_second * STEP_MS;
+            let whole = requests / 1000 + u64::from(self.random.below(1000) < requests % 1000);
+            for _ in 0..whole {
+                self.request();
+            }
+            self.check();
+        }
+        self.outcome
+    }
+
+    fn strike(&mut self) {
+        let second = self.now.is_multiple_of(1000);
+        for i in 0..self.nodes.len() {
+            let f = self.faults;
+            if f.kill_all_at == Some(self.now) || (second && self.random.chance(f.kill)) {
+                let down = 500 + self.random.below(4000);
+                self.kill(i, down);
+            }
+            if f.cut_all_at == Some(self.now) || (second && self.random.chance(f.cut)) {
+                self.nodes[i].cut = self.now + 1000 + self.random.below(8000);
+            }
+            if second && self.random.chance(f.freeze) {
+                self.nodes[i].frozen = self.now + 500 + self.random.below(6000);
+            }
+        }
+    }
+
+    /// Kills a process. What its open requests have consumed is only known to the world.
+    fn kill(&mut self, i: usize, down: u64) {
+        let open = std::mem::take(&mut self.nodes[i].open);
+        for request in open {
+            let customer = request.spending.customer.to_string();
+            *self.consumed.entry(customer).or_default() += request.used;
+        }
+        self.nodes[i].ledger = None;
+        self.nodes[i].waiting = None;
+        self.nodes[i].back = self.now + down;
+    }
+
+    fn deliver_late(&mut self) {
+        let now = self.now;
+        let due: Vec<Batch> = self
+            .late
+            .iter()
+            .filter(|(at, _)| *at <= now)
+            .map(|(_, b)| b.clone())
+            .collect();
+        self.late.retain(|(at, _)| *at > now);
+        for batch in due {
+            self.store.apply(&batch, now);
+        }
+    }
+
+    fn step(&mut self, i: usize) {
+        if self.now < self.nodes[i].frozen {
+            return;
+        }
+        if self.nodes[i].ledger.is_none() {
+            if self.now < self.nodes[i].back {
+                return;
+            }
+            let name = self.nodes[i].name.clone();
+            self.nodes[i].ledger = Some(self.process(&name));
+            self.nodes[i].read = 0;
+        }
+        // The steady clock of a suspended VM stands still.
+        self.nodes[i].clock += STEP_MS;
+        self.settle(i);
+        if self.nodes[i].waiting.is_some_and(|until| self.now < until) {
+            return;
+        }
+        self.nodes[i].waiting = None;
+        if self.now < self.nodes[i].cut {
+            return;
+        }
+        self.read(i);
+        self.write(i);
+    }
+
+    fn instant(&self, i: usize) -> Instant {
+        self.start + Duration::from_millis(self.nodes[i].clock)
+    }
+
+    fn settle(&mut self, i: usize) {
+        let (now, instant) = (self.now, self.instant(i));
+        let node = &mut self.nodes[i];
+        let Some(ledger) = &mut node.ledger else {
+            return;
+        };
+        let (ended, open) = std::mem::take(&mut node.open)
+            .into_iter()
+            .partition(|r| r.ends <= now);
+        node.open = open;
+        let ended: Vec<OpenRequest> = ended;
+        for request in ended {
+            ledger.settle(&request.spending, request.used, instant);
+            let customer = request.spending.customer.to_string();
+            *self.consumed.entry(customer).or_default() += request.used;
+        }
+    }
+
+    fn read(&mut self, i: usize) {
+        if self.now < self.nodes[i].read {
+            return;
+        }
+        self.nodes[i].read = self.now + READ_MS;
+        let mut rows = self.store.rows(self.now);
+        let name = self.nodes[i].name.clone();
+        let owned = self.nodes[i].ledger.as_ref().is_some_and(Ledger::is_owned);
+        if self.faults.trusting_restart && !owned {
+            trust(&mut rows, &name);
+        }
+        if let Some(ledger) = &mut self.nodes[i].ledger {
+            ledger.read(rows, true);
+        }
+    }
+
+    fn write(&mut self, i: usize) {
+        let instant = self.instant(i);
+        let due = self.now >= self.nodes[i].beat;
+        let Some(ledger) = &mut self.nodes[i].ledger else {
+            return;
+        };
+        if !due && !ledger.is_wanted() {
+            return;
+        }
+        let Some(plan) = ledger.plan(instant, Vec::new()) else {
+            return;
+        };
+        self.nodes[i].beat = self.now + BEAT_MS;
+        self.outcome.writes += 1;
+        self.send(i, &plan, instant);
+    }
+
+    fn send(&mut self, i: usize, plan: &Plan, instant: Instant) {
+        if self.random.chance(self.faults.late) {
+            let at = self.now + 1000 + self.random.below(5000);
+            self.late.push((at, plan.batch.clone()));
+            self.nodes[i].waiting = Some(self.now + ANSWER_MS);
+            return;
+        }
+        let commit = self.store.apply(&plan.batch, self.now);
+        if self.random.chance(self.faults.lost) {
+            self.nodes[i].waiting = Some(self.now + ANSWER_MS);
+            return;
+        }
+        if matches!(commit, Commit::Conflict(_)) {
+            // As the daemon does, write again at once.
+            self.nodes[i].beat = self.now;
+        }
+        if let Some(ledger) = &mut self.nodes[i].ledger {
+            ledger.outcome(plan, commit, instant);
+        }
+    }
+
+    fn request(&mut self) {
+        let i = self.random.below(self.nodes.len() as u64) as usize;
+        let mut names: Vec<String> = self.limits.keys().cloned().collect();
+        names.sort();
+        // The first customer sends half of the requests.
+        let pick = self.random.below(2 * names.len() as u64) as usize;
+        let customer = names.get(pick).unwrap_or(&names[0]).clone();
+        let cost = 300 + self.random.below(3000) + u64::from(self.random.chance(10)) * 20_000;
+        let used = cost / 2 + self.random.below(cost / 2 + 1);
+        let ends = self.now + 100 + self.random.below(3000);
+        let instant = self.instant(i);
+        if self.now < self.nodes[i].frozen {
+            return;
+        }
+        let Some(ledger) = &mut self.nodes[i].ledger else {
+            return;
+        };
+        self.outcome.asked += 1;
+        match ledger.admit(&customer, cost, instant) {
+            Admit::Taken => {
+                let spending = Spending {
+                    customer: customer.as_str().into(),
+                    cost,
+                };
+                self.outcome.served += 1;
+                self.nodes[i].open.push(OpenRequest {
+                    spending,
+                    used,
+                    ends,
+                });
+            }
+            Admit::Grant => {
+                ledger.want(&customer, cost, true);
+                self.wait_for_grant(i, &customer, cost, used, ends);
+            }
+            _ => self.refuse(&customer, cost),
+        }
+    }
+
+    /// Writes until the tokens are there or two writes were accepted without them.
+    fn wait_for_grant(&mut self, i: usize, customer: &str, cost: u64, used: u64, ends: u64) {
+        let instant = self.instant(i);
+        let begun = self.nodes[i].ledger.as_ref().map_or(0, Ledger::landings);
+        let mut admit = Admit::Grant;
+        for _ in 0..MAX_WRITES {
+            let idle = self.nodes[i].waiting.is_none() && self.now >= self.nodes[i].cut;
+            if idle {
+                self.write(i);
+            }
+            let Some(ledger) = &mut self.nodes[i].ledger else {
+                return;
+            };
+            admit = ledger.admit(customer, cost, instant);
+            if admit != Admit::Grant || !idle || ledger.landings() >= begun + 2 {
+                break;
+            }
+        }
+        if let Some(ledger) = &mut self.nodes[i].ledger {
+            ledger.want(customer, cost, false);
+        }
+        if admit != Admit::Taken {
+            self.refuse(customer, cost);
+            return;
+        }
+        self.outcome.served += 1;
+        let spending = Spending {
+            customer: customer.into(),
+            cost,
+        };
+        self.nodes[i].open.push(OpenRequest {
+            spending,
+            used,
+            ends,
+        });
+    }
+
+    fn refuse(&mut self, customer: &str, cost: u64) {
+        self.outcome.refused += 1;
+        let limit = self.limits[customer] * 97 / 100;
+        if self.truth(customer, true) + cost <= limit {
+            self.outcome.refused_fitting += 1;
+        }
+    }
+
+    /// Tokens that were consumed; open requests count as what they consume, or at their most.
+    fn truth(&self, customer: &str, most: bool) -> u64 {
+        let open: u64 = self
+            .nodes
+            .iter()
+            .flat_map(|n| &n.open)
+            .filter(|r| &*r.spending.customer == customer)
+            .map(|r| if most { r.spending.cost } else { r.used })
+            .sum();
+        self.consumed.get(customer).copied().unwrap_or(0) + open
+    }
+
+    fn check(&mut self) {
+        let names: Vec<String> = self.limits.keys().cloned().collect();
+        for name in names {
+            let over = self.truth(&name, false).saturating_sub(self.limits[&name]);
+            self.outcome.overspent = self.outcome.overspent.max(over);
+            let (committed, caps) = self.store.committed(&name);
+            let unequal = committed.abs_diff(caps) + committed.saturating_sub(self.limits[&name]);
+            self.outcome.uncommitted = self.outcome.uncommitted.max(unequal);
+        }
+    }
+}
+
+/// Makes the row of the process before look as if nothing was spent after it was written.
+fn trust(rows: &mut Rows, name: &str) {
+    let now = rows.now;
+    for row in &mut rows.rows {
+        if let Row::Daemon(n, _, daemon) = row
+            && n == name
+        {
+            daemon.seen = now;
+            for grant in daemon.grants.values_mut() {
+                grant.issued = grant.spent;
+            }
+        }
+    }
+}
+
+/// Limits of `count` customers, the first one with half of `total`.
+pub(crate) fn limits(count: usize, total: u64) -> HashMap<String, u64> {
+    (0..count)
+        .map(|i| {
+            let part = if i == 0 {
+                total / 2
+            } else {
+                total / 2 / (count as u64 - 1)
+            };
+            (format!("c{i}"), part)
+        })
+        .collect()
+}
--- /dev/null
+++ b/edge/tests/decisions.rs
@@ -0,0 +1,261 @@
+//! The pure decisions, each under the load that it answers.
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use cuminloom_edge::{
+    catalog::{
+        Directory,
+        Repeat,
+        Runner,
+        RunnerChange,
+        RunnerState, //
+    },
+    decide::{
+        Allowance,
+        Candidate,
+        Demand,
+        Failure,
+        Next,
+        Refusal,
+        Strikes,
+        affinity,
+        after_failure,
+        place,
+        retry_after, //
+    },
+};
+
+const ENGINE: Candidate = Candidate {
+    affinity: 9,
+    warm: 0,
+    running: 0.0,
+    waiting: 0.0,
+    slots: 64,
+    backlog: 0,
+    failing: 0.0,
+    suspect: false,
+    full: false,
+    tried: false,
+    remote: false,
+};
+
+const WRITEUP: Demand = Demand {
+    prompt: 12_000,
+    shared: 5_400,
+    objective_ms: 1000.0,
+};
+
+/// A hot prefix: guards against reading shared parts again while their runner has time.
+#[test]
+fn shared_prompts_go_to_the_runner_that_has_them() {
+    let home = Candidate {
+        affinity: 0,
+        running: 4.0,
+        ..ENGINE
+    };
+    assert_eq!(place(&[ENGINE, home, ENGINE], &WRITEUP, 1), Some(1));
+}
+
+/// A hot prefix beyond what one runner carries: guards against a queue that costs the objective.
+#[test]
+fn a_long_queue_costs_more_than_reading_again() {
+    let home = Candidate {
+        affinity: 0,
+        backlog: 60_000,
+        ..ENGINE
+    };
+    assert_eq!(place(&[home, ENGINE], &WRITEUP, 1), Some(1));
+}
+
+/// Dark and replaced runners: guards against sends that can't be answered.
+#[test]
+fn silent_runners_come_last_and_tried_ones_never() {
+    let home = Candidate {
+        affinity: 0,
+        suspect: true,
+        ..ENGINE
+    };
+    assert_eq!(place(&[home, ENGINE], &WRITEUP, 1), Some(1));
+    let tried = Candidate {
+        tried: true,
+        ..ENGINE
+    };
+    assert_eq!(place(&[tried, home], &WRITEUP, 1), Some(1));
+    assert_eq!(place(&[tried], &WRITEUP, 1), None);
+}
+
+/// Grey runners: guards against sending on to a runner that fails half of its requests.
+#[test]
+fn failing_runners_are_avoided() {
+    let grey = Candidate {
+        failing: 0.5,
+        slots: 6,
+        ..ENGINE
+    };
+    let busy = Candidate {
+        slots: 6,
+        running: 2.0,
+        ..ENGINE
+    };
+    assert_eq!(place(&[grey, busy], &Demand::default(), 3), Some(1));
+}
+
+/// Many daemons: guards against two daemons that prefer different runners for one prefix, and
+/// against a change of most preferences when a runner goes.
+#[test]
+fn preferences_agree_and_move_little() {
+    let all: Vec<String> = (0..18).map(|i| format!("i-{i:08x}")).collect();
+    let best = |ids: &[String], key| ids.iter().max_by_key(|id| affinity(key, id)).cloned();
+    let moved = (0..1000)
+        .filter(|key| best(&all, *key) != best(&all[1..], *key))
+        .count();
+    assert!(moved < 100, "{moved} of 1,000 moved");
+}
+
+/// A retry storm: guards against repeats beyond the ratio in any window, summed over daemons.
+#[test]
+fn repeats_stay_within_the_shared_allowance() {
+    let start = Instant::now();
+    let members = 7;
+    let mut daemons: Vec<Allowance> = (0..members)
+        .map(|_| Allowance::new(0.2, 54.0, Duration::from_secs(10)))
+        .collect();
+    let (mut requests, mut repeats) = (Vec::new(), Vec::new());
+    for ms in (0..60_000_u64).step_by(20) {
+        let now = start + Duration::from_millis(ms);
+        let daemon = &mut daemons[(ms / 20 % members) as usize];
+        // Traffic falls to a tenth after 30 s, while each request still fails.
+        if ms < 30_000 || ms % 200 == 0 {
+            daemon.request(now);
+            requests.push(ms);
+        }
+        for _ in 0..3 {
+            if daemon.take(now, members as u32, true) {
+                repeats.push(ms);
+            }
+        }
+    }
+    let count = |list: &[u64], from: u64| {
+        let from = from as i64;
+        list.iter()
+            .filter(|ms| (**ms as i64) >= from && (**ms as i64) < from + 10_000)
+            .count() as f64
+    };
+    for from in (0..50_000_u64).step_by(100) {
+        let before = count(&requests, from.saturating_sub(5_000));
+        let most = count(&requests, from).max(before);
+        let bound = 0.2 * most + 54.0;
+        let seen = count(&repeats, from);
+        assert!(
+            seen <= bound,
+            "{seen} repeats from {from} ms, bound {bound}"
+        );
+    }
+}
+
+fn refusal(failure: Failure, repeat: Repeat) -> Refusal {
+    Refusal {
+        failure,
+        repeat,
+        ran: 1,
+        turned: 0,
+        attempts: 2,
+        left: Duration::from_secs(1),
+        objective: Duration::from_millis(100),
+    }
+}
+
+/// Lost answers: guards against a second run of what may run once, for each way to fail.
+#[test]
+fn what_may_have_run_once_is_not_sent_again() {
+    for failure in [Failure::Broken, Failure::Silent, Failure::Failed] {
+        for repeat in [Repeat::Once, Repeat::Stream] {
+            assert_eq!(after_failure(&refusal(failure, repeat)), Next::Stop);
+        }
+        for repeat in [Repeat::Idempotent, Repeat::Resumable] {
+            let next = after_failure(&refusal(failure, repeat));
+            assert_eq!(next, Next::Again { draws: true });
+        }
+    }
+}
+
+/// Guards against more runners than the route allows, and sends that can't be answered in time.
+#[test]
+fn attempts_and_time_bound_the_repeats() {
+    let mut last = refusal(Failure::Broken, Repeat::Idempotent);
+    last.ran = 2;
+    assert_eq!(after_failure(&last), Next::Stop);
+    let mut late = refusal(Failure::NoConnection, Repeat::Once);
+    late.left = Duration::from_millis(5);
+    assert_eq!(after_failure(&late), Next::Stop);
+}
+
+/// Guards against a Retry-After beyond a third of the time that the caller has left.
+#[test]
+fn callers_can_come_back_in_time() {
+    let left = Duration::from_millis(600);
+    assert_eq!(retry_after(Duration::from_secs(2), left), left / 3);
+}
+
+/// A request that crashes runners: guards against a third crash anywhere once two are known.
+#[test]
+fn crashing_requests_are_refused_by_all() {
+    let now = Instant::now();
+    let mut strikes = Strikes::default();
+    strikes.told("vm-2", &[(7, 1)], now);
+    assert!(!strikes.is_refused(7, now));
+    // The same count again is no further crash.
+    strikes.told("vm-2", &[(7, 1)], now);
+    assert!(!strikes.is_refused(7, now));
+    strikes.told("vm-3", &[(7, 1)], now);
+    assert!(strikes.is_refused(7, now));
+    assert!(!strikes.is_refused(8, now));
+    assert!(!strikes.is_refused(7, now + Duration::from_secs(120)));
+}
+
+fn runner(id: &str, state: RunnerState) -> Runner {
+    Runner {
+        id: id.into(),
+        service: "s".into(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        zone: "z".into(),
+        slots: 1,
+        state,
+        born: 0,
+    }
+}
+
+/// Guards against new requests for a runner that drains or is gone.
+#[test]
+fn leaving_runners_get_no_requests() {
+    let now = Instant::now();
+    let mut directory = Directory::default();
+    directory.apply(RunnerChange::Put(runner("a", RunnerState::Ready)), now);
+    directory.apply(RunnerChange::Put(runner("b", RunnerState::Ready)), now);
+    directory.apply(RunnerChange::Put(runner("a", RunnerState::Draining)), now);
+    directory.apply(RunnerChange::Gone("b".into()), now);
+    assert_eq!(directory.ready("s").count(), 0);
+}
+
+/// Guards against losing all runners when entries lapse with the store, and against keeping those
+/// that do not come back.
+#[test]
+fn lapsed_entries_have_time_to_come_back() {
+    let now = Instant::now();
+    let grace = Duration::from_secs(2);
+    let mut directory = Directory::default();
+    directory.apply(RunnerChange::Put(runner("a", RunnerState::Ready)), now);
+    directory.apply(RunnerChange::Put(runner("b", RunnerState::Ready)), now);
+    directory.store_returned(now, grace);
+    directory.replace(Vec::new(), now);
+    assert_eq!(directory.ready("s").count(), 2);
+    directory.apply(
+        RunnerChange::Put(runner("a", RunnerState::Ready)),
+        now + grace / 2,
+    );
+    assert_eq!(directory.expire(now + grace), vec!["b".into()]);
+    assert_eq!(directory.ready("s").count(), 1);
+}
