--- a/edge/src/prepaid/ledger.rs
+++ b/edge/src/prepaid/ledger.rs
@@ -49,19 +49,19 @@
 const ISSUE_S: f64 = 0.8;
 
 /// Demand that the reserve covers, in seconds: planned cuts last up to 9 s, and demand varies.
-const RESERVE_S: f64 = 10.0;
+const RESERVE_S: f64 = 16.0;
 
 /// Part of a customer's spare tokens that all reserves together may take.
-const RESERVE_PART: f64 = 0.5;
+const RESERVE_PART: f64 = 0.7;
 
 /// Part of the spare tokens that all daemons together issue ahead.
 const ISSUE_PART: f64 = 0.3;
 
 /// Part of the spare tokens that daemons without demand reserve together.
-const IDLE_PART: f64 = 0.15;
+const IDLE_PART: f64 = 0.25;
 
 /// Requests of usual size a daemon that stay in the common pool before any reserve.
-const POOL_REQUESTS: f64 = 3.0;
+const POOL_REQUESTS: f64 = 1.5;
 
 /// Surplus that is not worth a write, in tokens.
 const SLACK_TOKENS: u64 = 3000;
