End the age of a predecessor's row when the process starts

Customers with tokens left were refused from 44 s on.

Ruled out: wrong charges; the sum of charges matches the runners' 17.4 M prompt tokens.

Change: the age ends when the process has bound the VM's address.

--- a/edge/src/fleet/writer.rs
+++ b/edge/src/fleet/writer.rs
@@ -38,10 +38,11 @@
 /// Reads the rows of all daemons for as long as the process runs.
 pub async fn follow_rows<D, S: Store>(core: Rc<Core<D>>, store: Rc<S>) {
     loop {
+        let asked = Instant::now();
         match store.rows().await {
             Ok(rows) => {
                 count(&core, "rows", "ok");
-                core.ledger.borrow_mut().read(rows, true);
+                core.ledger.borrow_mut().read(rows, true, asked);
                 take_strikes(&core);
                 core.granted.notify_waiters();
                 core.wanted.notify_one();
--- a/edge/src/prepaid/ledger.rs
+++ b/edge/src/prepaid/ledger.rs
@@ -100,6 +100,7 @@
     pub batch: Batch,
     number: u64,
     grants: BTreeMap<String, Grant>,
+    sent: Instant,
 }
 
 /// State of the daemon's grants.
@@ -117,6 +118,8 @@
     version: u64,
     seen: u64,
     contact: Option<Instant>,
+    /// Time since which no process before can have run on this VM.
+    alone: Option<Instant>,
     accounts: HashMap<String, Account>,
     sums: HashMap<String, (u64, SumRow)>,
     others: HashMap<String, (u64, DaemonRow)>,
@@ -145,6 +148,7 @@
             version: 0,
             seen: 0,
             contact: None,
+            alone: None,
             accounts: HashMap::new(),
             sums: HashMap::new(),
             others: HashMap::new(),
@@ -155,6 +159,12 @@
         }
     }
 
+    /// Notes that this process has bound the address of the VM's daemon, so that none before it runs
+    /// any more.
+    pub fn note_alone(&mut self, now: Instant) {
+        self.alone = Some(now);
+    }
+
     /// Takes over the limits of a configuration, in tokens by customer.
     pub fn set_limits(&mut self, limits: HashMap<String, u64>) {
         self.limits = limits;
@@ -303,8 +313,8 @@
         account.rate.add(used, now);
     }
 
-    /// Takes over rows that were read.
-    pub fn read(&mut self, rows: Rows, whole: bool) {
+    /// Takes over rows that were asked for at `asked`.
+    pub fn read(&mut self, rows: Rows, whole: bool, asked: Instant) {
         let now = rows.now;
         if whole {
             self.known = true;
@@ -318,7 +328,7 @@
                     }
                 }
                 Row::Daemon(name, version, row) if name == self.node => {
-                    self.read_own(version, row, now);
+                    self.read_own(version, row, now, asked);
                 }
                 Row::Daemon(name, version, row) => {
                     let newer = self.others.get(&name).is_none_or(|(v, _)| version >= *v);
@@ -334,7 +344,7 @@
         }
     }
 
-    fn read_own(&mut self, version: u64, row: DaemonRow, now: u64) {
+    fn read_own(&mut self, version: u64, row: DaemonRow, now: u64, asked: Instant) {
         if version < self.version {
             return;
         }
@@ -349,7 +359,13 @@
             return;
         }
         self.version = version;
-        let age = now.saturating_sub(row.seen) as f64 / 1000.0 * CLOCK_ERROR;
+        // The store's clock was read after `asked`, so this takes no more off than the time for which
+        // the process before cannot have run.
+        let alone = self
+            .alone
+            .map_or(Duration::ZERO, |at| asked.saturating_duration_since(at));
+        let since = Duration::from_millis(now.saturating_sub(row.seen)).saturating_sub(alone);
+        let age = since.as_secs_f64() * CLOCK_ERROR;
         let part = release(age);
         let mut taken = row.clone();
         for grant in taken.grants.values_mut() {
@@ -369,7 +385,7 @@
         log::info!(
             "event=grants_inherited process={} age_ms={} released={part:.3} customers={} charged_unknown={charged}",
             row.process,
-            now.saturating_sub(row.seen),
+            since.as_millis(),
             taken.grants.len()
         );
         self.inherited = Some(taken);
@@ -381,7 +397,7 @@
             return None;
         }
         if !self.owned {
-            return self.plan_first(strikes);
+            return self.plan_first(now, strikes);
         }
         let mut batch = Batch {
             expect: vec![Expect::Daemon(self.node.clone(), self.version)],
@@ -404,7 +420,7 @@
             }
             grants.insert(name, new);
         }
-        Some(self.finish_plan(batch, grants, strikes))
+        Some(self.finish_plan(batch, grants, strikes, now))
     }
 
     fn account_names(&mut self) -> Vec<String> {
@@ -415,13 +431,13 @@
         names
     }
 
-    fn plan_first(&mut self, strikes: Vec<(Fingerprint, u32)>) -> Option<Plan> {
+    fn plan_first(&mut self, now: Instant, strikes: Vec<(Fingerprint, u32)>) -> Option<Plan> {
         let row = self.inherited.clone()?;
         let batch = Batch {
             expect: vec![Expect::Daemon(self.node.clone(), self.version)],
             ..Batch::default()
         };
-        Some(self.finish_plan(batch, row.grants, strikes))
+        Some(self.finish_plan(batch, row.grants, strikes, now))
     }
 
     fn finish_plan(
@@ -429,6 +445,7 @@
         mut batch: Batch,
         grants: BTreeMap<String, Grant>,
         strikes: Vec<(Fingerprint, u32)>,
+        sent: Instant,
     ) -> Plan {
         self.number += 1;
         batch.daemon = Some((
@@ -453,6 +470,7 @@
             batch,
             number: self.number,
             grants,
+            sent,
         }
     }
 
@@ -551,7 +569,7 @@
                 // The write did not happen, and an earlier one in doubt has either landed, which the
                 // rows show, or may still do so.
                 self.refused(plan);
-                self.read(rows, false);
+                self.read(rows, false, plan.sent);
             }
         }
     }
--- a/edge/tests/budget_run.rs
+++ b/edge/tests/budget_run.rs
@@ -110,3 +110,18 @@
         );
     }
 }
+
+/// Guards against a reserve that is charged as spent because a process started while the store was
+/// away: the process before was dead by then, whatever the age of its row.
+#[test]
+fn a_start_during_a_cut_strands_little() {
+    let stranded = |alone: bool| {
+        let mut world = World::new(3, 2, limits(2, 2_000_000), Faults::default());
+        world.run(6, 20);
+        world.restart_in_cut(0, 500, 9_000, alone);
+        world.run(14, 0);
+        world.unspent_charge(0)
+    };
+    let (known, unknown) = (stranded(true), stranded(false));
+    assert!(known * 4 < unknown, "{known} of {unknown} tokens");
+}
--- a/edge/tests/budget_world/mod.rs
+++ b/edge/tests/budget_world/mod.rs
@@ -155,6 +155,8 @@
     read: u64,
     waiting: Option<u64>,
     open: Vec<OpenRequest>,
+    alone: bool,
+    consumed: u64,
 }
 
 /// Rates of the faults, in percent of the seconds of a daemon.
@@ -231,6 +233,8 @@
                 read: 0,
                 waiting: None,
                 open: Vec::new(),
+                alone: true,
+                consumed: 0,
             });
         }
         world
@@ -243,6 +247,25 @@
         ledger
     }
 
+    /// Kills process `i` for `down` milliseconds in a cut of `cut` milliseconds. The process after it
+    /// knows since when it is `alone`, or not.
+    pub(crate) fn restart_in_cut(&mut self, i: usize, down: u64, cut: u64, alone: bool) {
+        self.kill(i, down);
+        self.nodes[i].cut = self.now + cut;
+        self.nodes[i].alone = alone;
+    }
+
+    /// Tokens that the row of daemon `i` counts as spent beyond what its requests consumed.
+    pub(crate) fn unspent_charge(&self, i: usize) -> u64 {
+        let name = &self.nodes[i].name;
+        let spent: u64 = self
+            .store
+            .daemons
+            .get(name)
+            .map_or(0, |(_, row)| row.grants.values().map(|g| g.spent).sum());
+        spent.saturating_sub(self.nodes[i].consumed)
+    }
+
     /// Raises the limit of `customer`.
     pub(crate) fn top_up(&mut self, customer: &str, tokens: u64) {
         *self.limits.entry(customer.to_owned()).or_default() += tokens;
@@ -294,6 +317,7 @@
     fn kill(&mut self, i: usize, down: u64) {
         let open = std::mem::take(&mut self.nodes[i].open);
         for request in open {
+            self.nodes[i].consumed += request.used;
             let customer = request.spending.customer.to_string();
             *self.consumed.entry(customer).or_default() += request.used;
         }
@@ -325,7 +349,11 @@
                 return;
             }
             let name = self.nodes[i].name.clone();
-            self.nodes[i].ledger = Some(self.process(&name));
+            let mut ledger = self.process(&name);
+            if self.nodes[i].alone {
+                ledger.note_alone(self.instant(i));
+            }
+            self.nodes[i].ledger = Some(ledger);
             self.nodes[i].read = 0;
         }
         // The steady clock of a suspended VM stands still.
@@ -359,6 +387,7 @@
         let ended: Vec<OpenRequest> = ended;
         for request in ended {
             ledger.settle(&request.spending, request.used, instant);
+            node.consumed += request.used;
             let customer = request.spending.customer.to_string();
             *self.consumed.entry(customer).or_default() += request.used;
         }
@@ -375,8 +404,9 @@
         if self.faults.trusting_restart && !owned {
             trust(&mut rows, &name);
         }
+        let asked = self.instant(i);
         if let Some(ledger) = &mut self.nodes[i].ledger {
-            ledger.read(rows, true);
+            ledger.read(rows, true, asked);
         }
     }
 
