Log what each placement and each retry was decided by

The line of a finished request names its sends but not the state of the runners when they were chosen, nor why a failed send was or was not repeated.

--- a/edge/src/serve/exchange.rs
+++ b/edge/src/serve/exchange.rs
@@ -445,6 +445,15 @@
             core.allowance(service, |a| a.take(now, members, call.rank == 0))
         }
     };
+    log::info!(
+        "event=retry_decided id={} failure={} ran={} turned={} attempts={} members={members} left_ms={} again={go}",
+        call.ask.id,
+        fault.failure.as_str(),
+        trail.ran,
+        trail.turned,
+        call.route.attempts,
+        call.left(now).as_millis()
+    );
     if go {
         return Ok(());
     }
@@ -689,7 +698,32 @@
         objective_ms: call.route.objective.as_secs_f64() * 1000.0,
     };
     let salt = fingerprint("", &call.ask.id, &[]);
-    place(&candidates, &demand, salt).map(|i| Rc::clone(&upstreams[i]))
+    let chosen = place(&candidates, &demand, salt)?;
+    log_placed(call, &runners[chosen].id, &candidates, chosen, &demand);
+    Some(Rc::clone(&upstreams[chosen]))
+}
+
+/// Tells what a request was placed by.
+fn log_placed(call: &Call, runner: &str, candidates: &[Candidate], chosen: usize, demand: &Demand) {
+    let c = &candidates[chosen];
+    let count = |f: fn(&Candidate) -> bool| candidates.iter().filter(|c| f(c)).count();
+    log::info!(
+        "event=placed id={} runner={runner} of={} tried={} suspect={} full={} prompt={} shared={} affinity={} warm={} running={:.0} waiting={:.0} backlog={} failing={:.2} config={}",
+        call.ask.id,
+        candidates.len(),
+        count(|c| c.tried),
+        count(|c| c.suspect),
+        count(|c| c.full),
+        demand.prompt,
+        demand.shared,
+        c.affinity as isize,
+        c.warm,
+        c.running,
+        c.waiting,
+        c.backlog,
+        c.failing,
+        call.config.version
+    );
 }
 
 /// Sends the request to one runner and passes its answer on.
