--- a/edge/src/decide/place.rs
+++ b/edge/src/decide/place.rs
@@ -8,10 +8,14 @@
 
 /// Prompt tokens that one request at a runner costs the others there: the tokens of a batch step
 /// that a running request delays.
-const RUNNING_TOKENS: f64 = 300.0;
+const RUNNING_TOKENS: f64 = 50.0;
 
-/// Prompt tokens that a waiting request stands for.
-const WAITING_TOKENS: f64 = 4000.0;
+/// Prompt tokens that a waiting request stands for. Reports are old when they arrive and all daemons
+/// read the same ones, so they count for less than the mean prompt.
+const WAITING_TOKENS: f64 = 1000.0;
+
+/// Score of a plain service whose places are all taken.
+const FULL_TOKENS: f64 = 4000.0;
 
 /// Weight of the prompt tokens that this daemon has sent and that have no first event yet; other
 /// daemons send there too, but their backlog is not known.
@@ -109,7 +113,7 @@
     let mut score = if demand.prompt > 0 {
         engine_score(c, demand)
     } else {
-        WAITING_TOKENS * (c.running + c.waiting) / f64::from(c.slots.max(1))
+        FULL_TOKENS * (c.running + c.waiting) / f64::from(c.slots.max(1))
     };
     score += FAILING_TOKENS * c.failing * c.failing;
     if c.remote {
