Split the way of a request and the ledger into modules with one job each

The request itself, its tokens and the choice of its runner stand apart now, as do the sizing of grants and the takeover of a row. The gauge of tokens by customer was registered but never set; each accepted write sets it.

--- a/edge/src/fleet/writer.rs
+++ b/edge/src/fleet/writer.rs
@@ -21,7 +21,8 @@
     },
     prepaid::{
         BEAT,
-        Commit, //
+        Commit,
+        Ledger, //
     },
     serve::Core,
 };
@@ -82,6 +83,25 @@
     }
 }
 
+/// Shows the tokens of each customer in the metrics.
+fn set_gauges<D>(core: &Core<D>, ledger: &Ledger) {
+    for (name, _) in ledger.accounts() {
+        let audit = ledger.audit(name);
+        let accounts = [
+            ("limit", audit.limit),
+            ("committed", audit.committed),
+            ("held", audit.held),
+            ("used", audit.used),
+        ];
+        for (account, tokens) in accounts {
+            core.metrics
+                .tokens
+                .with_label_values(&[name, account])
+                .set(i64::try_from(tokens).unwrap_or(i64::MAX));
+        }
+    }
+}
+
 /// Writes the row once. Returns whether to write again at once.
 async fn write_once<D, S: Store>(core: &Core<D>, store: &S, lost: &mut Option<Instant>) -> bool {
     let now = Instant::now();
@@ -102,6 +122,7 @@
             }
             let mut ledger = core.ledger.borrow_mut();
             ledger.outcome(&plan, commit, Instant::now());
+            set_gauges(core, &ledger);
             if ledger.is_fenced() {
                 log::error!("event=row_lost cause=\"another process has taken it over\"");
                 return false;
--- a/edge/src/prepaid/ledger.rs
+++ b/edge/src/prepaid/ledger/mod.rs
@@ -1,5 +1,8 @@
 //! The state machine of a daemon's grants.
 
+mod sizing;
+mod takeover;
+
 use std::{
     collections::{
         BTreeMap,
@@ -42,33 +45,6 @@
 /// time, so that a VM that restarts within two seconds strands little of it.
 const RELEASE_S: f64 = 3.3;
 
-/// Factor on the age of a row for the error of the two steady clocks.
-const CLOCK_ERROR: f64 = 1.02;
-
-/// Demand that is issued ahead, in seconds: until the release begins.
-const ISSUE_S: f64 = 0.8;
-
-/// Demand that the reserve covers, in seconds: planned cuts last up to 9 s, and demand varies.
-const RESERVE_S: f64 = 16.0;
-
-/// Part of a customer's spare tokens that all reserves together may take.
-const RESERVE_PART: f64 = 0.7;
-
-/// Part of the spare tokens that all daemons together issue ahead.
-const ISSUE_PART: f64 = 0.3;
-
-/// Part of the spare tokens that daemons without demand reserve together.
-const IDLE_PART: f64 = 0.25;
-
-/// Requests of usual size a daemon that stay in the common pool before any reserve.
-const POOL_REQUESTS: f64 = 1.5;
-
-/// Surplus that is not worth a write, in tokens.
-const SLACK_TOKENS: u64 = 3000;
-
-/// Part of the remaining tokens that the surplus of all daemons together may be.
-const SLACK_PART: u64 = 16;
-
 /// Whether a request's tokens could be taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Admit {
@@ -93,6 +69,19 @@
     pub cost: u64,
 }
 
+/// Tokens of one customer; all figures are cumulative.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Audit {
+    /// Limit by the configuration.
+    pub limit: u64,
+    /// Committed to daemons in all.
+    pub committed: u64,
+    /// Committed to this daemon.
+    pub held: u64,
+    /// Consumed or taken by open requests here.
+    pub used: u64,
+}
+
 /// A write that was sent.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -354,53 +343,6 @@
         }
     }
 
-    fn read_own(&mut self, version: u64, row: DaemonRow, now: u64, asked: Instant) {
-        if version < self.version {
-            return;
-        }
-        if self.owned && row.process != self.process {
-            self.fenced = true;
-            return;
-        }
-        if row.process == self.process {
-            if version > self.version {
-                self.landed(version, row.number, &row.grants);
-            }
-            return;
-        }
-        self.version = version;
-        // The store's clock was read after `asked`, so this takes no more off than the time for which
-        // the process before cannot have run.
-        let alone = self
-            .alone
-            .map_or(Duration::ZERO, |at| asked.saturating_duration_since(at));
-        let since = Duration::from_millis(now.saturating_sub(row.seen)).saturating_sub(alone);
-        let age = since.as_secs_f64() * CLOCK_ERROR;
-        let part = release(age);
-        let mut taken = row.clone();
-        for grant in taken.grants.values_mut() {
-            grant.spent = grant.released(part);
-            grant.issued = grant.spent;
-            grant.open = 0;
-        }
-        let charged: u64 = row
-            .grants
-            .iter()
-            .map(|(name, old)| {
-                taken.grants[name]
-                    .spent
-                    .saturating_sub(old.spent + old.open)
-            })
-            .sum();
-        log::info!(
-            "event=grants_inherited process={} age_ms={} released={part:.3} customers={} charged_unknown={charged}",
-            row.process,
-            since.as_millis(),
-            taken.grants.len()
-        );
-        self.inherited = Some(taken);
-    }
-
     /// Composes the next write; `None` if the rows have not been read yet or the row is lost.
     pub fn plan(&mut self, now: Instant, strikes: Vec<(Fingerprint, u32)>) -> Option<Plan> {
         if self.fenced || !self.known {
@@ -484,68 +426,6 @@
         }
     }
 
-    fn next_grant(&self, name: &str, now: Instant) -> Grant {
-        let empty = Account::default();
-        let account = self.accounts.get(name).unwrap_or(&empty);
-        let old = account.confirmed;
-        let rate = account.rate.per_second(now);
-        let used = account.used();
-        let mut grant = Grant {
-            spent: account.spent,
-            open: account.open,
-            rate: rate as u64,
-            ..old
-        };
-        if self.leaving {
-            grant.cap = used;
-            grant.issued = used;
-            return grant;
-        }
-        let remaining = self.remaining(name);
-        let members = u64::from(self.members());
-        let pool = POOL_REQUESTS * members as f64 * account.usual_cost;
-        let spare = (remaining as f64 - pool).max(0.0);
-        let share = self.share(name, rate);
-        let ahead = (rate * ISSUE_S).min(spare * share * ISSUE_PART);
-        let idle = spare * IDLE_PART / members as f64;
-        let reserve = (rate * RESERVE_S)
-            .min(spare * share * RESERVE_PART)
-            .max(idle) as u64;
-        let issue = used + account.wanted + ahead as u64;
-        let wish = issue + reserve;
-        let slack = SLACK_TOKENS.min(remaining / (SLACK_PART * members));
-        grant.cap = if wish > old.cap {
-            let lack = wish - old.cap;
-            let worth = issue > old.cap || lack > slack;
-            if worth {
-                old.cap + lack.min(self.free(name))
-            } else {
-                old.cap
-            }
-        } else if old.cap - wish > slack + reserve / 3 {
-            wish
-        } else {
-            old.cap
-        };
-        grant.issued = issue.min(grant.cap).max(used.min(grant.cap));
-        grant
-    }
-
-    fn share(&self, name: &str, rate: f64) -> f64 {
-        let others: f64 = self
-            .others
-            .values()
-            .filter(|(_, row)| !row.leaving)
-            .filter_map(|(_, row)| row.grants.get(name))
-            .map(|g| g.rate as f64)
-            .sum();
-        let total = others + rate;
-        if total < 1.0 {
-            return 1.0 / f64::from(self.members());
-        }
-        rate / total
-    }
-
     fn landed(&mut self, version: u64, number: u64, grants: &BTreeMap<String, Grant>) {
         let first = !self.owned;
         self.owned = true;
@@ -602,16 +482,14 @@
             .all(|a| a.doubt.is_empty() && a.confirmed.cap <= a.used())
     }
 
-    /// Grants that this daemon believes to hold at the store, for the audit.
-    pub fn audit(&self, customer: &str) -> (u64, u64, u64, u64) {
-        let limit = self.limits.get(customer).copied().unwrap_or(0);
-        let committed = self.sums.get(customer).map_or(0, |(_, s)| s.committed);
+    /// Tokens of `customer` as this daemon knows them.
+    pub fn audit(&self, customer: &str) -> Audit {
         let account = self.accounts.get(customer);
-        (
-            limit,
-            committed,
-            account.map_or(0, |a| a.confirmed.cap),
-            account.map_or(0, Account::used),
-        )
+        Audit {
+            limit: self.limits.get(customer).copied().unwrap_or(0),
+            committed: self.sums.get(customer).map_or(0, |(_, s)| s.committed),
+            held: account.map_or(0, |a| a.confirmed.cap),
+            used: account.map_or(0, Account::used),
+        }
     }
 }
--- /dev/null
+++ b/edge/src/prepaid/ledger/takeover.rs
@@ -0,0 +1,65 @@
+//! Taking over the row of the process before.
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use super::{
+    super::DaemonRow,
+    Ledger,
+    release, //
+};
+
+/// Factor on the age of a row for the error of the two steady clocks.
+const CLOCK_ERROR: f64 = 1.02;
+
+impl Ledger {
+    /// Takes over the daemon's own row: its own write, or what the process before has left.
+    pub(super) fn read_own(&mut self, version: u64, row: DaemonRow, now: u64, asked: Instant) {
+        if version < self.version {
+            return;
+        }
+        if self.owned && row.process != self.process {
+            self.fenced = true;
+            return;
+        }
+        if row.process == self.process {
+            if version > self.version {
+                self.landed(version, row.number, &row.grants);
+            }
+            return;
+        }
+        self.version = version;
+        // The store's clock was read after `asked`, so this takes no more off than the time for which
+        // the process before cannot have run.
+        let alone = self
+            .alone
+            .map_or(Duration::ZERO, |at| asked.saturating_duration_since(at));
+        let since = Duration::from_millis(now.saturating_sub(row.seen)).saturating_sub(alone);
+        let age = since.as_secs_f64() * CLOCK_ERROR;
+        let part = release(age);
+        let mut taken = row.clone();
+        for grant in taken.grants.values_mut() {
+            grant.spent = grant.released(part);
+            grant.issued = grant.spent;
+            grant.open = 0;
+        }
+        let charged: u64 = row
+            .grants
+            .iter()
+            .map(|(name, old)| {
+                taken.grants[name]
+                    .spent
+                    .saturating_sub(old.spent + old.open)
+            })
+            .sum();
+        log::info!(
+            "event=grants_inherited process={} age_ms={} released={part:.3} customers={} charged_unknown={charged}",
+            row.process,
+            since.as_millis(),
+            taken.grants.len()
+        );
+        self.inherited = Some(taken);
+    }
+}
--- a/edge/src/prepaid/mod.rs
+++ b/edge/src/prepaid/mod.rs
@@ -17,6 +17,7 @@
 };
 pub use ledger::{
     Admit,
+    Audit,
     BEAT,
     Ledger,
     Plan,
--- a/edge/src/serve/mod.rs
+++ b/edge/src/serve/mod.rs
@@ -1,6 +1,8 @@
 //! Serving callers: connections, the way of a request to a runner, and the answer.
 
 mod answer;
+mod call;
+mod choose;
 mod client;
 mod core;
 mod exchange;
@@ -8,6 +10,7 @@
 mod ready;
 mod relay;
 mod send;
+mod tokens;
 mod upstream;
 
 pub use self::core::{
--- a/edge/src/serve/relay.rs
+++ b/edge/src/serve/relay.rs
@@ -14,7 +14,7 @@
 use super::{
     Upstream,
     answer::head_bytes,
-    exchange::Call,
+    call::Call,
     send::{
         Reply,
         SendFault,
--- a/edge/src/serve/send.rs
+++ b/edge/src/serve/send.rs
@@ -15,7 +15,7 @@
 use super::{
     Core,
     Upstream,
-    exchange::Call,
+    call::Call,
     upstream::Flight, //
 };
 use crate::{
