Drop what the data plane does not use, and name a store that can't be reached

A connection to the store that can't be opened is a fault of its own, for which a write is known not to have happened.

--- a/edge/src/border.rs
+++ b/edge/src/border.rs
@@ -140,6 +140,8 @@
 pub enum StoreFault {
     /// The store said that nothing was done.
     Refused(u16),
+    /// No connection; nothing was sent.
+    Unreachable(String),
     /// No answer; a write may have been or may still be done.
     Unanswered(String),
     /// The answer could not be read.
@@ -150,6 +152,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             StoreFault::Refused(status) => write!(f, "refused with {status}"),
+            StoreFault::Unreachable(why) => write!(f, "unreachable: {why}"),
             StoreFault::Unanswered(why) => write!(f, "no answer: {why}"),
             StoreFault::Unreadable(why) => write!(f, "unreadable answer: {why}"),
         }
--- a/edge/src/catalog/config.rs
+++ b/edge/src/catalog/config.rs
@@ -51,8 +51,6 @@
     pub timeout: Duration,
     /// Time within which an answer is worth most.
     pub objective: Duration,
-    /// Longest pause between two events that is still on time.
-    pub pause: Duration,
     /// Rank, 0 first.
     pub rank: u8,
     /// Services with their weights.
@@ -70,12 +68,8 @@
     pub name: ServiceId,
     /// Connections that one runner accepts from all callers.
     pub connections: u32,
-    /// Requests that one engine runs at once; `None` for a plain service.
-    pub batch: Option<u32>,
     /// Tokens that one event of a stream holds at most.
     pub stride: u64,
-    /// Tokens that fit into the memory of one engine.
-    pub memory: u64,
 }
 
 /// Limits on what a caller may send.
--- a/edge/src/decide/place.rs
+++ b/edge/src/decide/place.rs
@@ -87,7 +87,7 @@
     pub suspect: bool,
     /// Whether this daemon may open no more requests there.
     pub full: bool,
-    /// Whether the request has been there.
+    /// Whether the request has been there, or another runner answers at the address.
     pub tried: bool,
     /// Whether it is in another data centre.
     pub remote: bool,
--- a/edge/src/fleet/writer.rs
+++ b/edge/src/fleet/writer.rs
@@ -135,7 +135,7 @@
                 *lost = Some(now);
                 log::warn!("event=writes_lost error=\"{fault}\"");
             }
-            if let StoreFault::Refused(_) = fault {
+            if let StoreFault::Refused(_) | StoreFault::Unreachable(_) = fault {
                 core.ledger.borrow_mut().refused(&plan);
             }
             false
--- a/edge/src/prepaid/mod.rs
+++ b/edge/src/prepaid/mod.rs
@@ -1,10 +1,10 @@
 //! Prepaid budgets: what this daemon may spend of each customer's tokens.
 //!
 //! The store holds one row a customer with the tokens that have been committed to daemons in all,
-//! and one row a daemon with its part of each. A daemon spends only what its row has *issued*. It
-//! turns to the rest of its part, the reserve, after it has reached the store in no write for
-//! [`DETACH`]. So the process that follows on the same VM knows from the age of the row whether the
-//! reserve can have been touched.
+//! and one row a daemon with its part of each. While the store accepts its writes, a daemon spends
+//! only what its row has *issued*. The rest of its part, the reserve, is released to it by the time
+//! since the last accepted write, slowly at first. So the process that follows on the same VM knows
+//! from the age of the row how much of the reserve can have been spent at most.
 
 mod grant;
 mod ledger;
