--- a/edge/src/serve/client.rs
+++ b/edge/src/serve/client.rs
@@ -84,10 +84,7 @@
         let keep = tokio::select! {
             biased;
             keep = work => keep,
-            () = watch(&stream, &mut buf) => {
-                log::info!("event=caller_left ms={}", at.elapsed().as_millis());
-                false
-            }
+            () = watch(&stream, &mut buf) => false,
         };
         if !keep {
             return;
--- a/edge/src/serve/exchange.rs
+++ b/edge/src/serve/exchange.rs
@@ -1,6 +1,7 @@
 //! The way of one request: route, customer, tokens, runner, answer.
 
 use std::{
+    cell::Cell,
     fmt::Write,
     rc::Rc,
     sync::Arc,
@@ -132,11 +133,44 @@
     let mut trail = Trail::default();
     let mut relay = Relay::default();
     let deadline = tokio::time::Instant::from_std(call.deadline);
+    let mut left = LeftGuard {
+        call: &call,
+        events: Rc::clone(&relay.events),
+        armed: true,
+    };
     let served = timeout_at(deadline, serve(core, &call, &mut trail, &mut relay, out)).await;
+    left.armed = false;
     let result = served.unwrap_or_else(|_| Err(Ended::Refused(expired(&call))));
     finish(core, &call, &trail, &relay, result, out).await
 }
 
+/// Tells of a request that is dropped because its caller has left.
+struct LeftGuard<'a> {
+    call: &'a Call,
+    events: Rc<Cell<u64>>,
+    armed: bool,
+}
+
+impl Drop for LeftGuard<'_> {
+    fn drop(&mut self) {
+        if !self.armed {
+            return;
+        }
+        let verdict = match self.call.sent.get() {
+            Some(_) => Verdict::MayHaveRun,
+            None => Verdict::NotRun,
+        };
+        log::info!(
+            "event=request_done id={} route={} status=0 code=caller_left verdict={} events={} ms={}",
+            self.call.ask.id,
+            self.call.route.name,
+            verdict.as_str(),
+            self.events.get(),
+            self.call.at.elapsed().as_millis()
+        );
+    }
+}
+
 /// How a request ended without a whole answer.
 enum Ended {
     Refused(Refusal),
@@ -161,7 +195,7 @@
     let now = Instant::now();
     let (status, code, verdict, keep) = match &result {
         Ok(status) => (*status, "answered", "ran", call.keep),
-        Err(Ended::Caller) => (0, "caller_left", "unknown", false),
+        Err(Ended::Caller) => (0, "caller_left", Verdict::MayHaveRun.as_str(), false),
         Err(Ended::Refused(r)) if relay.started => {
             reset_on_drop(out);
             (200, r.code, "broken-off", false)
