--- a/edge/src/prepaid/grant.rs
+++ b/edge/src/prepaid/grant.rs
@@ -69,7 +69,7 @@
 
     /// Takes `cost` tokens for a request, if there is room.
     pub fn reserve(&mut self, cost: u64, released: f64) -> bool {
-        if self.used() + cost > self.bound(released) {
+        if self.used().saturating_add(cost) > self.bound(released) {
             return false;
         }
         self.open += cost;
--- a/edge/src/serve/relay.rs
+++ b/edge/src/serve/relay.rs
@@ -152,7 +152,7 @@
                 if id <= last {
                     continue;
                 }
-                if id > last + 1 {
+                if id > last.saturating_add(1) {
                     let detail = format!("event {id} follows event {last}");
                     return Some(SendFault::new(Failure::Broken, detail));
                 }
