Let a suspect use another daemon's targets when its own are struck

Cause: a request with a strike runs only on the targets of its daemon's own part. With one target in that part, and the strike from that target, the request is refused as not run with no_target until the strike expires after 90 s, although other targets are up.

Ruled out: dropping the parts. They keep two daemons from running suspects on one target, where a crash would not tell which request caused it.

Change: the part of the next daemon by rank is used when no target of the own part can take the request.

--- a/src/route/choice.rs
+++ b/src/route/choice.rs
@@ -161,8 +161,10 @@
     Never,
 }
 
-/// Returns a target for a request with a strike: one of the daemon's own part of the local
-/// targets, so that no other daemon runs another suspect there, and without a suspect in flight.
+/// Returns a target for a request with a strike: one of the local targets without a suspect in
+/// flight. The daemons share the targets out so that no two of them run suspects on the same one;
+/// another daemon's part is used only when no target of the daemon's own part can take the request,
+/// because a refusal would last as long as the strike.
 pub(super) fn choose_for_suspect(
     service: &Service,
     ticket: &Ticket,
@@ -170,19 +172,27 @@
     strikes: &Strikes,
     suspected: impl Fn(&View) -> bool,
 ) -> Suspect {
+    let daemons = service.fleet.daemons as usize;
+    let rank = service.fleet.rank as usize;
+    let mut nearest = daemons;
     let mut result = Suspect::Never;
     let local = service.views.values().filter(|v| v.local && !v.removed);
     for (index, view) in local.enumerate() {
-        let owned = index % service.fleet.daemons as usize == service.fleet.rank as usize;
-        let fit = owned && view.up() && service.limit(view, Urgency::Urgent) > 0;
-        if !fit || strikes.has(now, ticket.job.fingerprint, &view.target.id) {
+        let limit = service.limit(view, Urgency::Urgent);
+        let struck = strikes.has(now, ticket.job.fingerprint, &view.target.id);
+        // Number of daemons from this one to the owner of the target.
+        let distance = (index + daemons - rank) % daemons;
+        if struck || !view.up() || limit == 0 || distance > nearest {
             continue;
         }
-        let room = view.own() < service.limit(view, Urgency::Urgent);
-        if room && !suspected(view) {
-            return Suspect::Run(view.target.id.clone());
+        let free = view.own() < limit && !suspected(view);
+        if distance < nearest {
+            nearest = distance;
+            result = Suspect::Wait;
+        }
+        if free && matches!(result, Suspect::Wait) {
+            result = Suspect::Run(view.target.id.clone());
         }
-        result = Suspect::Wait;
     }
     result
 }
--- a/tests/route_run.rs
+++ b/tests/route_run.rs
@@ -431,6 +431,16 @@
     assert_eq!(used, ["t02", "t03"]);
 }
 
+/// Guards against a request that is refused for as long as its strike lasts, because the daemon's
+/// own part of the targets is the one that crashed, although the other targets are up.
+#[test]
+fn suspect_uses_another_part_when_its_own_is_struck() {
+    let mut router = router(4, 1, 4);
+    router.strike(at(1), 1, &name(1));
+    router.offer(at(1), job(1, Urgency::Urgent, at(1))).unwrap();
+    assert_eq!(dispatches(&mut router, at(1)), [(1, "t02".to_owned())]);
+}
+
 /// Guards against retries that multiply the load when targets refuse much of it.
 #[test]
 fn retries_are_a_fraction_of_traffic() {
