--- a/edge/src/serve/client.rs
+++ b/edge/src/accept/connection.rs
@@ -18,17 +18,16 @@
 };
 
 use super::{
-    Core,
-    answer::Refusal,
-    exchange::exchange, //
+    Handler,
+    Rejection, //
 };
 use crate::{
-    border::Dialect,
     catalog::Limits,
     http::{
         Decoder,
         Framing,
         RequestHead,
+        limit_silence,
         parse_request,
         prepare,
         read_some,
@@ -43,44 +42,48 @@
 /// lost to a reset.
 const LINGER: Duration = Duration::from_millis(300);
 
-/// Time after which a caller that reaches a stopping daemon is asked to come back, elsewhere.
-const STOP_RETRY: Duration = Duration::from_millis(50);
-
 /// Why no request could be read.
 enum ReadFault {
     /// The caller has closed the connection, or was idle too long.
     Gone,
-    /// The request is answered with a rejection, and the connection closed.
-    Rejected(u16, &'static str),
+    /// The request is rejected, and the connection closed.
+    Rejected(Rejection),
+    /// The handler has answered the head, and the connection closes.
+    Answered(Vec<u8>),
+}
+
+impl ReadFault {
+    fn rejected(status: u16, code: &'static str) -> ReadFault {
+        ReadFault::Rejected(Rejection::new(status, code))
+    }
 }
 
 /// Serves a caller's connection until it closes.
-pub(super) async fn serve_client<D: Dialect>(core: Rc<Core<D>>, stream: TcpStream) {
+pub(super) async fn serve_connection<H: Handler>(handler: Rc<H>, stream: TcpStream) {
     prepare(&stream);
+    limit_silence(&stream, handler.limits().silent_time);
     let mut buf = BytesMut::new();
     loop {
-        let limits = core.limits();
-        let read = read_request(&core, &stream, &mut buf, &limits).await;
+        let limits = handler.limits();
+        let read = read_request(&*handler, &stream, &mut buf, &limits).await;
         let (head, body) = match read {
             Ok(request) => request,
             Err(ReadFault::Gone) => return,
-            Err(ReadFault::Rejected(status, code)) => {
+            Err(ReadFault::Rejected(rejection)) => {
+                let Rejection { status, code } = rejection;
                 log::info!("event=request_rejected status={status} code={code}");
-                answer_last(&stream, &Refusal::rejected(status, code)).await;
-                return;
+                return answer_last(&stream, &handler.reject(rejection)).await;
             }
+            Err(ReadFault::Answered(answer)) => return answer_last(&stream, &answer).await,
         };
-        let at = Instant::now();
-        if core.is_closing() {
+        if handler.closing().has_begun() {
             log::info!(
                 "event=request_rejected status=503 code=stopping target={}",
                 head.target
             );
-            let refusal = Refusal::not_run("stopping", STOP_RETRY);
-            answer_last(&stream, &refusal).await;
-            return;
+            return answer_last(&stream, &handler.reject(Rejection::STOPPING)).await;
         }
-        let work = exchange(&core, head, body, at, &stream);
+        let work = handler.handle(head, body, &stream);
         let keep = tokio::select! {
             biased;
             keep = work => keep,
@@ -105,19 +108,20 @@
     }
 }
 
-async fn read_request<D>(
-    core: &Core<D>,
+async fn read_request<H: Handler>(
+    handler: &H,
     stream: &TcpStream,
     buf: &mut BytesMut,
     limits: &Limits,
 ) -> Result<(RequestHead, Bytes), ReadFault> {
-    let head = read_head(core, stream, buf, limits).await?;
+    let head = read_head(handler, stream, buf, limits).await?;
+    handler.check(&head).map_err(ReadFault::Answered)?;
     let body = read_body(stream, buf, limits, &head).await?;
     Ok((head, body))
 }
 
-async fn read_head<D>(
-    core: &Core<D>,
+async fn read_head<H: Handler>(
+    handler: &H,
     stream: &TcpStream,
     buf: &mut BytesMut,
     limits: &Limits,
@@ -129,21 +133,21 @@
             let size = buf.len();
             match parse_request(buf) {
                 Ok(Some(_)) if size - buf.len() > limits.head => {
-                    return Err(ReadFault::Rejected(431, "head_too_large"));
+                    return Err(ReadFault::rejected(431, "head_too_large"));
                 }
                 Ok(Some(head)) => return Ok(head),
                 Ok(None) if size > limits.head => {
-                    return Err(ReadFault::Rejected(431, "head_too_large"));
+                    return Err(ReadFault::rejected(431, "head_too_large"));
                 }
                 Ok(None) => {}
-                Err(_) => return Err(ReadFault::Rejected(400, "bad_head")),
+                Err(_) => return Err(ReadFault::rejected(400, "bad_head")),
             }
         }
         let time = started.map_or(limits.idle_time, |at| {
             limits.header_time.saturating_sub(at.elapsed())
         });
-        let closed = core.closed.notified();
-        if core.is_closing() && buf.is_empty() {
+        let closed = handler.closing().wait();
+        if handler.closing().has_begun() && buf.is_empty() {
             return Err(ReadFault::Gone);
         }
         let read = tokio::select! {
@@ -151,7 +155,7 @@
             () = closed, if started.is_none() => return Err(ReadFault::Gone),
         };
         match read {
-            Err(_) if started.is_some() => return Err(ReadFault::Rejected(408, "head_timeout")),
+            Err(_) if started.is_some() => return Err(ReadFault::rejected(408, "head_timeout")),
             Err(_) | Ok(Ok(0) | Err(_)) => return Err(ReadFault::Gone),
             Ok(Ok(_)) => {}
         }
@@ -167,7 +171,7 @@
     if let Framing::Length(n) = head.framing
         && n > limits.body as u64
     {
-        return Err(ReadFault::Rejected(413, "body_too_large"));
+        return Err(ReadFault::rejected(413, "body_too_large"));
     }
     let mut decoder = Decoder::new(head.framing);
     let mut body = BytesMut::new();
@@ -177,33 +181,34 @@
             .await
             .map_err(|_| ReadFault::Gone)?;
     }
+    let until = Instant::now() + limits.body_time;
     loop {
         while let Some(piece) = decoder
             .take(buf)
-            .map_err(|_| ReadFault::Rejected(400, "bad_body"))?
+            .map_err(|_| ReadFault::rejected(400, "bad_body"))?
         {
             body.extend_from_slice(&piece);
         }
         if body.len() > limits.body {
-            return Err(ReadFault::Rejected(413, "body_too_large"));
+            return Err(ReadFault::rejected(413, "body_too_large"));
         }
         if decoder.is_done() {
             return Ok(body.freeze());
         }
-        match timeout(limits.idle_time, read_some(stream, buf)).await {
-            Err(_) => return Err(ReadFault::Rejected(408, "body_timeout")),
-            Ok(Ok(0) | Err(_)) => return Err(ReadFault::Gone),
+        let time = until.saturating_duration_since(Instant::now());
+        match timeout(time.min(limits.idle_time), read_some(stream, buf)).await {
+            Err(_) => return Err(ReadFault::rejected(408, "body_timeout")),
+            Ok(Err(_)) => return Err(ReadFault::Gone),
+            // A caller that has only ended its sending can still take the answer.
+            Ok(Ok(0)) => return Err(ReadFault::rejected(400, "body_cut_off")),
             Ok(Ok(_)) => {}
         }
     }
 }
 
 /// Writes an answer after which the connection closes.
-async fn answer_last(stream: &TcpStream, refusal: &Refusal) {
-    if write_all(stream, &refusal.bytes(None, false))
-        .await
-        .is_err()
-    {
+async fn answer_last(stream: &TcpStream, answer: &[u8]) {
+    if write_all(stream, answer).await.is_err() {
         return;
     }
     if let Err(e) = socket2::SockRef::from(stream).shutdown(std::net::Shutdown::Write) {
--- a/edge/src/serve/listen.rs
+++ b/edge/src/accept/listen.rs
@@ -20,10 +20,9 @@
 };
 
 use super::{
-    Core,
-    client::serve_client, //
+    Handler,
+    connection::serve_connection, //
 };
-use crate::border::Dialect;
 
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 1024;
@@ -47,8 +46,11 @@
 }
 
 /// Binds a listening socket.
-pub(super) fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = TcpSocket::new_v4()?;
+pub(crate) fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
     socket.set_reuseaddr(true)?;
     socket.bind(address)?;
     socket.listen(BACKLOG)
@@ -59,15 +61,15 @@
 /// # Errors
 ///
 /// Fails if the address can't be bound.
-pub fn bind<D: Dialect>(core: &Rc<Core<D>>, address: SocketAddr) -> io::Result<Listener> {
+pub fn bind<H: Handler>(handler: &Rc<H>, address: SocketAddr) -> io::Result<Listener> {
     let listener = listen(address)?;
     let address = listener.local_addr()?;
-    let core = Rc::clone(core);
+    let handler = Rc::clone(handler);
     let task = spawn_local(async move {
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    spawn_local(serve_client(Rc::clone(&core), stream));
+                    spawn_local(serve_connection(Rc::clone(&handler), stream));
                 }
                 Err(e) => {
                     log::warn!("event=accept_failed error=\"{e}\"");
--- a/edge/src/catalog/config.rs
+++ b/edge/src/catalog/config.rs
@@ -83,6 +83,10 @@
     pub header_time: Duration,
     /// Longest time for which a kept connection may be idle.
     pub idle_time: Duration,
+    /// Longest time for a body, however steadily it comes.
+    pub body_time: Duration,
+    /// Time after which a connection is closed whose caller acknowledges nothing.
+    pub silent_time: Duration,
 }
 
 impl Default for Limits {
@@ -92,6 +96,9 @@
             body: 4 * 1024 * 1024,
             header_time: Duration::from_secs(3),
             idle_time: Duration::from_secs(15),
+            body_time: Duration::from_secs(60),
+            // Shorter than the bound after which a machine counts as out of touch.
+            silent_time: Duration::from_millis(2500),
         }
     }
 }
--- a/edge/src/fleet/stop.rs
+++ b/edge/src/fleet/stop.rs
@@ -49,7 +49,7 @@
     log::info!("event=stop_begun open={}", core.open());
     let end = core.bounds.get().grace.saturating_sub(MARGIN);
     sleep(LAST_CALLS.min(end)).await;
-    core.close();
+    core.closing.begin();
     while begun.elapsed() < end {
         core.wanted.notify_one();
         sleep(LOOK).await;
--- a/edge/src/http/body.rs
+++ b/edge/src/http/body.rs
@@ -135,6 +135,23 @@
     }
 }
 
+/// Appends `data` to `out` as one chunk of a chunked body.
+///
+/// # Examples
+///
+/// ```
+/// use cuminloom_edge::http::push_chunk;
+///
+/// let mut out = Vec::new();
+/// push_chunk(&mut out, b"abc");
+/// assert_eq!(out, b"3\r\nabc\r\n");
+/// ```
+pub fn push_chunk(out: &mut Vec<u8>, data: &[u8]) {
+    out.extend_from_slice(format!("{:x}\r\n", data.len()).as_bytes());
+    out.extend_from_slice(data);
+    out.extend_from_slice(b"\r\n");
+}
+
 fn take_line(buf: &mut BytesMut) -> Result<Option<Bytes>, HeadFault> {
     let Some(end) = memchr::memchr(b'\n', buf) else {
         if buf.len() > MAX_LINE {
--- a/edge/src/http/head.rs
+++ b/edge/src/http/head.rs
@@ -230,6 +230,12 @@
     Ok(rest[slash..].to_owned())
 }
 
+/// Whether a line ends without a carriage return. Some parsers take such a line end for a part of the
+/// value, so a field could be seen by one side only.
+fn has_bare_line_end(head: &[u8]) -> bool {
+    memchr::memchr_iter(b'\n', head).any(|at| at == 0 || head[at - 1] != b'\r')
+}
+
 /// Takes a request head from the start of `buf`; `None` while it is incomplete.
 ///
 /// # Errors
@@ -267,6 +273,9 @@
         }
     };
     let raw = buf.split_to(size).freeze();
+    if has_bare_line_end(&raw) {
+        return Err(HeadFault::Malformed);
+    }
     let mut headers = [httparse::EMPTY_HEADER; MAX_FIELDS];
     let mut request = httparse::Request::new(&mut headers);
     request.parse(&raw).map_err(|_| HeadFault::Malformed)?;
@@ -320,12 +329,17 @@
 pub fn reason(status: u16) -> &'static str {
     match status {
         200 => "OK",
+        201 => "Created",
         400 => "Bad Request",
         401 => "Unauthorized",
         402 => "Payment Required",
+        403 => "Forbidden",
         404 => "Not Found",
         408 => "Request Timeout",
+        409 => "Conflict",
+        410 => "Gone",
         413 => "Content Too Large",
+        422 => "Unprocessable Content",
         429 => "Too Many Requests",
         431 => "Request Header Fields Too Large",
         500 => "Internal Server Error",
--- a/edge/src/http/link.rs
+++ b/edge/src/http/link.rs
@@ -110,11 +110,15 @@
 
 /// Sets the options that every connection of the data plane has.
 pub fn prepare(stream: &TcpStream) {
-    let socket = socket2::SockRef::from(stream);
-    if let Err(e) = socket.set_tcp_nodelay(true) {
+    if let Err(e) = socket2::SockRef::from(stream).set_tcp_nodelay(true) {
         log::debug!("event=socket_option option=nodelay error=\"{e}\"");
     }
-    if let Err(e) = socket.set_tcp_user_timeout(Some(USER_TIMEOUT)) {
+    limit_silence(stream, USER_TIMEOUT);
+}
+
+/// Lets the kernel close a connection whose peer has acknowledged or taken nothing for `limit`.
+pub fn limit_silence(stream: &TcpStream, limit: Duration) {
+    if let Err(e) = socket2::SockRef::from(stream).set_tcp_user_timeout(Some(limit)) {
         log::debug!("event=socket_option option=user_timeout error=\"{e}\"");
     }
 }
--- a/edge/src/http/mod.rs
+++ b/edge/src/http/mod.rs
@@ -11,7 +11,8 @@
 
 pub use body::{
     Decoder,
-    Framing, //
+    Framing,
+    push_chunk, //
 };
 pub use event::{
     Event,
@@ -29,6 +30,7 @@
 pub use link::{
     Link,
     LinkFault,
+    limit_silence,
     prepare,
     read_some,
     reset_on_drop,
--- a/edge/src/lib.rs
+++ b/edge/src/lib.rs
@@ -4,6 +4,7 @@
 //! and [`prepaid`], free of input and output; [`serve`] and [`fleet`] carry them out. What a
 //! deployment speaks is behind the traits of [`border`].
 
+pub mod accept;
 pub mod border;
 pub mod catalog;
 pub mod decide;
--- a/edge/src/serve/core.rs
+++ b/edge/src/serve/core.rs
@@ -19,11 +19,11 @@
 
 use super::Upstream;
 use crate::{
+    accept::Closing,
     border::Version,
     catalog::{
         Config,
         Directory,
-        Limits,
         RunnerId,
         ServiceId, //
     },
@@ -95,9 +95,8 @@
     upstreams: RefCell<HashMap<RunnerId, Rc<Upstream>>>,
     allowances: RefCell<HashMap<ServiceId, Allowance>>,
     stopping: Cell<Option<Instant>>,
-    closing: Cell<bool>,
-    /// Wakes idle connections that have to close.
-    pub closed: Notify,
+    /// Whether no more requests are taken.
+    pub closing: Closing,
     open: Cell<u32>,
     dialect: PhantomData<D>,
 }
@@ -129,8 +128,7 @@
             upstreams: RefCell::default(),
             allowances: RefCell::default(),
             stopping: Cell::new(None),
-            closing: Cell::new(false),
-            closed: Notify::new(),
+            closing: Closing::default(),
             open: Cell::new(0),
             dialect: PhantomData,
         })
@@ -149,11 +147,6 @@
         self.version.borrow().clone()
     }
 
-    /// Limits on callers.
-    pub fn limits(&self) -> Limits {
-        self.config().map_or_else(Limits::default, |c| c.limits)
-    }
-
     /// Puts a configuration in force unless it is older than the one in force. Returns whether it was
     /// put in force.
     pub fn apply(&self, version: Version, source: &str) -> bool {
@@ -260,17 +253,6 @@
         }
     }
 
-    /// Serves no more requests: idle connections close, and what still comes is refused as not run.
-    pub fn close(&self) {
-        self.closing.set(true);
-        self.closed.notify_waiters();
-    }
-
-    /// Whether no more requests are served.
-    pub fn is_closing(&self) -> bool {
-        self.closing.get()
-    }
-
     /// Time since the planned stop began.
     pub fn stopping_for(&self, now: Instant) -> Option<Duration> {
         self.stopping.get().map(|at| now.duration_since(at))
--- /dev/null
+++ b/edge/src/serve/handle.rs
@@ -0,0 +1,53 @@
+//! The daemon as the handler of its callers' listener.
+
+use std::{
+    rc::Rc,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use bytes::Bytes;
+use tokio::net::TcpStream;
+
+use super::{
+    Core,
+    answer::Refusal,
+    exchange::exchange, //
+};
+use crate::{
+    accept::{
+        Closing,
+        Handler,
+        Rejection, //
+    },
+    border::Dialect,
+    catalog::Limits,
+    http::RequestHead, //
+};
+
+/// Time after which a caller that reaches a stopping daemon is asked to come back, elsewhere.
+const STOP_RETRY: Duration = Duration::from_millis(50);
+
+impl<D: Dialect> Handler for Core<D> {
+    fn limits(&self) -> Limits {
+        self.config().map_or_else(Limits::default, |c| c.limits)
+    }
+
+    fn closing(&self) -> &Closing {
+        &self.closing
+    }
+
+    fn reject(&self, rejection: Rejection) -> Vec<u8> {
+        let refusal = match rejection {
+            Rejection::STOPPING => Refusal::not_run(rejection.code, STOP_RETRY),
+            Rejection { status, code } => Refusal::rejected(status, code),
+        };
+        refusal.bytes(None, false)
+    }
+
+    async fn handle(self: &Rc<Self>, head: RequestHead, body: Bytes, out: &TcpStream) -> bool {
+        exchange(self, head, body, Instant::now(), out).await
+    }
+}
--- a/edge/src/serve/mod.rs
+++ b/edge/src/serve/mod.rs
@@ -3,10 +3,9 @@
 mod answer;
 mod call;
 mod choose;
-mod client;
 mod core;
 mod exchange;
-mod listen;
+mod handle;
 mod ready;
 mod relay;
 mod send;
@@ -17,9 +16,5 @@
     Bounds,
     Core, //
 };
-pub use listen::{
-    Listener,
-    bind, //
-};
 pub use ready::bind_ready;
 pub use upstream::Upstream;
--- a/edge/src/serve/ready.rs
+++ b/edge/src/serve/ready.rs
@@ -14,16 +14,16 @@
     time::timeout, //
 };
 
-use super::{
-    Core,
-    listen::listen, //
-};
-use crate::http::{
-    RequestHead,
-    parse_request,
-    read_some,
-    reason,
-    write_all, //
+use super::Core;
+use crate::{
+    accept::listen,
+    http::{
+        RequestHead,
+        parse_request,
+        read_some,
+        reason,
+        write_all, //
+    }, //
 };
 
 /// Longest time for which a connection of the balancer or a scraper is idle.
--- a/edge/src/serve/relay.rs
+++ b/edge/src/serve/relay.rs
@@ -26,6 +26,7 @@
     http::{
         EventBuffer,
         LinkFault,
+        push_chunk,
         write_all, //
     },
 };
@@ -162,9 +163,7 @@
             }
             self.last = event.id.or(self.last);
             self.events.set(self.events.get() + 1);
-            bytes.extend_from_slice(format!("{:x}\r\n", event.bytes.len()).as_bytes());
-            bytes.extend_from_slice(&event.bytes);
-            bytes.extend_from_slice(b"\r\n");
+            push_chunk(bytes, &event.bytes);
         }
         if events.overflows() {
             return Some(SendFault::new(
--- a/edge/tests/http.rs
+++ b/edge/tests/http.rs
@@ -69,6 +69,8 @@
         "GET /a HTTP/2.0\r\nHost: h\r\n\r\n",
         "\x16\x03\x01\x02\x00\x01",
         "GET /a HTTP/1.1\r\nHost: h\r\nX: a\0b\r\n\r\n",
+        "GET /a HTTP/1.1\r\nHost: h\r\nX: a\nY: b\r\n\r\n",
+        "GET /a HTTP/1.1\nHost: h\n\n",
     ] {
         assert!(request(text).is_err(), "{text:?}");
     }
--- a/src/admin/items.rs
+++ b/src/admin/items.rs
@@ -2,8 +2,6 @@
 
 use std::sync::Arc;
 
-use tiny_http::Method;
-
 use super::{
     fleet::Fleet,
     reply::{
@@ -69,10 +67,10 @@
     }
 
     pub(super) fn item(&self, request: &Request, kind: Kind, name: &str) -> Answer {
-        match request.method {
-            Method::Get => self.show(kind, name),
-            Method::Put => self.edit(request, kind, name, Some(kind.parse(&request.body)?)),
-            Method::Delete => self.edit(request, kind, name, None),
+        match &*request.method {
+            "GET" => self.show(kind, name),
+            "PUT" => self.edit(request, kind, name, Some(kind.parse(&request.body)?)),
+            "DELETE" => self.edit(request, kind, name, None),
             _ => Err(refuse(Code::NotFound, "items take GET, PUT and DELETE")),
         }
     }
--- a/src/admin/reply.rs
+++ b/src/admin/reply.rs
@@ -12,6 +12,7 @@
         JobFault,
         Refusal, //
     },
+    inbound,
     model::{
         Code,
         Fault, //
@@ -45,6 +46,20 @@
     }
 }
 
+impl From<Reply> for inbound::Reply {
+    fn from(reply: Reply) -> Self {
+        let mut fields = vec![("Content-Type", "application/json".to_owned())];
+        if let Some(etag) = reply.etag {
+            fields.push(("ETag", format!("\"{etag}\"")));
+        }
+        Self {
+            status: reply.status,
+            fields,
+            body: reply.body,
+        }
+    }
+}
+
 /// Why a request was refused or failed.
 #[derive(Debug)]
 pub(super) struct Failure {
--- a/src/admin/request.rs
+++ b/src/admin/request.rs
@@ -1,23 +1,21 @@
 //! Requests of operators.
 
-use std::{
-    io::Read,
-    sync::Arc, //
-};
+use std::sync::Arc;
 
+use cuminloom_edge::http::Fields;
 use hmac::digest::CtOutput;
 use serde::de::DeserializeOwned;
 use sha2::{
     Digest,
     Sha256, //
 };
-use tiny_http::Method;
 
 use super::reply::{
     Failure,
     refuse, //
 };
 use crate::{
+    inbound,
     model::{
         Code,
         Version, //
@@ -42,7 +40,7 @@
 /// A request of an operator whose token is known.
 #[derive(Debug)]
 pub(super) struct Request {
-    pub(super) method: Method,
+    pub(super) method: String,
     /// Segments of the path below the root.
     pub(super) path: Vec<String>,
     pub(super) query: Vec<(String, String)>,
@@ -53,25 +51,19 @@
 }
 
 impl Request {
-    /// Checks the token, then the head, and only then reads the body.
-    pub(super) fn read(
-        http: &mut tiny_http::Request,
-        operators: &[Operator],
-        limit: usize,
-    ) -> Result<Self, Failure> {
-        let operator = authenticate(http, operators)?;
+    /// Reads a request, the token first.
+    pub(super) fn read(http: &inbound::Request, operators: &[Operator]) -> Result<Self, Failure> {
+        let operator = authenticate(http.fields(), operators)?;
         let (path, query) = split(http.url())?;
-        let mut request = Self {
-            method: http.method().clone(),
+        Ok(Self {
+            method: http.method().to_owned(),
             path,
             query,
             operator,
-            expect: expectation(http)?,
-            id: request_id(http)?,
-            body: Vec::new(),
-        };
-        request.body = read_body(http, limit)?;
-        Ok(request)
+            expect: expectation(http.fields())?,
+            id: request_id(http.fields())?,
+            body: http.body().to_vec(),
+        })
     }
 
     /// Id of a request whose effect is recorded.
@@ -115,16 +107,11 @@
     }
 }
 
-fn header<'a>(http: &'a tiny_http::Request, name: &'static str) -> Option<&'a str> {
-    let mut headers = http.headers().iter();
-    headers
-        .find(|header| header.field.equiv(name))
-        .map(|header| header.value.as_str())
-}
-
 /// Compares the token with all operators' in constant time.
-fn authenticate(http: &tiny_http::Request, operators: &[Operator]) -> Result<Arc<str>, Failure> {
-    let token = header(http, "Authorization").and_then(|text| text.strip_prefix("Bearer "));
+pub(super) fn authenticate(fields: &Fields, operators: &[Operator]) -> Result<Arc<str>, Failure> {
+    let token = fields
+        .get("Authorization")
+        .and_then(|text| text.strip_prefix("Bearer "));
     let denied = || {
         refuse(
             Code::Unauthorized,
@@ -152,9 +139,9 @@
     ))
 }
 
-fn expectation(http: &tiny_http::Request) -> Result<Option<Match>, Failure> {
-    let known = header(http, "If-Match");
-    let absent = header(http, "If-None-Match");
+fn expectation(fields: &Fields) -> Result<Option<Match>, Failure> {
+    let known = fields.get("If-Match");
+    let absent = fields.get("If-None-Match");
     match (known, absent) {
         (None, None) => Ok(None),
         (None, Some("*")) => Ok(Some(Match::Absent)),
@@ -172,8 +159,8 @@
     }
 }
 
-fn request_id(http: &tiny_http::Request) -> Result<Option<Arc<str>>, Failure> {
-    let Some(id) = header(http, "Idempotency-Key") else {
+fn request_id(fields: &Fields) -> Result<Option<Arc<str>>, Failure> {
+    let Some(id) = fields.get("Idempotency-Key") else {
         return Ok(None);
     };
     match (1..=LONGEST_ID).contains(&id.len()) {
@@ -184,25 +171,3 @@
         }
     }
 }
-
-fn read_body(http: &mut tiny_http::Request, limit: usize) -> Result<Vec<u8>, Failure> {
-    let long = || {
-        refuse(
-            Code::TooLarge,
-            format!("the body is longer than {limit} bytes"),
-        )
-    };
-    if http.body_length().is_some_and(|length| length > limit) {
-        return Err(long());
-    }
-    let mut body = Vec::new();
-    let most = u64::try_from(limit).unwrap_or(u64::MAX).saturating_add(1);
-    http.as_reader()
-        .take(most)
-        .read_to_end(&mut body)
-        .map_err(|err| refuse(Code::BadRequest, format!("the body was not read: {err}")))?;
-    match body.len() > limit {
-        true => Err(long()),
-        false => Ok(body),
-    }
-}
--- a/src/admin/server.rs
+++ b/src/admin/server.rs
@@ -9,36 +9,43 @@
         Arc,
         Mutex, //
     },
-    thread::{
-        self,
-        JoinHandle, //
-    },
     time::UNIX_EPOCH,
 };
 
-use error_stack::Report;
-use tiny_http::{
-    Header,
-    Method,
-    Response,
-    Server, //
+use cuminloom_edge::{
+    accept::Rejection,
+    catalog::Limits,
+    http::RequestHead, //
+};
+use error_stack::{
+    Report,
+    ResultExt, //
 };
 
 use super::{
     fleet::Fleet,
     reply::{
         Answer,
+        Failure,
         Reply,
         refuse, //
     },
-    request::Request,
+    request::{
+        Request,
+        authenticate, //
+    },
 };
 use crate::{
-    caller::screen,
     config::{
         Config,
         Kind, //
     },
+    inbound::{
+        self,
+        Listener,
+        Service,
+        fault_of, //
+    },
     model::{
         Code,
         DaemonId,
@@ -125,14 +132,12 @@
 
 /// The running administration API; it stops when it is dropped.
 pub struct Admin {
-    addr: SocketAddr,
-    server: Arc<Server>,
-    workers: Vec<JoinHandle<()>>,
+    listener: Listener,
 }
 
 impl fmt::Debug for Admin {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Admin").field("addr", &self.addr).finish()
+        f.debug_struct("Admin").field("addr", &self.addr()).finish()
     }
 }
 
@@ -181,10 +186,7 @@
     S: Table + Objects + Send + Sync + 'static,
     F: Fleet,
 {
-    let server = Server::http(setup.listen)
-        .map_err(|err| Report::new(BindError).attach(format!("{}: {err}", setup.listen)))?;
-    let addr = server.server_addr().to_ip().unwrap_or(setup.listen);
-    let server = Arc::new(server);
+    let addr = setup.listen;
     let shared = Arc::new(Shared {
         setup,
         store,
@@ -192,19 +194,10 @@
         config,
         sending: Mutex::default(),
     });
-    let worker = |_| {
-        let (server, shared) = (server.clone(), shared.clone());
-        thread::spawn(move || {
-            while let Ok(http) = server.recv() {
-                serve(&*shared, http);
-            }
-        })
-    };
-    Ok(Admin {
-        addr,
-        workers: (0..WORKERS).map(worker).collect(),
-        server,
-    })
+    let listener = Listener::bind(shared, addr)
+        .change_context(BindError)
+        .attach_with(|| addr.to_string())?;
+    Ok(Admin { listener })
 }
 
 impl Admin {
@@ -214,72 +207,67 @@
     ///
     /// See [`bind`].
     pub fn addr(&self) -> SocketAddr {
-        self.addr
+        self.listener.addr()
     }
 }
 
-impl Drop for Admin {
-    /// Waits for the requests in progress.
-    fn drop(&mut self) {
-        self.workers.iter().for_each(|_| self.server.unblock());
-        for worker in self.workers.drain(..) {
-            // A worker that panicked has reported it.
-            drop(worker.join());
+impl<S, F> Service for Shared<S, F>
+where
+    S: Table + Objects + Send + Sync + 'static,
+    F: Fleet,
+{
+    const NAME: &'static str = "admin";
+    const OPEN: usize = WORKERS;
+    const STACK: usize = 2 << 20;
+
+    fn limits(&self) -> Limits {
+        Limits {
+            body: self.setup.body_limit,
+            ..Limits::default()
         }
     }
-}
 
-fn serve<S: Table + Objects, F: Fleet>(shared: &Shared<S, F>, http: tiny_http::Request) {
-    let Some(mut http) = screen(http, "the administration API") else {
-        return;
-    };
-    let setup = &shared.setup;
-    match Request::read(&mut http, &setup.operators, setup.body_limit) {
-        Ok(request) => {
-            let answer = shared.answer(&request);
-            respond(http, answer.unwrap_or_else(Reply::from));
-        }
-        // tiny_http then waits for the rest of the body. A thread per connection, as tiny_http has
-        // too, keeps strangers from holding the workers.
-        Err(failure) => {
-            let refuse = move || respond(http, failure.into());
-            if let Err(err) = thread::Builder::new().spawn(refuse) {
-                log::warn!("a request to the administration API was dropped: {err}");
-            }
-        }
+    /// A stranger is refused before its body takes memory.
+    fn check(&self, head: &RequestHead) -> Result<(), inbound::Reply> {
+        let known = authenticate(&head.fields, &self.setup.operators);
+        known
+            .map(drop)
+            .map_err(|failure| Reply::from(failure).into())
     }
-}
 
-fn respond(http: tiny_http::Request, reply: Reply) {
-    let header = |name: &str, value: &str| {
-        Header::from_bytes(name, value).expect("header names and values are plain text")
-    };
-    let mut response = Response::from_data(reply.body)
-        .with_status_code(reply.status)
-        .with_header(header("Content-Type", "application/json"));
-    if let Some(etag) = reply.etag {
-        response.add_header(header("ETag", &format!("\"{etag}\"")));
+    fn reject(&self, rejection: Rejection) -> inbound::Reply {
+        Reply {
+            status: rejection.status,
+            ..Reply::from(Failure::from(fault_of(rejection)))
+        }
+        .into()
     }
-    if let Err(err) = http.respond(response) {
-        log::debug!("an operator did not take the answer: {err}");
+
+    fn serve(&self, http: inbound::Request) {
+        let request = Request::read(&http, &self.setup.operators);
+        let answer = request.and_then(|request| self.answer(&request));
+        let reply = answer.unwrap_or_else(Reply::from);
+        if let Err(err) = http.respond(&reply.into()) {
+            log::debug!("an operator did not take the answer: {err}");
+        }
     }
 }
 
 impl<S: Table + Objects, F: Fleet> Shared<S, F> {
     fn answer(&self, request: &Request) -> Answer {
         let path: Vec<&str> = request.path.iter().map(String::as_str).collect();
-        match (&request.method, path.as_slice()) {
-            (Method::Get, ["config"]) => self.configuration(),
-            (Method::Get, ["config", "history"]) => self.history(request),
-            (Method::Get, ["config", "wait"]) => self.wait(request),
-            (Method::Get, ["status"]) => self.status(),
-            (Method::Get, ["audit"]) => self.audit(),
-            (Method::Get, ["budgets"]) => self.budgets(request),
-            (Method::Get, ["budgets", id]) => self.budget(id),
-            (Method::Put, ["budgets", id]) => self.create_budget(request, id),
-            (Method::Post, ["budgets", id, action]) => self.change_budget(request, id, action),
-            (Method::Post, ["orders", target]) => self.order(request, target),
-            (method, [kind]) if *method == Method::Get => self.list(&kind_of(kind)?),
+        match (&*request.method, path.as_slice()) {
+            ("GET", ["config"]) => self.configuration(),
+            ("GET", ["config", "history"]) => self.history(request),
+            ("GET", ["config", "wait"]) => self.wait(request),
+            ("GET", ["status"]) => self.status(),
+            ("GET", ["audit"]) => self.audit(),
+            ("GET", ["budgets"]) => self.budgets(request),
+            ("GET", ["budgets", id]) => self.budget(id),
+            ("PUT", ["budgets", id]) => self.create_budget(request, id),
+            ("POST", ["budgets", id, action]) => self.change_budget(request, id, action),
+            ("POST", ["orders", target]) => self.order(request, target),
+            ("GET", [kind]) => self.list(&kind_of(kind)?),
             (_, [kind, name]) => self.item(request, kind_of(kind)?, name),
             (method, _) => {
                 let detail = format!("there is no {method} {}", request.path.join("/"));
--- a/src/caller/auth.rs
+++ b/src/caller/auth.rs
@@ -1,10 +1,10 @@
 //! Authentication of callers.
 
+use cuminloom_edge::http::Fields;
 use sha2::{
     Digest,
     Sha256, //
 };
-use tiny_http::Request;
 
 use crate::model::{
     Code,
@@ -15,22 +15,14 @@
     Profile, //
 };
 
-/// Returns the value of a header, if there is one.
-pub(crate) fn header_of<'a>(request: &'a Request, name: &'static str) -> Option<&'a str> {
-    let found = request
-        .headers()
-        .iter()
-        .find(|header| header.field.equiv(name));
-    found.map(|header| header.value.as_str())
-}
-
 /// Finds the customer whose key the request carries.
 pub(crate) fn customer<'a>(
-    request: &Request,
+    fields: &Fields,
     config: &'a Configuration,
 ) -> Result<&'a Customer, Fault> {
     let refused = || Fault::not_run(Code::Unauthorized, "the key is missing or unknown");
-    let token = header_of(request, "authorization")
+    let token = fields
+        .get("authorization")
         .and_then(|value| value.strip_prefix("Bearer "))
         .ok_or_else(refused)?;
     // Hashes are compared, so the time of the comparison says nothing about a key.
--- a/src/caller/exchange.rs
+++ b/src/caller/exchange.rs
@@ -6,6 +6,7 @@
 };
 
 use crate::{
+    inbound::Left,
     kernel::Context,
     model::{
         Code,
@@ -51,6 +52,8 @@
     pub(crate) start: Duration,
     /// Span of the request.
     pub(crate) trace: TraceContext,
+    /// Tells when the caller has left; `None` for a request that a peer passed on.
+    pub(crate) left: Option<Left>,
 }
 
 /// What the target's answer came to.
@@ -272,8 +275,8 @@
     );
     let dispatched = match ticket.number {
         // A retry is in the queue already.
-        Some(number) => ctx.router.wait(number),
-        None => ctx.router.enqueue(job(order)),
+        Some(number) => ctx.router.wait(number, order.left.as_ref()),
+        None => ctx.router.enqueue(job(order), order.left.as_ref()),
     };
     ctx.tracer.end(span);
     ticket.number = dispatched.as_ref().ok().map(|slot| slot.ticket);
--- a/src/caller/mod.rs
+++ b/src/caller/mod.rs
@@ -6,7 +6,6 @@
 
 mod auth;
 mod chat;
-mod declared;
 mod exchange;
 mod forward;
 mod keyed;
@@ -18,7 +17,6 @@
 mod server;
 
 pub use chat::Chat;
-pub(crate) use declared::screen;
 pub(crate) use forward::{
     Forwarded,
     Forwards,
--- a/src/caller/plugin.rs
+++ b/src/caller/plugin.rs
@@ -19,12 +19,10 @@
 }
 
 fn spawn(ctx: &Arc<Context>) -> Result<Running, Report<StartFault>> {
-    let (stop, stopped) = flume::bounded(0);
-    let callers = Callers::bind(ctx, stopped)?;
+    let callers = Callers::bind(ctx)?;
     log::info!("listening for callers on {}", callers.addr());
-    Ok(Running::spawn("callers", move |outer| {
-        let _ = outer.recv();
-        drop(stop);
-        callers.join();
+    Ok(Running::spawn("callers", move |stop| {
+        let _ = stop.recv();
+        drop(callers);
     }))
 }
--- a/src/caller/relay.rs
+++ b/src/caller/relay.rs
@@ -11,7 +11,6 @@
 
 use prometheus::Histogram;
 use serde::Deserialize;
-use tiny_http::Request;
 
 use super::{
     chat::{
@@ -23,9 +22,16 @@
         Work,
         ended_by, //
     },
-    reply::EventStream,
+    reply::{
+        error_event,
+        event as data_event, //
+    },
 };
 use crate::{
+    inbound::{
+        EventStream,
+        Request, //
+    },
     model::{
         Code,
         Fault,
@@ -73,8 +79,6 @@
     usage: Option<Usage>,
 }
 
-type Stream = EventStream<Box<dyn std::io::Write + Send>>;
-
 impl Work for Completion<'_> {
     fn outgoing(
         &self,
@@ -134,7 +138,7 @@
     }
 
     fn stream(&mut self, reply: Reply) -> Delivered {
-        let mut stream: Option<Stream> = None;
+        let mut stream: Option<EventStream> = None;
         let mut tokens = None;
         let mut events: Tokens = 0;
         let mut last = Instant::now();
@@ -156,7 +160,7 @@
                 continue;
             }
             let sent = match self.opened(&mut stream) {
-                Ok(open) => open.send(&data),
+                Ok(open) => open.send(&data_event(&data)),
                 Err(err) => Err(err),
             };
             if sent.is_err() {
@@ -168,18 +172,21 @@
     }
 
     /// The stream to the caller, started at its first event.
-    fn opened<'s>(&mut self, stream: &'s mut Option<Stream>) -> std::io::Result<&'s mut Stream> {
+    fn opened<'s>(
+        &mut self,
+        stream: &'s mut Option<EventStream>,
+    ) -> std::io::Result<&'s mut EventStream> {
         if stream.is_none() {
             let caller = self.caller.take().expect("a stream is started once");
-            *stream = Some(EventStream::open(caller.into_writer())?);
+            *stream = Some(caller.into_stream()?);
         }
         Ok(stream.as_mut().expect("the stream was started"))
     }
 
-    fn complete(&mut self, stream: Option<Stream>, tokens: Option<Tokens>) -> Delivered {
+    fn complete(&mut self, stream: Option<EventStream>, tokens: Option<Tokens>) -> Delivered {
         let mut stream = stream;
         let opened = self.opened(&mut stream).is_ok();
-        if !opened || stream.is_some_and(|open| open.done().is_err()) {
+        if !opened || stream.is_some_and(|open| open.end(&data_event(b"[DONE]")).is_err()) {
             return left();
         }
         Delivered {
@@ -200,12 +207,12 @@
 
 /// The engine's stream broke off. The reported usage may be older than the last token, so the whole
 /// reserve is charged.
-fn broken(stream: Option<Stream>, fault: Fault) -> Delivered {
+fn broken(stream: Option<EventStream>, fault: Fault) -> Delivered {
     let Some(open) = stream else {
         return crashed(fault);
     };
     // A caller that left as well cannot be told.
-    let _ = open.broken(&fault);
+    let _ = open.end(&error_event(&fault));
     Delivered {
         tokens: None,
         ended: ended_by(&fault, Verdict::Ran),
@@ -215,7 +222,7 @@
 
 /// The caller left; dropping the reply cancels the engine's work.
 fn left() -> Delivered {
-    let fault = Fault::may_have_run(Code::TargetFailed, "the caller closed the connection");
+    let fault = Fault::may_have_run(Code::CallerLeft, "the caller closed the connection");
     Delivered {
         tokens: None,
         ended: Ended::Cancelled,
--- a/src/caller/reply.rs
+++ b/src/caller/reply.rs
@@ -1,18 +1,12 @@
 //! Answers to callers.
 
-use std::io::{
-    self,
-    Write, //
-};
-
-use chunked_transfer::Encoder;
-use tiny_http::{
-    Header,
-    Request,
-    Response, //
-};
+use std::io;
 
 use crate::{
+    inbound::{
+        Reply,
+        Request, //
+    },
     model::{
         Fault,
         Verdict, //
@@ -59,21 +53,25 @@
     serde_json::to_string(&body).expect("wire types have string keys")
 }
 
-/// Builds a header; both parts are ASCII.
-pub(crate) fn header(name: &str, value: &str) -> Header {
-    Header::from_bytes(name, value).expect("header names and values are ASCII")
+/// The answer that reports `fault` with `status`.
+pub(crate) fn fault_reply(status: u16, fault: &Fault) -> Reply {
+    let mut reply = Reply {
+        status,
+        fields: vec![
+            ("Content-Type", "application/json".into()),
+            (VERDICT_HEADER, fault.verdict.as_str().into()),
+        ],
+        body: error_body(fault).into_bytes(),
+    };
+    if status == 503 {
+        reply.fields.push(("Retry-After", RETRY_AFTER_S.into()));
+    }
+    reply
 }
 
 /// Sends an error.
 pub(crate) fn refuse(request: Request, fault: &Fault) -> io::Result<()> {
-    let mut response = Response::from_string(error_body(fault))
-        .with_status_code(fault.code.status())
-        .with_header(header("Content-Type", "application/json"))
-        .with_header(header(VERDICT_HEADER, fault.verdict.as_str()));
-    if fault.code.status() == 503 {
-        response.add_header(header("Retry-After", RETRY_AFTER_S));
-    }
-    request.respond(response)
+    request.respond(&fault_reply(fault.code.status(), fault))
 }
 
 /// Sends a whole answer of a target.
@@ -89,64 +87,26 @@
     kind: &str,
     body: &[u8],
 ) -> io::Result<()> {
-    let response = Response::from_data(body)
-        .with_status_code(status)
-        .with_header(header("Content-Type", kind))
-        .with_header(header(VERDICT_HEADER, verdict.as_str()));
-    request.respond(response)
-}
-
-/// Flushes after each write, because the library buffers 1,024 bytes and an event has to leave at
-/// once.
-struct Flushed<W>(W);
-
-impl<W: Write> Write for Flushed<W> {
-    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
-        let written = self.0.write(buf)?;
-        self.0.flush()?;
-        Ok(written)
-    }
-
-    fn flush(&mut self) -> io::Result<()> {
-        self.0.flush()
-    }
+    request.respond(&Reply {
+        status,
+        fields: vec![
+            ("Content-Type", kind.into()),
+            (VERDICT_HEADER, verdict.as_str().into()),
+        ],
+        body: body.to_vec(),
+    })
 }
 
-/// A stream of server-sent events to a caller.
-pub(crate) struct EventStream<W: Write> {
-    out: Encoder<Flushed<W>>,
+/// An event with `data`.
+pub(crate) fn event(data: &[u8]) -> Vec<u8> {
+    let mut event = Vec::with_capacity(data.len() + 8);
+    event.extend_from_slice(b"data: ");
+    event.extend_from_slice(data);
+    event.extend_from_slice(b"\n\n");
+    event
 }
 
-impl<W: Write> EventStream<W> {
-    /// Sends the head of the answer.
-    pub(crate) fn open(mut writer: W) -> io::Result<Self> {
-        writer.write_all(
-            b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-cache\r\n\
-              Transfer-Encoding: chunked\r\n\r\n",
-        )?;
-        writer.flush()?;
-        Ok(Self {
-            out: Encoder::with_flush_after_write(Flushed(writer)),
-        })
-    }
-
-    /// Sends one event at once.
-    pub(crate) fn send(&mut self, data: &[u8]) -> io::Result<()> {
-        let mut event = Vec::with_capacity(data.len() + 8);
-        event.extend_from_slice(b"data: ");
-        event.extend_from_slice(data);
-        event.extend_from_slice(b"\n\n");
-        self.out.write_all(&event)
-    }
-
-    /// Ends a complete stream.
-    pub(crate) fn done(mut self) -> io::Result<()> {
-        self.send(b"[DONE]")
-    }
-
-    /// Ends a stream that broke off: an error event with the verdict, and no mark of completion.
-    pub(crate) fn broken(mut self, fault: &Fault) -> io::Result<()> {
-        let event = format!("event: error\ndata: {}\n\n", error_body(fault));
-        self.out.write_all(event.as_bytes())
-    }
+/// The event that ends a stream that broke off; it tells the verdict and is no mark of completion.
+pub(crate) fn error_event(fault: &Fault) -> Vec<u8> {
+    format!("event: error\ndata: {}\n\n", error_body(fault)).into_bytes()
 }
--- a/src/caller/run.rs
+++ b/src/caller/run.rs
@@ -6,13 +6,8 @@
     time::Duration, //
 };
 
-use tiny_http::Request;
-
 use super::{
-    auth::{
-        self,
-        header_of, //
-    },
+    auth,
     chat::{
         Chat,
         Sending,
@@ -38,13 +33,14 @@
         answer_as,
         refuse, //
     },
-    server::{
-        read_body,
-        trace_of, //
-    },
+    server::trace_of,
 };
 use crate::{
     claim::Recorded,
+    inbound::{
+        Left,
+        Request, //
+    },
     kernel::Context,
     model::{
         Code,
@@ -122,13 +118,13 @@
 
 /// The idempotency key of a request.
 fn key_of(request: &Request) -> Option<String> {
-    header_of(request, "idempotency-key").map(str::to_owned)
+    request.header("idempotency-key").map(str::to_owned)
 }
 
 /// Serves `POST /v1/chat/completions`.
-pub(crate) fn chat(ctx: &Context, mut request: Request) -> io::Result<()> {
+pub(crate) fn chat(ctx: &Context, request: Request) -> io::Result<()> {
     let config = ctx.config.load();
-    match read_chat(ctx, &mut request, &config) {
+    match read_chat(ctx, &request, &config) {
         Ok((head, chat, print)) => complete(ctx, request, &head, &chat, &print),
         Err(fault) => refuse_early(ctx, request, &fault),
     }
@@ -138,13 +134,13 @@
 
 fn read_chat<'a>(
     ctx: &Context,
-    request: &mut Request,
+    request: &Request,
     config: &'a Configuration,
 ) -> Result<ChatRequest<'a>, Fault> {
-    let customer = auth::customer(request, config)?;
-    let body = read_body(ctx, request)?;
-    let chat = Chat::parse(&body)?;
-    let name = header_of(request, "x-cuminloom-profile")
+    let customer = auth::customer(request.fields(), config)?;
+    let chat = Chat::parse(request.body())?;
+    let name = request
+        .header("x-cuminloom-profile")
         .or(chat.profile())
         .ok_or_else(|| Fault::not_run(Code::BadRequest, "\"model\" has to name a profile"))?;
     let head = Head::of(ctx, config, customer, name, key_of(request))?;
@@ -152,7 +148,7 @@
         let detail = "the profile is for a plain service, under /s/<profile>/";
         return Err(Fault::not_run(Code::BadRequest, detail));
     }
-    let print = keyed::fingerprint(name, "POST", "/v1/chat/completions", &body);
+    let print = keyed::fingerprint(name, "POST", "/v1/chat/completions", request.body());
     Ok((head, chat, print))
 }
 
@@ -168,6 +164,7 @@
     let wait = TOKEN_TIME.saturating_mul(u32::try_from(profile.output).unwrap_or(u32::MAX));
     let salt = format!("{:016x}", hash(head.customer.id.as_bytes()));
     let (trace, parent) = trace_of(ctx, &request);
+    let left = request.left();
     let mut work = Completion {
         chat,
         sending: Sending {
@@ -184,7 +181,7 @@
         gaps: &ctx.metrics.token_gap,
     };
     let affinity = chat.affinity() ^ hash(head.customer.id.as_bytes());
-    let order = order(head, bound, print, affinity, trace);
+    let order = order(head, bound, print, affinity, trace, Some(left));
     let result = keyed_run(ctx, head, &order, print, &mut work, |work| {
         let recorded = work.answer.as_ref();
         let streamed = || Recorded {
@@ -205,9 +202,9 @@
 }
 
 /// Serves `/s/<profile>/<path>`.
-pub(crate) fn plain(ctx: &Context, mut request: Request) -> io::Result<()> {
+pub(crate) fn plain(ctx: &Context, request: Request) -> io::Result<()> {
     let config = ctx.config.load();
-    match read_plain(ctx, &mut request, &config) {
+    match read_plain(ctx, &request, &config) {
         Ok((head, work, print)) => call(ctx, request, &head, work, &print),
         Err(fault) => refuse_early(ctx, request, &fault),
     }
@@ -215,12 +212,11 @@
 
 fn read_plain<'a>(
     ctx: &Context,
-    request: &mut Request,
+    request: &Request,
     config: &'a Configuration,
 ) -> Result<(Head<'a>, Plain, Arc<str>), Fault> {
-    let customer = auth::customer(request, config)?;
-    let url = request.url().to_owned();
-    let rest = url.strip_prefix("/s/").unwrap_or_default();
+    let customer = auth::customer(request.fields(), config)?;
+    let rest = request.url().strip_prefix("/s/").unwrap_or_default();
     let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
     let head = Head::of(ctx, config, customer, name, key_of(request))?;
     if head.service.kind != TargetKind::Plain {
@@ -228,11 +224,12 @@
         return Err(Fault::not_run(Code::BadRequest, detail));
     }
     let method = method_of(request)?;
-    let kind = header_of(request, "content-type")
+    let kind = request
+        .header("content-type")
         .unwrap_or("application/octet-stream")
         .to_owned();
-    let body: Arc<[u8]> = read_body(ctx, request)?.into();
-    let print = keyed::fingerprint(name, request.method().as_str(), path, &body);
+    let body: Arc<[u8]> = request.body().into();
+    let print = keyed::fingerprint(name, request.method(), path, &body);
     let work = Plain {
         method,
         path: format!("/{path}").into(),
@@ -254,7 +251,14 @@
     print: &str,
 ) -> io::Result<()> {
     let (trace, parent) = trace_of(ctx, &request);
-    let order = order(head, head.profile.charge, print, 0, trace);
+    let order = order(
+        head,
+        head.profile.charge,
+        print,
+        0,
+        trace,
+        Some(request.left()),
+    );
     let result = match keyed_run(ctx, head, &order, print, &mut work, recorded) {
         Ok(Ending::Elsewhere(owner)) => forward(ctx, &owner, head, &work),
         result => result,
@@ -278,7 +282,7 @@
     let path = work.path.strip_prefix('/').unwrap_or(&work.path);
     let method = work.method.as_str();
     let print = keyed::fingerprint(&head.profile.id, method, path, &work.body);
-    let order = order(head, head.profile.charge, &print, 0, trace);
+    let order = order(head, head.profile.charge, &print, 0, trace, None);
     let result = keyed_run(ctx, head, &order, &print, work, recorded);
     end_span(ctx, &order, 0, &result);
     let (status, kind, body) = match (result?, work.answer.take()) {
@@ -310,6 +314,7 @@
     print: &str,
     affinity: u64,
     trace: TraceContext,
+    left: Option<Left>,
 ) -> Order<'a> {
     Order {
         profile: head.profile,
@@ -320,6 +325,7 @@
         affinity,
         start: head.start,
         trace,
+        left,
     }
 }
 
@@ -436,16 +442,6 @@
 }
 
 fn method_of(request: &Request) -> Result<Method, Fault> {
-    match request.method() {
-        tiny_http::Method::Get => Ok(Method::Get),
-        tiny_http::Method::Head => Ok(Method::Head),
-        tiny_http::Method::Post => Ok(Method::Post),
-        tiny_http::Method::Put => Ok(Method::Put),
-        tiny_http::Method::Patch => Ok(Method::Patch),
-        tiny_http::Method::Delete => Ok(Method::Delete),
-        _ => Err(Fault::not_run(
-            Code::BadRequest,
-            "the method is not supported",
-        )),
-    }
+    let unsupported = || Fault::not_run(Code::BadRequest, "the method is not supported");
+    Method::parse(request.method()).ok_or_else(unsupported)
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod caller;
 pub mod claim;
 pub mod config;
+mod inbound;
 pub mod kernel;
 pub mod mirror;
 pub mod model;
--- a/src/model/fault.rs
+++ b/src/model/fault.rs
@@ -89,6 +89,8 @@
     StoreUnavailable,
     /// The daemon is stopping or was sealed.
     Stopping,
+    /// The caller closed its connection before it had the answer.
+    CallerLeft,
     /// Another operator changed the item.
     Conflict,
     /// A fault inside the daemon.
@@ -125,6 +127,7 @@
             Code::TargetFailed => "target_failed",
             Code::StoreUnavailable => "store_unavailable",
             Code::Stopping => "stopping",
+            Code::CallerLeft => "caller_left",
             Code::Conflict => "conflict",
             Code::Internal => "internal",
         }
@@ -150,6 +153,8 @@
             Code::TooLarge => 413,
             Code::KeyReused | Code::CrashesTargets => 422,
             Code::Internal => 500,
+            // Nobody gets it; the status counts the request in metrics.
+            Code::CallerLeft => 499,
             Code::TargetFailed => 502,
             Code::Deadline => 504,
             Code::BudgetUnavailable
--- a/src/route/handle.rs
+++ b/src/route/handle.rs
@@ -25,6 +25,7 @@
     Strike, //
 };
 use crate::{
+    inbound::Left,
     kernel::Clock,
     model::{
         Code,
@@ -108,8 +109,8 @@
     ///
     /// # Errors
     ///
-    /// Fails when no target can take the request before its deadline.
-    pub(crate) fn enqueue(&self, mut job: Job) -> Result<Slot, Fault> {
+    /// Fails when no target can take the request before its deadline, or when the caller leaves.
+    pub(crate) fn enqueue(&self, mut job: Job, left: Option<&Left>) -> Result<Slot, Fault> {
         let ticket = {
             let mut state = self.lock();
             let now = self.clock.now();
@@ -121,25 +122,35 @@
             state.pump(now);
             ticket
         };
-        self.wait(ticket)
+        self.wait(ticket, left)
     }
 
     /// Waits for a target of a request that is queued.
     ///
     /// # Errors
     ///
-    /// Fails when no target can take the request before its deadline.
-    pub(crate) fn wait(&self, ticket: u64) -> Result<Slot, Fault> {
+    /// Fails when no target can take the request before its deadline, or when the caller leaves.
+    pub(crate) fn wait(&self, ticket: u64, left: Option<&Left>) -> Result<Slot, Fault> {
         let waiter = self
             .lock()
             .waiters
             .get(&ticket)
             .map(|(_, receiver)| receiver.clone());
-        let slot = waiter.and_then(|receiver| receiver.recv().ok());
         let lost = || Fault::not_run(Code::Internal, "the request is not queued");
-        let slot = slot.ok_or_else(lost).flatten();
-        if slot.is_err() {
-            self.lock().waiters.remove(&ticket);
+        let slot = waiter.ok_or_else(lost).and_then(|slot| match left {
+            Some(left) => flume::Selector::new()
+                .recv(&slot, |slot| slot.unwrap_or_else(|_| Err(lost())))
+                .recv(left, |_| Err(caller_left()))
+                .wait(),
+            None => slot.recv().unwrap_or_else(|_| Err(lost())),
+        });
+        match &slot {
+            Ok(_) => {}
+            // Frees the place in the queue, or the slot if a target was chosen just now.
+            Err(fault) if fault.code == Code::CallerLeft => {
+                self.finish(ticket, Ended::Cancelled);
+            }
+            Err(_) => drop(self.lock().waiters.remove(&ticket)),
         }
         slot
     }
@@ -266,6 +277,10 @@
     }
 }
 
+fn caller_left() -> Fault {
+    Fault::not_run(Code::CallerLeft, "the caller closed the connection")
+}
+
 impl State {
     fn pump(&mut self, now: std::time::Duration) {
         for action in self.router.poll(now) {
--- a/standins/tests/callers.rs
+++ b/standins/tests/callers.rs
@@ -10,6 +10,10 @@
     },
     net::TcpStream,
     thread,
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use cuminloom_standins::{
@@ -147,7 +151,7 @@
         "too_large",
         "not-run",
     );
-    let head = format!("POST {CHAT} HTTP/1.1\r\nAuthorization: Bearer {KEY}\r\n");
+    let head = format!("POST {CHAT} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {KEY}\r\n");
     let mut cut = world.raw(&format!(
         "{head}Content-Length: 5000\r\n\r\n{{\"messages\": ["
     ));
@@ -160,7 +164,7 @@
 
 /// Guards against a line end in a path or header that adds a header at the target.
 fn check_lines(world: &World) {
-    let auth = format!("Authorization: Bearer {KEY}\r\nConnection: close\r\n");
+    let auth = format!("Host: x\r\nAuthorization: Bearer {KEY}\r\nConnection: close\r\n");
     let requests = [
         format!("POST /s/ok/ok\nx-evil:1 HTTP/1.1\r\n{auth}\r\n"),
         format!("POST /s/ok/ok HTTP/1.1\r\n{auth}Content-Type: a\nx-evil: 1\r\n\r\n"),
@@ -173,26 +177,26 @@
     assert!(world.target.seen("x-evil").is_empty());
 }
 
-/// Guards against the end of the process when tiny_http reserves the length that a request declares.
+/// Guards against memory that is reserved for a declared length, which ends the process, and against
+/// waits for a body that is refused anyway.
 fn check_declared_length(world: &World) {
     let declared = "Content-Length: 1152921504606846976\r\n\r\n{}";
     let auth = format!("Authorization: Bearer {KEY}\r\n");
     let heads = [
-        format!("POST {CHAT} HTTP/1.1\r\n{auth}"),
-        format!("POST {CHAT} HTTP/1.1\r\n"),
-        "GET /healthz HTTP/1.1\r\n".into(),
+        (413, format!("POST {CHAT} HTTP/1.1\r\nHost: x\r\n{auth}")),
+        (401, format!("POST {CHAT} HTTP/1.1\r\nHost: x\r\n")),
+        (413, "GET /healthz HTTP/1.1\r\nHost: x\r\n".into()),
     ];
-    let open: Vec<_> = heads
-        .iter()
-        .map(|head| world.raw(&format!("{head}{declared}")))
-        .collect();
-    wait_for("the warnings", || {
-        let warned = world
-            .log()
-            .matches("declares a body that is far too long")
-            .count();
-        (warned == open.len()).then_some(())
-    });
+    for (status, head) in &heads {
+        let mut answer = String::new();
+        let mut stream = world.raw(&format!("{head}{declared}"));
+        stream.read_to_string(&mut answer).unwrap();
+        assert!(
+            answer.starts_with(&format!("HTTP/1.1 {status} ")),
+            "{answer}"
+        );
+        assert!(answer.contains("\"verdict\":\"not-run\""), "{answer}");
+    }
     let health = world.request(Method::Get, "/healthz", KEY).send().unwrap();
     assert_eq!(health.status_code, 200);
 }
@@ -307,7 +311,7 @@
 /// Guards against slow callers that hold more than their own threads: some send half a body, some
 /// do not read their answers.
 fn check_slow_callers(world: &World) {
-    let head = format!("POST {CHAT} HTTP/1.1\r\nAuthorization: Bearer {KEY}\r\n");
+    let head = format!("POST {CHAT} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {KEY}\r\n");
     let body = ask("stream", true).to_string();
     let unread = format!("{head}Content-Length: {}\r\n\r\n{body}", body.len());
     let half = format!("{head}Content-Length: 5000\r\n\r\n{body}");
@@ -431,6 +435,46 @@
     assert!(!salts.contains(&json!("chosen by the caller")));
 }
 
+/// Number of requests that wait for a target.
+fn queued(world: &World) -> f64 {
+    let metrics = world.request(Method::Get, "/metrics", KEY).send().unwrap();
+    let lines = metrics.as_str().unwrap().lines();
+    lines
+        .filter(|line| line.starts_with("cuminloom_queued_requests"))
+        .map(|line| line.rsplit(' ').next().unwrap().parse::<f64>().unwrap())
+        .sum()
+}
+
+/// Guards against a queue that is full of requests whose callers have left.
+#[test]
+fn a_request_leaves_the_queue_with_its_caller() {
+    let world = World::start();
+    let control = world.fleet.engines[0].addr("control");
+    let slow = json!({ "tokens_per_second": 1.0, "output_tokens": 4096, "capacity": 1 });
+    let changed = minreq::post(format!("http://{control}/control")).with_body(slow.to_string());
+    assert_eq!(changed.send().unwrap().status_code, 200);
+    let body = ask("long", true).to_string();
+    let head = format!("POST {CHAT} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {KEY}\r\n");
+    let mut open = Vec::new();
+    wait_for("requests in the queue", || {
+        let mut stream = TcpStream::connect(world.addr()).unwrap();
+        write!(stream, "{head}Content-Length: {}\r\n\r\n{body}", body.len()).unwrap();
+        open.push(stream);
+        (queued(&world) >= 3.0).then_some(())
+    });
+    let left = Instant::now();
+    drop(open);
+    wait_for("an empty queue", || (queued(&world) == 0.0).then_some(()));
+    // The deadline of the profile, 10 s, would empty the queue as well.
+    assert!(
+        left.elapsed() < Duration::from_secs(3),
+        "{:?}",
+        left.elapsed()
+    );
+    let metrics = world.request(Method::Get, "/metrics", KEY).send().unwrap();
+    assert!(metrics.as_str().unwrap().contains("code=\"caller_left\""));
+}
+
 /// Guards against work that goes on for a caller that left, and against a bill below its cost.
 fn check_cancel(mut world: World) {
     let control = world.fleet.engines[0].addr("control");
