Ask callers back when the reserve will cover them

Cause: a request whose tokens would be released after its patience is over was answered with Retry-After 1.5 s whatever the release time, so that in a cut it came back too early and was refused again.

Ruled out: letting the request wait longer (the caller's patience is over).

Change: Admit::comes_back gives the time of the release, and 4.5 s when the whole reserve is spent; still at most a third of the time that is left.

--- a/edge/src/prepaid/ledger/mod.rs
+++ b/edge/src/prepaid/ledger/mod.rs
@@ -39,6 +39,13 @@
 /// Time since the last accepted write within which another write is likely to bring tokens.
 const ATTACHED: Duration = Duration::from_millis(900);
 
+/// Time after which tokens that other daemons hold have come back: several writes and readings.
+const GRANT_RETRY: Duration = Duration::from_millis(1500);
+
+/// Time after which a caller is asked to come back when the whole reserve is spent: planned cuts last up
+/// to 9 s, and half of that is over on average.
+const SPENT_RETRY: Duration = Duration::from_millis(4500);
+
 /// Time without a new version of a daemon's row after which its tokens count as orphaned. The longest
 /// cut that the users name is 9 s.
 const SILENT: Duration = Duration::from_secs(20);
@@ -58,6 +65,28 @@
     Exhausted,
 }
 
+impl Admit {
+    /// Time after which a caller that got no tokens is asked to come back. Answers a load that comes again
+    /// while the store is away: what is sent before the reserve is released is refused again.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use cuminloom_edge::prepaid::Admit;
+    ///
+    /// let time = Duration::from_secs(3);
+    /// assert_eq!(Admit::Release(time).comes_back(), time);
+    /// ```
+    pub fn comes_back(self) -> Duration {
+        match self {
+            Admit::Release(time) => time.max(GRANT_RETRY),
+            Admit::Refused => SPENT_RETRY,
+            Admit::Taken | Admit::Grant | Admit::Exhausted => GRANT_RETRY,
+        }
+    }
+}
+
 /// Tokens that one request has taken.
 #[derive(Clone, Debug)]
 pub struct Spending {
--- a/edge/src/serve/call.rs
+++ b/edge/src/serve/call.rs
@@ -48,8 +48,9 @@
 /// Shortest time for which callers wait for the first event of a stream.
 const LEAST_PATIENCE: Duration = Duration::from_millis(1600);
 
-/// Time after which a caller is asked to come back when tokens can't be had.
-pub(super) const GRANT_RETRY: Duration = Duration::from_millis(1500);
+/// Time after which a caller is asked to come back when the configuration may be old: the time for
+/// which it counts as fresh, and a part of a cut.
+const CONFIG_RETRY: Duration = Duration::from_millis(1500);
 
 /// Time after which a caller is asked to come back when no runner can be reached.
 pub(super) const RUNNER_RETRY: Duration = Duration::from_millis(400);
@@ -137,7 +138,7 @@
             // A newer configuration that has not arrived may allow the request.
             Refusal::not_run(
                 "configuration_may_be_old",
-                retry_after(GRANT_RETRY, patience),
+                retry_after(CONFIG_RETRY, patience),
             )
         }
     };
--- a/edge/src/serve/tokens.rs
+++ b/edge/src/serve/tokens.rs
@@ -12,14 +12,7 @@
 
 use tokio::time::timeout;
 
-use super::{
-    Core,
-    answer::Refusal,
-    call::{
-        Call,
-        GRANT_RETRY, //
-    },
-};
+use super::{Core, answer::Refusal, call::Call};
 use crate::{
     border::Dialect,
     decide::retry_after,
@@ -122,7 +115,7 @@
         }
         Admit::Exhausted => Err(Refusal::rejected(402, "budget_exhausted")),
         Admit::Grant | Admit::Refused | Admit::Release(_) => {
-            let retry = retry_after(GRANT_RETRY, call.left(now));
+            let retry = retry_after(admit.comes_back(), call.left(now));
             Err(Refusal::not_run("no_grant", retry))
         }
     }
--- a/edge/tests/budget_run.rs
+++ b/edge/tests/budget_run.rs
@@ -2,11 +2,21 @@
 
 mod budget_world;
 
+use std::time::{
+    Duration,
+    Instant, //
+};
+
 use budget_world::{
     Faults,
     Outcome,
     World,
-    limits, //
+    limits,
+    store::FakeStore, //
+};
+use cuminloom_edge::prepaid::{
+    Admit,
+    Ledger, //
 };
 
 const SEEDS: u64 = 60;
@@ -147,3 +157,29 @@
         );
     }
 }
+
+/// A load that comes again during a cut: guards against a time to come back at which the reserve still does
+/// not cover the request, so that it is refused again.
+#[test]
+fn a_refused_caller_comes_back_when_the_reserve_is_released() {
+    let start = Instant::now();
+    let at = |ms: u64| start + Duration::from_millis(ms);
+    let mut store = FakeStore::default();
+    let mut ledger = Ledger::new("vm-1", 1, None);
+    ledger.set_limits(limits(1, 1_000_000));
+    let name = "c0";
+    for beat in 0..20 {
+        ledger.read(store.rows(beat * 400), true, at(beat * 400));
+        let plan = ledger.plan(at(beat * 400), Vec::new()).unwrap();
+        let commit = store.apply(&plan.batch, beat * 400);
+        ledger.outcome(&plan, commit, at(beat * 400));
+    }
+    let cut = 20 * 400;
+    let cost = 100_000;
+    let admit = ledger.admit(name, cost, at(cut + 1_000));
+    let Admit::Release(_) = admit else {
+        panic!("{admit:?}");
+    };
+    let back = at(cut + 1_000) + admit.comes_back();
+    assert_eq!(ledger.admit(name, cost, back), Admit::Taken);
+}
--- a/edge/tests/budget_world/mod.rs
+++ b/edge/tests/budget_world/mod.rs
@@ -1,7 +1,7 @@
 //! Several ledgers, a store that loses and delays writes, kills, cuts and freezes, on a clock of its
 //! own. The world counts what requests truly consume.
 
-mod store;
+pub(crate) mod store;
 
 use std::{
     collections::HashMap,
