Drop lapsed runners when their grace is over

Cause: a runner that is removed within 2 s of the store's return may have lapsed, so it stays usable until then. The entries whose grace is over were dropped only after the long poll of the feed, up to 1 s later.

Ruled out: dropping removed runners at once. Entries that expired with the store come back about 2 s after its return.

Change: a lapsed entry is not ready from the end of its grace on, whoever looks; the grace is 1.8 s, so that a runner that leaves just before this daemon sees the store again gets nothing after 2 s.

lapsed_entries_have_time_to_come_back asks for it.

--- a/edge/src/catalog/runner.rs
+++ b/edge/src/catalog/runner.rs
@@ -129,11 +129,17 @@
         gone
     }
 
-    /// Runners of `service` that take new requests.
-    pub fn ready<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Arc<Runner>> {
+    /// Runners of `service` that take new requests. A lapsed entry counts as gone once its grace is over,
+    /// whether or not [`Directory::expire`] has dropped it yet.
+    pub fn ready<'a>(
+        &'a self,
+        service: &'a str,
+        now: Instant,
+    ) -> impl Iterator<Item = &'a Arc<Runner>> {
         self.runners
             .values()
             .filter(move |r| &*r.service == service && r.state == RunnerState::Ready)
+            .filter(move |r| self.lapsed.get(&r.id).is_none_or(|until| now < *until))
     }
 
     /// The entry of `id`.
--- a/edge/src/serve/core.rs
+++ b/edge/src/serve/core.rs
@@ -60,7 +60,9 @@
             retry_extra: 54.0,
             retry_window: Duration::from_secs(10),
             grace: Duration::from_secs(8),
-            lapse_grace: Duration::from_millis(2000),
+            // Entries are back about 2 s after the store's return; one that is removed just before this
+            // daemon sees the return must get nothing 2 s later.
+            lapse_grace: Duration::from_millis(1800),
         }
     }
 }
--- a/edge/tests/decisions.rs
+++ b/edge/tests/decisions.rs
@@ -237,7 +237,7 @@
     directory.apply(RunnerChange::Put(runner("b", RunnerState::Ready)), now);
     directory.apply(RunnerChange::Put(runner("a", RunnerState::Draining)), now);
     directory.apply(RunnerChange::Gone("b".into()), now);
-    assert_eq!(directory.ready("s").count(), 0);
+    assert_eq!(directory.ready("s", now).count(), 0);
 }
 
 /// Guards against losing all runners when entries lapse with the store, and against keeping those
@@ -251,11 +251,13 @@
     directory.apply(RunnerChange::Put(runner("b", RunnerState::Ready)), now);
     directory.store_returned(now, grace);
     directory.replace(Vec::new(), now);
-    assert_eq!(directory.ready("s").count(), 2);
+    assert_eq!(directory.ready("s", now).count(), 2);
     directory.apply(
         RunnerChange::Put(runner("a", RunnerState::Ready)),
         now + grace / 2,
     );
+    // A feed that waits may look for lapsed entries late.
+    assert_eq!(directory.ready("s", now + grace).count(), 1);
     assert_eq!(directory.expire(now + grace), vec!["b".into()]);
-    assert_eq!(directory.ready("s").count(), 1);
+    assert_eq!(directory.ready("s", now).count(), 1);
 }
