Let the least pace of a reserve cover the largest request

A customer without demand at a daemon got 43,600 tokens within the release by time, less than the largest request of the users' sheets, 54,600 tokens of prompt, which then waited 7 s. The least pace now covers it. The bound of a_kill_of_all_strands_seconds_of_demand holds as before.

--- a/edge/src/prepaid/ledger/sizing.rs
+++ b/edge/src/prepaid/ledger/sizing.rs
@@ -38,8 +38,9 @@
 /// Requests of usual size that it covers beside the demand.
 const PACE_REQUESTS: f64 = 2.0;
 
-/// Tokens that it covers at least: a usual prompt.
-const LEAST_PACE: f64 = 4000.0;
+/// Tokens that it covers at least. The release by time covers 10.9 times that, as much as the users' largest
+/// request, with 54,600 tokens of prompt.
+const LEAST_PACE: f64 = 5200.0;
 
 /// Surplus that is not worth a write, in tokens.
 const SLACK_TOKENS: u64 = 3000;
