--- a/edge/src/serve/choose.rs
+++ b/edge/src/serve/choose.rs
@@ -86,7 +86,12 @@
         .services
         .get(service)
         .map_or(u32::MAX, |s| (s.connections / members).max(2));
-    let runners: Vec<_> = core.directory.borrow().ready(service, now).cloned().collect();
+    let runners: Vec<_> = core
+        .directory
+        .borrow()
+        .ready(service, now)
+        .cloned()
+        .collect();
     let upstreams: Vec<Rc<Upstream>> = runners.iter().map(|r| core.upstream(r)).collect();
     let mut candidates: Vec<Candidate> = upstreams
         .iter()
