Tell the age of a daemon's row by any answer of the store

Cause: a row names the store's time of the last accepted write's answer.

Ruled out: naming the newer time alone. A holder that releases by its last accepted write would then spend more than its successor charges.

Change: each write names the newest time of the store from any answer, feeds included. The holder releases a write in doubt by the receipt of that answer, and restarts the release when a reading shows that the write has landed.

--- a/benches/budgets/rows.rs
+++ b/benches/budgets/rows.rs
@@ -256,7 +256,7 @@
         proc.read = self.now + READ_MS;
         self.ledger.out.reads += 1;
         grants.set_limits(self.limits.clone());
-        grants.read(self.store.rows(self.now), true, now);
+        grants.read(self.store.rows(self.now), true, now, now);
     }
 
     fn write(&mut self, p: usize) {
--- a/edge/src/border.rs
+++ b/edge/src/border.rs
@@ -133,6 +133,8 @@
     pub whole: bool,
     /// Version from which to go on.
     pub version: u64,
+    /// Steady clock of the store, in milliseconds.
+    pub now: u64,
 }
 
 /// Why a call to the store failed.
--- a/edge/src/fleet/follow.rs
+++ b/edge/src/fleet/follow.rs
@@ -74,6 +74,7 @@
         match store.configs(since, CONFIG_WAIT).await {
             Ok(feed) => {
                 contact.succeeded();
+                core.ledger.borrow_mut().note_time(feed.now, Instant::now());
                 since = Some(feed.version);
                 let empty = feed.items.is_empty();
                 for version in feed.items {
@@ -106,6 +107,7 @@
         match store.runners(since, RUNNER_WAIT).await {
             Ok(feed) => {
                 let now = Instant::now();
+                core.ledger.borrow_mut().note_time(feed.now, now);
                 if contact.succeeded() {
                     let grace = core.bounds.get().lapse_grace;
                     core.directory.borrow_mut().store_returned(now, grace);
--- a/edge/src/fleet/writer.rs
+++ b/edge/src/fleet/writer.rs
@@ -46,7 +46,9 @@
             Ok(rows) => {
                 count(&core, "rows", "ok");
                 let old = core.ledger.borrow().audits().clone();
-                core.ledger.borrow_mut().read(rows, true, asked);
+                core.ledger
+                    .borrow_mut()
+                    .read(rows, true, asked, Instant::now());
                 show_audits(&core, &core.ledger.borrow(), &old);
                 take_strikes(&core);
                 core.granted.notify_waiters();
--- a/edge/src/prepaid/grant.rs
+++ b/edge/src/prepaid/grant.rs
@@ -1,5 +1,7 @@
 //! One customer's tokens at one daemon.
 
+use std::time::Instant;
+
 use serde::{
     Deserialize,
     Serialize, //
@@ -79,13 +81,22 @@
 /// Weight of one request in the usual cost.
 const COST_WEIGHT: f64 = 0.1;
 
+/// A grant in a write whose outcome is not known.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Doubt {
+    /// The grant.
+    pub grant: Grant,
+    /// Time at which the answer came whose store's time the write names.
+    pub basis: Instant,
+}
+
 /// What this daemon knows of its own grant.
 #[derive(Clone, Debug, Default)]
 pub struct Account {
     /// The grant in the newest row that the store is known to hold.
     pub confirmed: Grant,
     /// Grants in writes whose outcome is not known.
-    pub doubt: Vec<Grant>,
+    pub doubt: Vec<Doubt>,
     /// Tokens that ended requests consumed.
     pub spent: u64,
     /// Tokens that open requests may consume at most.
@@ -104,18 +115,21 @@
         self.spent + self.open
     }
 
-    /// Tokens up to which the daemon may spend `age` seconds after the last accepted write. While
-    /// writes are in doubt it is the least of what any of them allows.
-    pub fn bound(&self, age: f64) -> u64 {
+    /// Tokens up to which the daemon may spend at `now`, if the last write was accepted at `contact`.
+    /// While writes are in doubt it is the least of what any of them allows, each by the age that a
+    /// successor would see in its row.
+    pub fn bound(&self, contact: Option<Instant>, now: Instant) -> u64 {
+        let age = |at: Instant| now.saturating_duration_since(at).as_secs_f64();
+        let confirmed = self.confirmed.released(contact.map_or(0.0, age));
         self.doubt
             .iter()
-            .map(|g| g.released(age))
-            .fold(self.confirmed.released(age), u64::min)
+            .map(|d| d.grant.released(age(d.basis)))
+            .fold(confirmed, u64::min)
     }
 
     /// Takes `cost` tokens for a request, if there is room.
-    pub fn reserve(&mut self, cost: u64, age: f64) -> bool {
-        if self.used().saturating_add(cost) > self.bound(age) {
+    pub fn reserve(&mut self, cost: u64, contact: Option<Instant>, now: Instant) -> bool {
+        if self.used().saturating_add(cost) > self.bound(contact, now) {
             return false;
         }
         self.open += cost;
--- a/edge/src/prepaid/ledger/mod.rs
+++ b/edge/src/prepaid/ledger/mod.rs
@@ -21,6 +21,7 @@
     Batch,
     Commit,
     DaemonRow,
+    Doubt,
     Expect,
     Grant,
     Row,
@@ -119,7 +120,8 @@
     leaving: bool,
     number: u64,
     version: u64,
-    seen: u64,
+    /// Newest time of the store that is known, in milliseconds, and the receipt of the answer with it.
+    seen: (u64, Option<Instant>),
     contact: Option<Instant>,
     /// Time since which no process before can have run on this VM.
     alone: Option<Instant>,
@@ -147,7 +149,7 @@
             leaving: false,
             number: 0,
             version: 0,
-            seen: 0,
+            seen: (0, None),
             contact: None,
             alone: None,
             accounts: HashMap::new(),
@@ -194,12 +196,6 @@
             .is_some_and(|at| now.duration_since(at) < ATTACHED)
     }
 
-    /// Time by which the reserve is released: seconds since the last accepted write.
-    fn release_age(&self, now: Instant) -> f64 {
-        self.contact
-            .map_or(0.0, |at| now.duration_since(at).as_secs_f64())
-    }
-
     /// Writes that the store has accepted.
     pub fn landings(&self) -> u64 {
         self.landings
@@ -261,9 +257,9 @@
             return Admit::Grant;
         }
         let attached = self.is_attached(now);
-        let age = self.release_age(now);
+        let contact = self.contact;
         let account = self.accounts.entry(customer.to_owned()).or_default();
-        if account.reserve(cost, age) {
+        if account.reserve(cost, contact, now) {
             account.note_cost(cost);
             return Admit::Taken;
         }
@@ -290,11 +286,10 @@
 
     /// Whether the store has no tokens that the next write could bring for a request of `cost`.
     pub fn is_dry(&self, customer: &str, cost: u64, now: Instant) -> bool {
-        let age = self.release_age(now);
         let room = self
             .accounts
             .get(customer)
-            .map_or(0, |a| a.bound(age).saturating_sub(a.used()));
+            .map_or(0, |a| a.bound(self.contact, now).saturating_sub(a.used()));
         self.free(customer) + room < cost
     }
 
@@ -323,9 +318,18 @@
         account.rate.add(used, now);
     }
 
-    /// Takes over rows that were asked for at `asked`.
-    pub fn read(&mut self, rows: Rows, whole: bool, asked: Instant) {
+    /// Notes the store's steady clock, in milliseconds, from an answer that came at `received`. Each write
+    /// names the newest one, by which a successor tells the age of the row.
+    pub fn note_time(&mut self, time: u64, received: Instant) {
+        if time > self.seen.0 {
+            self.seen = (time, Some(received));
+        }
+    }
+
+    /// Takes over rows that were asked for at `asked` and came at `received`.
+    pub fn read(&mut self, rows: Rows, whole: bool, asked: Instant, received: Instant) {
         let now = rows.now;
+        self.note_time(now, received);
         if whole {
             self.known = true;
             self.audits = audit(&rows, &self.limits, |name| self.is_silent(name, asked));
@@ -339,7 +343,7 @@
                     }
                 }
                 Row::Daemon(name, version, row) if name == self.node => {
-                    self.read_own(version, row, now, asked);
+                    self.read_own(version, row, now, asked..received);
                 }
                 Row::Daemon(name, version, row) => {
                     let newer = self.others.get(&name).is_none_or(|(v, _)| version >= *v);
@@ -426,7 +430,7 @@
             DaemonRow {
                 process: self.process,
                 number: self.number,
-                seen: self.seen,
+                seen: self.seen.0,
                 peer: self.peer,
                 leaving: self.leaving,
                 grants: grants.clone(),
@@ -436,7 +440,10 @@
         if self.owned {
             for (name, grant) in &grants {
                 let account = self.accounts.entry(name.clone()).or_default();
-                account.doubt.push(*grant);
+                account.doubt.push(Doubt {
+                    grant: *grant,
+                    basis: self.seen.1.unwrap_or(sent),
+                });
             }
         }
         Plan {
@@ -474,13 +481,13 @@
                 }
                 self.contact = Some(now);
                 self.landings += 1;
-                self.seen = self.seen.max(time);
+                self.note_time(time, now);
             }
             Commit::Conflict(rows) => {
                 // The write did not happen, and an earlier one in doubt has either landed, which the
                 // rows show, or may still do so.
                 self.refused(plan);
-                self.read(rows, false, plan.sent);
+                self.read(rows, false, plan.sent, now);
             }
         }
     }
@@ -489,7 +496,7 @@
     pub fn refused(&mut self, plan: &Plan) {
         for (name, grant) in &plan.grants {
             if let Some(account) = self.accounts.get_mut(name)
-                && let Some(i) = account.doubt.iter().rposition(|g| g == grant)
+                && let Some(i) = account.doubt.iter().rposition(|d| d.grant == *grant)
             {
                 account.doubt.remove(i);
             }
--- a/edge/src/prepaid/ledger/takeover.rs
+++ b/edge/src/prepaid/ledger/takeover.rs
@@ -1,8 +1,11 @@
 //! Taking over the row of the process before.
 
-use std::time::{
-    Duration,
-    Instant, //
+use std::{
+    ops::Range,
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use super::{
@@ -14,8 +17,15 @@
 const CLOCK_ERROR: f64 = 1.02;
 
 impl Ledger {
-    /// Takes over the daemon's own row: its own write, or what the process before has left.
-    pub(super) fn read_own(&mut self, version: u64, row: DaemonRow, now: u64, asked: Instant) {
+    /// Takes over the daemon's own row: its own write, or what the process before has left. The store
+    /// read it within `call`, at `now` by its own clock.
+    pub(super) fn read_own(
+        &mut self,
+        version: u64,
+        row: DaemonRow,
+        now: u64,
+        call: Range<Instant>,
+    ) {
         if version < self.version {
             return;
         }
@@ -26,15 +36,18 @@
         if row.process == self.process {
             if version > self.version {
                 self.landed(version, row.number, &row.grants);
+                // The row may name a later time of the store than the last accepted write, so the release
+                // starts anew.
+                self.contact = self.contact.max(Some(call.end));
             }
             return;
         }
         self.version = version;
-        // The store's clock was read after `asked`, so this takes no more off than the time for which
+        // The store's clock was read after the call began, so this takes no more off than the time for which
         // the process before cannot have run.
-        let alone = self
-            .alone
-            .map_or(Duration::ZERO, |at| asked.saturating_duration_since(at));
+        let alone = self.alone.map_or(Duration::ZERO, |at| {
+            call.start.saturating_duration_since(at)
+        });
         let since = Duration::from_millis(now.saturating_sub(row.seen)).saturating_sub(alone);
         let age = since.as_secs_f64() * CLOCK_ERROR;
         let mut taken = row.clone();
--- a/edge/src/prepaid/mod.rs
+++ b/edge/src/prepaid/mod.rs
@@ -18,6 +18,7 @@
 };
 pub use grant::{
     Account,
+    Doubt,
     Grant, //
 };
 pub use ledger::{
--- a/edge/tests/budget_run.rs
+++ b/edge/tests/budget_run.rs
@@ -169,7 +169,7 @@
     ledger.set_limits(limits(1, 1_000_000));
     let name = "c0";
     for beat in 0..20 {
-        ledger.read(store.rows(beat * 400), true, at(beat * 400));
+        ledger.read(store.rows(beat * 400), true, at(beat * 400), at(beat * 400));
         let plan = ledger.plan(at(beat * 400), Vec::new()).unwrap();
         let commit = store.apply(&plan.batch, beat * 400);
         ledger.outcome(&plan, commit, at(beat * 400));
@@ -183,3 +183,60 @@
     let back = at(cut + 1_000) + admit.comes_back();
     assert_eq!(ledger.admit(name, cost, back), Admit::Taken);
 }
+
+/// Takes as much as the ledger gives at `now`, in small requests.
+fn drain(ledger: &mut Ledger, now: Instant) -> u64 {
+    let mut taken = 0;
+    while ledger.admit("c0", 100, now) == Admit::Taken {
+        taken += 100;
+    }
+    taken
+}
+
+/// A write that names a new time of the store lands, but its answer is lost. Returns what the holder spends
+/// 1 s after that time without the store, and what its successor charges then. With `found` the holder
+/// finds its write out by reading before.
+fn spend_after_a_lost_answer(found: bool) -> (u64, u64) {
+    let start = Instant::now();
+    let at = |ms: u64| start + Duration::from_millis(ms);
+    let mut store = FakeStore::default();
+    let mut holder = Ledger::new("vm-1", 1, None);
+    holder.set_limits(limits(1, 1_000_000));
+    for ms in [0, 400, 800] {
+        holder.read(store.rows(ms), true, at(ms), at(ms));
+        let plan = holder.plan(at(ms), Vec::new()).unwrap();
+        let commit = store.apply(&plan.batch, ms);
+        holder.outcome(&plan, commit, at(ms));
+    }
+    holder.read(store.rows(3_800), true, at(3_800), at(3_800));
+    let plan = holder.plan(at(3_900), Vec::new()).unwrap();
+    store.apply(&plan.batch, 3_900);
+    if found {
+        holder.read(store.rows(4_000), true, at(4_000), at(4_000));
+    }
+    let spent = drain(&mut holder, at(4_800));
+    let mut successor = Ledger::new("vm-1", 2, None);
+    successor.set_limits(limits(1, 1_000_000));
+    successor.read(store.rows(4_800), true, at(4_800), at(4_800));
+    let plan = successor.plan(at(4_800), Vec::new()).unwrap();
+    let commit = store.apply(&plan.batch, 4_800);
+    successor.outcome(&plan, commit, at(4_800));
+    (spent, successor.holding("c0").1)
+}
+
+/// Guards against a release by the last accepted write while a write in doubt names a later time of the
+/// store, by which a successor takes the row for young.
+#[test]
+fn a_write_in_doubt_holds_the_release_back() {
+    let (spent, charged) = spend_after_a_lost_answer(false);
+    assert!(spent <= charged, "{spent} spent, {charged} charged");
+    // The row tells that it is young: the successor charges a part of the reserve, not all of it.
+    assert!(charged < 50_000, "{charged}");
+}
+
+/// Guards against the same when the holder finds out by reading that its write has landed.
+#[test]
+fn a_write_found_out_by_reading_restarts_the_release() {
+    let (spent, charged) = spend_after_a_lost_answer(true);
+    assert!(spent <= charged, "{spent} spent, {charged} charged");
+}
--- a/edge/tests/budget_world/mod.rs
+++ b/edge/tests/budget_world/mod.rs
@@ -334,7 +334,7 @@
         }
         let asked = self.instant(i);
         if let Some(ledger) = &mut self.nodes[i].ledger {
-            ledger.read(rows, true, asked);
+            ledger.read(rows, true, asked, asked);
             let audits = ledger.audits().values();
             self.outcome.unbalanced += audits.filter(|audit| !audit.is_balanced()).count();
         }
