--- a/edge/src/prepaid/ledger/mod.rs
+++ b/edge/src/prepaid/ledger/mod.rs
@@ -1,5 +1,6 @@
 //! The state machine of a daemon's grants.
 
+mod admit;
 mod sizing;
 mod takeover;
 
@@ -15,6 +16,8 @@
     },
 };
 
+pub use admit::Admit;
+
 use super::{
     Account,
     Audit,
@@ -40,54 +43,10 @@
 /// Time since the last accepted write within which another write is likely to bring tokens.
 const ATTACHED: Duration = Duration::from_millis(900);
 
-/// Time after which tokens that other daemons hold have come back: several writes and readings.
-const GRANT_RETRY: Duration = Duration::from_millis(1500);
-
-/// Time after which a caller is asked to come back when the whole reserve is spent: planned cuts last up
-/// to 9 s, and half of that is over on average.
-const SPENT_RETRY: Duration = Duration::from_millis(4500);
-
 /// Time without a new version of a daemon's row after which its tokens count as orphaned. The longest
 /// cut that the users name is 9 s.
 const SILENT: Duration = Duration::from_secs(20);
 
-/// Whether a request's tokens could be taken.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Admit {
-    /// They were taken.
-    Taken,
-    /// There is no room now; the next write may bring it.
-    Grant,
-    /// There is no room now; the reserve that is released within this time brings it.
-    Release(Duration),
-    /// There is no room, and the store can't be asked for more.
-    Refused,
-    /// The customer's remaining tokens do not cover the request.
-    Exhausted,
-}
-
-impl Admit {
-    /// Time after which a caller that got no tokens is asked to come back. Answers a load that comes again
-    /// while the store is away: what is sent before the reserve is released is refused again.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// use std::time::Duration;
-    /// use cuminloom_edge::prepaid::Admit;
-    ///
-    /// let time = Duration::from_secs(3);
-    /// assert_eq!(Admit::Release(time).comes_back(), time);
-    /// ```
-    pub fn comes_back(self) -> Duration {
-        match self {
-            Admit::Release(time) => time.max(GRANT_RETRY),
-            Admit::Refused => SPENT_RETRY,
-            Admit::Taken | Admit::Grant | Admit::Exhausted => GRANT_RETRY,
-        }
-    }
-}
-
 /// Tokens that one request has taken.
 #[derive(Clone, Debug)]
 pub struct Spending {
