Mend what the read-through found

- cuminloom-fleetctl did not know two ways in which a send fails, because the daemon writes them with a hyphen; a test goes through all of them.
- Requests that the stand-alone listener refuses by their heads were no longer counted; refusals_state_that_nothing_ran asks for it now.
- The memory of crashing requests had no bound when each had crashed twice; the one with the fewest crashes is forgotten first.
- Verdict stood twice; both daemons now use the one of edge.
The limit on told strikes and a hand-written generator stood twice.
The seeded runs use rand.
- The experiments report errors with error-stack, and their figures are no longer named Result.

--- a/edge/src/decide/retry.rs
+++ b/edge/src/decide/retry.rs
@@ -1,6 +1,14 @@
 //! What happens after a failed send, against lost answers and failing runners.
 
-use std::time::Duration;
+use std::{
+    fmt,
+    time::Duration, //
+};
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 
 use crate::catalog::Repeat;
 
@@ -11,18 +19,32 @@
 const LEAST_PART: u32 = 10;
 
 /// Whether a request may have taken effect.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Verdict {
-    /// It has not run and never will.
+    /// It has not run and never will; repeating it is safe.
     NotRun,
-    /// It may have run.
+    /// It may have reached a runner.
     MayHaveRun,
-    /// It ran.
+    /// A runner has answered it.
     Ran,
 }
 
+impl fmt::Display for Verdict {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
 impl Verdict {
-    /// Name in log lines.
+    /// Name in log lines, header fields and bodies.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cuminloom_edge::decide::Verdict;
+    /// assert_eq!(Verdict::NotRun.as_str(), "not-run");
+    /// ```
     pub fn as_str(self) -> &'static str {
         match self {
             Verdict::NotRun => "not-run",
--- a/edge/src/decide/strike.rs
+++ b/edge/src/decide/strike.rs
@@ -15,13 +15,17 @@
 /// Time for which a crash counts.
 const MEMORY: Duration = Duration::from_secs(60);
 
-/// Requests that are remembered at most.
+/// Requests that are remembered at most; those with the fewest crashes are forgotten first, so that
+/// bystanders of a crash do not displace its cause.
 const MAX_ENTRIES: usize = 512;
 
+/// Requests that one row or answer names at most.
+const MAX_TOLD: usize = 32;
+
 /// Identifies a request that comes again by its customer, path and body.
 pub type Fingerprint = u64;
 
-/// Fingerprint of a request.
+/// Fingerprint of a request. Daemons that were built by different compilers may not agree.
 pub fn fingerprint(customer: &str, path: &str, body: &[u8]) -> Fingerprint {
     let mut hasher = std::hash::DefaultHasher::new();
     hasher.write(customer.as_bytes());
@@ -56,9 +60,11 @@
 impl Strikes {
     /// Notes that a runner crashed while it ran the request.
     pub fn crashed(&mut self, request: Fingerprint, now: Instant) {
-        if self.own.len() >= MAX_ENTRIES {
-            self.own
-                .retain(|_, (n, at)| *n > 1 && now.duration_since(*at) < MEMORY);
+        if self.own.len() >= MAX_ENTRIES && !self.own.contains_key(&request) {
+            let oldest = self.own.iter().min_by_key(|(_, (n, at))| (*n, *at));
+            if let Some(oldest) = oldest.map(|(f, _)| *f) {
+                self.own.remove(&oldest);
+            }
         }
         let entry = self.own.entry(request).or_insert((0, now));
         entry.0 += 1;
@@ -68,7 +74,8 @@
     /// Takes over what the daemon `name` has counted.
     pub fn told(&mut self, name: &str, counts: &[(Fingerprint, u32)], now: Instant) {
         if self.others.len() >= MAX_ENTRIES {
-            self.others.clear();
+            let recent = |(_, at): &(u32, Instant)| now.duration_since(*at) < MEMORY;
+            self.others.retain(|_, m| m.values().any(recent));
         }
         for (request, n) in counts {
             self.others
@@ -79,7 +86,7 @@
     }
 
     /// Crashes that this daemon has seen within the last minute, most first, for the other daemons.
-    pub fn own(&self, now: Instant, most: usize) -> Vec<(Fingerprint, u32)> {
+    pub fn own(&self, now: Instant) -> Vec<(Fingerprint, u32)> {
         let mut list: Vec<(Fingerprint, u32, Instant)> = self
             .own
             .iter()
@@ -87,7 +94,7 @@
             .map(|(f, (n, at))| (*f, *n, *at))
             .collect();
         list.sort_by_key(|(_, n, at)| (std::cmp::Reverse(*n), std::cmp::Reverse(*at)));
-        list.truncate(most);
+        list.truncate(MAX_TOLD);
         list.into_iter().map(|(f, n, _)| (f, n)).collect()
     }
 
--- a/edge/src/fleet/follow.rs
+++ b/edge/src/fleet/follow.rs
@@ -125,7 +125,9 @@
                 sleep(PAUSE).await;
             }
         }
-        let gone = core.directory.borrow_mut().expire(Instant::now());
+        let now = Instant::now();
+        core.sweep(now);
+        let gone = core.directory.borrow_mut().expire(now);
         for id in gone {
             log::info!("event=runner_gone runner={id} cause=lapsed");
         }
--- a/edge/src/fleet/peers.rs
+++ b/edge/src/fleet/peers.rs
@@ -69,9 +69,6 @@
 /// Age of an answerer's own confirmation up to which its answer confirms the configuration.
 const CONFIRM_AGE: Duration = Duration::from_millis(1500);
 
-/// Requests that crash runners, in one answer.
-const MAX_STRIKES: usize = 32;
-
 /// Time for which a question is awaited on an open link.
 const LINK_IDLE: Duration = Duration::from_secs(5);
 
@@ -217,7 +214,7 @@
                 .map(|r| (&**r).into())
                 .collect()
         }),
-        strikes: core.strikes.borrow().own(now, MAX_STRIKES),
+        strikes: core.strikes.borrow().own(now),
     }
 }
 
--- a/edge/src/fleet/writer.rs
+++ b/edge/src/fleet/writer.rs
@@ -35,9 +35,6 @@
 /// Pause after a failed call.
 const PAUSE: Duration = Duration::from_millis(100);
 
-/// Crashing requests that the row names at most.
-const MAX_STRIKES: usize = 32;
-
 /// Reads the rows of all daemons for as long as the process runs.
 pub async fn follow_rows<D, S: Store>(core: Rc<Core<D>>, store: Rc<S>) {
     loop {
@@ -125,7 +122,7 @@
 /// Writes the row once. Returns whether to write again at once.
 async fn write_once<D, S: Store>(core: &Core<D>, store: &S, lost: &mut Option<Instant>) -> bool {
     let now = Instant::now();
-    let strikes = core.strikes.borrow().own(now, MAX_STRIKES);
+    let strikes = core.strikes.borrow().own(now);
     let plan = core.ledger.borrow_mut().plan(now, strikes);
     let Some(plan) = plan else {
         return false;
--- a/edge/src/serve/core.rs
+++ b/edge/src/serve/core.rs
@@ -236,6 +236,11 @@
             .retain(|id, _| directory.get(id).is_some());
     }
 
+    /// Closes kept connections to runners whose time has passed.
+    pub fn sweep(&self, now: Instant) {
+        self.upstreams.borrow().values().for_each(|u| u.sweep(now));
+    }
+
     /// Runs `f` on the retry allowance of `service`.
     pub fn allowance<R>(&self, service: &ServiceId, f: impl FnOnce(&mut Allowance) -> R) -> R {
         let mut map = self.allowances.borrow_mut();
--- a/edge/tests/budget_world/mod.rs
+++ b/edge/tests/budget_world/mod.rs
@@ -1,6 +1,7 @@
 //! Several ledgers, a store that loses and delays writes, kills, cuts and freezes, on a clock of its
 //! own. The world counts what requests truly consume.
 
+mod faults;
 pub(crate) mod store;
 
 use std::{
@@ -21,8 +22,18 @@
     Rows,
     Spending, //
 };
+use rand::{
+    RngExt,
+    SeedableRng,
+    rngs::StdRng, //
+};
 use store::FakeStore;
 
+pub(crate) use faults::{
+    Faults,
+    Outcome, //
+};
+
 /// Length of one step, in milliseconds.
 pub(crate) const STEP_MS: u64 = 50;
 
@@ -38,28 +49,12 @@
 /// Writes that one request waits for at most, with conflicts.
 const MAX_WRITES: usize = 8;
 
-/// Small generator with a fixed seed.
-pub(crate) struct Random(u64);
-
-impl Random {
-    pub(crate) fn new(seed: u64) -> Random {
-        Random(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1)
-    }
-
-    pub(crate) fn next(&mut self) -> u64 {
-        self.0 ^= self.0 << 13;
-        self.0 ^= self.0 >> 7;
-        self.0 ^= self.0 << 17;
-        self.0
-    }
-
-    pub(crate) fn below(&mut self, n: u64) -> u64 {
-        self.next() % n.max(1)
-    }
+fn below(random: &mut StdRng, n: u64) -> u64 {
+    random.random_range(0..n.max(1))
+}
 
-    pub(crate) fn chance(&mut self, percent: u64) -> bool {
-        self.below(100) < percent
-    }
+fn chance(random: &mut StdRng, percent: u64) -> bool {
+    below(random, 100) < percent
 }
 
 struct OpenRequest {
@@ -83,39 +78,9 @@
     consumed: u64,
 }
 
-/// Rates of the faults, in percent of the seconds of a daemon.
-#[derive(Clone, Copy, Default)]
-pub(crate) struct Faults {
-    pub(crate) kill: u64,
-    pub(crate) cut: u64,
-    pub(crate) freeze: u64,
-    pub(crate) lost: u64,
-    pub(crate) late: u64,
-    pub(crate) kill_all_at: Option<u64>,
-    /// Time until a killed process runs again, in milliseconds; random up to 4.5 s without it.
-    pub(crate) down: Option<u64>,
-    pub(crate) cut_all_at: Option<u64>,
-    /// Lets a restarted process believe that nothing was spent after the row was written.
-    pub(crate) trusting_restart: bool,
-}
-
-/// What a run has come to.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Outcome {
-    pub(crate) asked: u64,
-    pub(crate) served: u64,
-    pub(crate) refused: u64,
-    pub(crate) refused_fitting: u64,
-    pub(crate) overspent: u64,
-    pub(crate) writes: u64,
-    pub(crate) uncommitted: u64,
-    /// Readings in which limit = billed + held + orphaned + free did not hold.
-    pub(crate) unbalanced: usize,
-}
-
 pub(crate) struct World {
     pub(crate) store: FakeStore,
-    random: Random,
+    random: StdRng,
     start: Instant,
     now: u64,
     nodes: Vec<Node>,
@@ -136,7 +101,7 @@
     ) -> World {
         let mut world = World {
             store: FakeStore::default(),
-            random: Random::new(seed),
+            random: StdRng::seed_from_u64(seed),
             start: Instant::now(),
             now: 0,
             nodes: Vec::new(),
@@ -215,7 +180,8 @@
                 self.step(i);
             }
             let requests = per_second * STEP_MS;
-            let whole = requests / 1000 + u64::from(self.random.below(1000) < requests % 1000);
+            let whole =
+                requests / 1000 + u64::from(below(&mut self.random, 1000) < requests % 1000);
             for _ in 0..whole {
                 self.request();
             }
@@ -228,15 +194,15 @@
         let second = self.now.is_multiple_of(1000);
         for i in 0..self.nodes.len() {
             let f = self.faults;
-            if f.kill_all_at == Some(self.now) || (second && self.random.chance(f.kill)) {
-                let down = 500 + self.random.below(4000);
+            if f.kill_all_at == Some(self.now) || (second && chance(&mut self.random, f.kill)) {
+                let down = 500 + below(&mut self.random, 4000);
                 self.kill(i, f.down.unwrap_or(down));
             }
-            if f.cut_all_at == Some(self.now) || (second && self.random.chance(f.cut)) {
-                self.nodes[i].cut = self.now + 1000 + self.random.below(8000);
+            if f.cut_all_at == Some(self.now) || (second && chance(&mut self.random, f.cut)) {
+                self.nodes[i].cut = self.now + 1000 + below(&mut self.random, 8000);
             }
-            if second && self.random.chance(f.freeze) {
-                self.nodes[i].frozen = self.now + 500 + self.random.below(6000);
+            if second && chance(&mut self.random, f.freeze) {
+                self.nodes[i].frozen = self.now + 500 + below(&mut self.random, 6000);
             }
         }
     }
@@ -358,14 +324,14 @@
     }
 
     fn send(&mut self, i: usize, plan: &Plan, instant: Instant) {
-        if self.random.chance(self.faults.late) {
-            let at = self.now + 1000 + self.random.below(5000);
+        if chance(&mut self.random, self.faults.late) {
+            let at = self.now + 1000 + below(&mut self.random, 5000);
             self.late.push((at, plan.batch.clone()));
             self.nodes[i].waiting = Some(self.now + ANSWER_MS);
             return;
         }
         let commit = self.store.apply(&plan.batch, self.now);
-        if self.random.chance(self.faults.lost) {
+        if chance(&mut self.random, self.faults.lost) {
             self.nodes[i].waiting = Some(self.now + ANSWER_MS);
             return;
         }
@@ -379,15 +345,16 @@
     }
 
     fn request(&mut self) {
-        let i = self.random.below(self.nodes.len() as u64) as usize;
+        let i = below(&mut self.random, self.nodes.len() as u64) as usize;
         let mut names: Vec<String> = self.limits.keys().cloned().collect();
         names.sort();
         // The first customer sends half of the requests.
-        let pick = self.random.below(2 * names.len() as u64) as usize;
+        let pick = below(&mut self.random, 2 * names.len() as u64) as usize;
         let customer = names.get(pick).unwrap_or(&names[0]).clone();
-        let cost = 300 + self.random.below(3000) + u64::from(self.random.chance(10)) * 20_000;
-        let used = cost / 2 + self.random.below(cost / 2 + 1);
-        let ends = self.now + 100 + self.random.below(3000);
+        let cost =
+            300 + below(&mut self.random, 3000) + u64::from(chance(&mut self.random, 10)) * 20_000;
+        let used = cost / 2 + below(&mut self.random, cost / 2 + 1);
+        let ends = self.now + 100 + below(&mut self.random, 3000);
         let instant = self.instant(i);
         if self.now < self.nodes[i].frozen {
             return;
--- a/edge/tests/decisions.rs
+++ b/edge/tests/decisions.rs
@@ -216,6 +216,20 @@
     assert!(!strikes.is_refused(7, now + Duration::from_secs(120)));
 }
 
+/// A crash under many requests: guards against bystanders that displace the request that caused it.
+#[test]
+fn bystanders_do_not_displace_a_crashing_request() {
+    let now = Instant::now();
+    let mut strikes = Strikes::default();
+    strikes.crashed(7, now);
+    strikes.crashed(7, now);
+    let later = now + Duration::from_secs(1);
+    (100..3_000).for_each(|request| strikes.crashed(request, later));
+    assert!(strikes.is_refused(7, later));
+    assert!(!strikes.is_refused(100, later));
+    assert_eq!(strikes.own(later).first(), Some(&(7, 2)));
+}
+
 fn runner(id: &str, state: RunnerState) -> Runner {
     Runner {
         id: id.into(),
--- a/experiments/src/main.rs
+++ b/experiments/src/main.rs
@@ -6,7 +6,7 @@
 mod policy;
 
 use std::{
-    error::Error,
+    fmt,
     path::{
         Path,
         PathBuf, //
@@ -19,6 +19,10 @@
     value_parser, //
 };
 use engine::Engine;
+use error_stack::{
+    Report,
+    ResultExt, //
+};
 use load::{
     Random,
     Shape,
@@ -40,6 +44,18 @@
     View, //
 };
 
+/// The plot could not be drawn.
+#[derive(Debug)]
+struct PlotFault;
+
+impl fmt::Display for PlotFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the plot can't be drawn")
+    }
+}
+
+impl std::error::Error for PlotFault {}
+
 /// Daemons, as on the first site.
 const DAEMONS: usize = 7;
 
@@ -57,14 +73,14 @@
 
 /// What a run has come to.
 #[derive(Clone, Copy, Debug)]
-struct Result {
+struct Figures {
     on_time: f64,
     median: u64,
     p95: u64,
     again: u64,
 }
 
-fn play(seed: u64, shape: Shape, factor: f64, policy: Policy) -> Result {
+fn play(seed: u64, shape: Shape, factor: f64, policy: Policy) -> Figures {
     let requests = generate(seed, shape, factor, SECONDS, DAEMONS);
     let names: Vec<String> = (0..ENGINES).map(|i| format!("engine-{i}")).collect();
     let mut random = Random::new(seed + 1);
@@ -119,7 +135,7 @@
     summary(&requests, &times, &engines)
 }
 
-fn summary(requests: &[load::Request], times: &[Option<u64>], engines: &[Engine]) -> Result {
+fn summary(requests: &[load::Request], times: &[Option<u64>], engines: &[Engine]) -> Figures {
     let in_time = requests
         .iter()
         .zip(times)
@@ -128,7 +144,7 @@
     let mut sorted: Vec<u64> = times.iter().map(|t| t.unwrap_or(PATIENCE_MS)).collect();
     sorted.sort_unstable();
     let at = |part: usize| sorted.get((sorted.len().max(1) - 1) * part / 100).copied();
-    Result {
+    Figures {
         on_time: in_time as f64 / requests.len().max(1) as f64,
         median: at(50).unwrap_or(0),
         p95: at(95).unwrap_or(0),
@@ -154,19 +170,21 @@
     }
 }
 
-fn plot(path: &Path, seed: u64) -> std::result::Result<(), Box<dyn Error>> {
+fn plot(path: &Path, seed: u64) -> Result<(), Report<PlotFault>> {
     let root = SVGBackend::new(path, (800, 500)).into_drawing_area();
-    root.fill(&WHITE)?;
+    root.fill(&WHITE).change_context(PlotFault)?;
     let mut chart = ChartBuilder::on(&root)
         .margin(20)
         .x_label_area_size(40)
         .y_label_area_size(60)
-        .build_cartesian_2d(FACTORS[0]..FACTORS[FACTORS.len() - 1], 0.0..1.0)?;
+        .build_cartesian_2d(FACTORS[0]..FACTORS[FACTORS.len() - 1], 0.0..1.0)
+        .change_context(PlotFault)?;
     chart
         .configure_mesh()
         .x_desc("load, times the sheet")
         .y_desc("first event within the objective")
-        .draw()?;
+        .draw()
+        .change_context(PlotFault)?;
     for (i, (policy, name)) in Policy::ALL.into_iter().enumerate() {
         let points: Vec<(f64, f64)> = FACTORS
             .into_iter()
@@ -174,19 +192,21 @@
             .collect();
         let color = Palette99::pick(i).mix(1.0);
         chart
-            .draw_series(LineSeries::new(points, color.stroke_width(2)))?
+            .draw_series(LineSeries::new(points, color.stroke_width(2)))
+            .change_context(PlotFault)?
             .label(name)
             .legend(move |(x, y)| PathElement::new([(x, y), (x + 20, y)], color));
     }
     chart
         .configure_series_labels()
         .background_style(WHITE)
-        .draw()?;
-    root.present()?;
+        .draw()
+        .change_context(PlotFault)?;
+    root.present().change_context(PlotFault)?;
     Ok(())
 }
 
-fn main() -> std::result::Result<(), Box<dyn Error>> {
+fn main() -> Result<(), Report<PlotFault>> {
     let matches = Command::new("cuminloom-experiments")
         .about("Replays loads against the placement of cuminloom and against baselines.")
         .arg(
--- a/fleetctl/src/explain.rs
+++ b/fleetctl/src/explain.rs
@@ -137,8 +137,8 @@
         }
         "crashes_runners" => "it crashed runners before",
         "no_runner" => "no runner could take it in time; `placed` tells what each send saw",
-        "no_connection" => "no connection to a runner was accepted",
-        "turned_away" => "runners turned it away as not run",
+        "no-connection" => "no connection to a runner was accepted",
+        "turned-away" => "runners turned it away as not run",
         "broken" => "a runner broke its answer off",
         "silent" => "a runner fell silent and accepted no connection",
         "failed" => "a runner answered with a failure of its own",
--- a/fleetctl/src/main.rs
+++ b/fleetctl/src/main.rs
@@ -12,7 +12,6 @@
 
 use clap::{
     Arg,
-    ArgAction,
     ArgMatches,
     Command,
     value_parser, //
@@ -107,13 +106,6 @@
                         .multiple(true),
                 ),
         )
-        .arg(
-            Arg::new("quiet")
-                .long("quiet")
-                .global(true)
-                .action(ArgAction::SetTrue)
-                .help("Print failures only"),
-        )
 }
 
 fn read(path: &Path) -> Result<Vec<u8>, Report<CommandFault>> {
@@ -189,9 +181,7 @@
     };
     match result {
         Ok((text, code)) => {
-            if !matches.get_flag("quiet") || code != ExitCode::SUCCESS {
-                print!("{text}");
-            }
+            print!("{text}");
             code
         }
         Err(report) => {
--- a/fleetctl/tests/tool.rs
+++ b/fleetctl/tests/tool.rs
@@ -15,7 +15,14 @@
     thread,
 };
 
-use cuminloom_fleetctl::line::Line;
+use cuminloom_edge::decide::Failure;
+use cuminloom_fleetctl::{
+    explain::{
+        explain,
+        read_log, //
+    },
+    line::Line, //
+};
 use quickcheck::{
     Gen,
     QuickCheck, //
@@ -84,6 +91,23 @@
     assert_eq!(none.status.code(), Some(1));
 }
 
+/// Guards against a way of failing that the daemon logs and the tool does not know.
+#[test]
+fn each_failed_send_has_a_cause_in_words() {
+    let all = [
+        Failure::NoConnection,
+        Failure::TurnedAway,
+        Failure::Broken,
+        Failure::Silent,
+        Failure::Failed,
+    ];
+    for code in all.map(Failure::as_str) {
+        let line = format!("t=1 event=request_done id=r-1 status=502 code={code} verdict=-");
+        let text = explain(&read_log("vm-1", &line), "r-1").unwrap();
+        assert!(!text.contains("not known"), "{text}");
+    }
+}
+
 /// Guards against an audit that takes lost tokens for a balance.
 #[test]
 fn an_audit_fails_when_tokens_do_not_add_up() {
--- a/src/caller/run.rs
+++ b/src/caller/run.rs
@@ -415,7 +415,8 @@
     refuse(request, fault)
 }
 
-fn count(ctx: &Context, service: &str, fault: Option<&Fault>) {
+/// Counts an ended request by its service, empty if none was found.
+pub(super) fn count(ctx: &Context, service: &str, fault: Option<&Fault>) {
     let (code, verdict) = match fault {
         None => ("ok", Verdict::Ran),
         Some(fault) => (fault.code.as_str(), fault.verdict),
--- a/src/caller/server.rs
+++ b/src/caller/server.rs
@@ -118,13 +118,16 @@
         }
         let config = self.0.config.load();
         let known = customer(&head.fields, &config);
-        known
-            .map(drop)
-            .map_err(|fault| fault_reply(fault.code.status(), &fault))
+        known.map(drop).map_err(|fault| {
+            run::count(&self.0, "", Some(&fault));
+            fault_reply(fault.code.status(), &fault)
+        })
     }
 
     fn reject(&self, rejection: Rejection) -> Reply {
-        fault_reply(rejection.status, &fault_of(rejection))
+        let fault = fault_of(rejection);
+        run::count(&self.0, "", Some(&fault));
+        fault_reply(rejection.status, &fault)
     }
 
     fn serve(&self, request: Request) {
--- a/src/model/fault.rs
+++ b/src/model/fault.rs
@@ -11,41 +11,7 @@
     Serialize, //
 };
 
-/// Whether a request that failed may have taken effect at its target.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Verdict {
-    /// No byte of the request reached a target; repeating it is safe.
-    NotRun,
-    /// The request may have reached a target.
-    MayHaveRun,
-    /// The target answered.
-    Ran,
-}
-
-impl Verdict {
-    /// Name of the verdict as used in headers and bodies.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// use cuminloom::model::Verdict;
-    /// assert_eq!(Verdict::NotRun.as_str(), "not-run");
-    /// ```
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Verdict::NotRun => "not-run",
-            Verdict::MayHaveRun => "may-have-run",
-            Verdict::Ran => "ran",
-        }
-    }
-}
-
-impl fmt::Display for Verdict {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(self.as_str())
-    }
-}
+pub use cuminloom_edge::decide::Verdict;
 
 /// Machine-readable reason of a failure.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
--- a/standins/tests/callers.rs
+++ b/standins/tests/callers.rs
@@ -100,6 +100,12 @@
             .unwrap();
         check(&models, 401, "unauthorized", "not-run");
     }
+    let metrics = world.request(Method::Get, "/metrics", KEY).send().unwrap();
+    let counted = "code=\"unauthorized\"";
+    assert!(
+        metrics.as_str().unwrap().contains(counted),
+        "a refusal by the head is counted"
+    );
     // "chat" belongs to the other customer, "chap" to nobody.
     let ask_for = |name: &str| {
         let request = world.request(Method::Post, CHAT, OTHER_KEY);
