--- a/edge/src/catalog/runner.rs
+++ b/edge/src/catalog/runner.rs
@@ -56,6 +56,30 @@
 ///
 /// Entries that vanish while the store is disturbed stay usable until the runner has had time to
 /// register again.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::{Duration, Instant};
+/// use cuminloom_edge::catalog::{Directory, Runner, RunnerChange, RunnerState};
+///
+/// let now = Instant::now();
+/// let runner = Runner {
+///     id: "i-1".into(),
+///     service: "desk".into(),
+///     address: "127.0.0.1:8080".parse().unwrap(),
+///     zone: "z-1".into(),
+///     slots: 8,
+///     state: RunnerState::Ready,
+///     born: 1_700_000_000_000,
+/// };
+/// let mut directory = Directory::default();
+/// directory.apply(RunnerChange::Put(runner), now);
+/// directory.store_returned(now, Duration::from_secs(2));
+/// directory.apply(RunnerChange::Gone("i-1".into()), now);
+/// assert_eq!(directory.ready("desk", now).count(), 1);
+/// assert_eq!(directory.ready("desk", now + Duration::from_secs(2)).count(), 0);
+/// ```
 #[derive(Debug, Default)]
 pub struct Directory {
     runners: HashMap<RunnerId, Arc<Runner>>,
--- a/edge/src/http/head.rs
+++ b/edge/src/http/head.rs
@@ -298,6 +298,18 @@
 /// # Errors
 ///
 /// Fails if the bytes are no HTTP/1 head or the framing is not clear.
+///
+/// # Examples
+///
+/// ```
+/// use bytes::BytesMut;
+/// use cuminloom_edge::http::{Framing, parse_response};
+///
+/// let mut buf = BytesMut::from("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+/// let head = parse_response(&mut buf).unwrap().unwrap();
+/// assert_eq!((head.status, head.framing), (200, Framing::Length(2)));
+/// assert_eq!(&buf[..], b"ok");
+/// ```
 pub fn parse_response(buf: &mut BytesMut) -> Result<Option<ResponseHead>, HeadFault> {
     let size = {
         let mut headers = [httparse::EMPTY_HEADER; MAX_FIELDS];
--- a/edge/src/prepaid/ledger/mod.rs
+++ b/edge/src/prepaid/ledger/mod.rs
@@ -67,6 +67,26 @@
 }
 
 /// State of the daemon's grants.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Instant;
+/// use cuminloom_edge::prepaid::{Admit, Commit, Ledger, Rows};
+///
+/// let now = Instant::now();
+/// let mut ledger = Ledger::new("vm-1", 1, None);
+/// ledger.set_limits([("ann".to_owned(), 1_000)].into());
+/// assert_eq!(ledger.admit("ann", 100, now), Admit::Grant);
+/// // The store has no rows yet. The first write takes the row, the second one draws tokens.
+/// ledger.read(Rows::default(), true, now, now);
+/// for version in [1, 2] {
+///     ledger.want("ann", 100, true);
+///     let plan = ledger.plan(now, Vec::new()).unwrap();
+///     ledger.outcome(&plan, Commit::Done { version, now: version }, now);
+/// }
+/// assert_eq!(ledger.admit("ann", 100, now), Admit::Taken);
+/// ```
 #[derive(Debug)]
 pub struct Ledger {
     node: String,
--- a/src/mirror/mod.rs
+++ b/src/mirror/mod.rs
@@ -8,6 +8,7 @@
 mod request;
 mod seal;
 mod state;
+mod step;
 mod witness;
 
 pub use choose::{
--- a/src/mirror/seal.rs
+++ b/src/mirror/seal.rs
@@ -14,6 +14,10 @@
     State,
     fence_key,
     ledger_key,
+    step::{
+        Kind,
+        Step, //
+    },
     witness::Record, //
 };
 use crate::{
@@ -43,37 +47,6 @@
 /// Rows per page when the budgets of an incarnation are not known.
 const PAGE: usize = 64;
 
-#[derive(Debug)]
-enum Step {
-    Fence,
-    Ledger,
-    Batch,
-    Put,
-    Commit,
-    /// Reads the object of a seal that was committed before.
-    Resume,
-    /// Collects the budgets of an incarnation without a record.
-    List(Arc<str>),
-    Read,
-    Settle(Version, budget::Row),
-    Mark,
-    Done {
-        /// Whether the records of the incarnation are no longer needed.
-        drop: bool,
-    },
-}
-
-/// On whose behalf the procedure runs.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Kind {
-    /// The witness seals.
-    Witness,
-    /// Daemon and witness are both lost, or the sealer is.
-    Third,
-    /// The incarnation is sealed and its VM is absent: returns its orphans.
-    Release,
-}
-
 /// The seal of one incarnation: fixes its final account, seals its fence row, and settles its
 /// budget rows. Each step can be repeated.
 #[derive(Debug)]
