--- a/edge/src/fleet/feeds.rs
+++ b/edge/src/fleet/feeds.rs
@@ -171,8 +171,11 @@
     }
 }
 
-/// Counts one call to the store in the metrics.
+/// Counts one call to the store in the metrics, and records that the link works if it was answered.
 pub(super) fn count_store_call<D>(core: &Core<D>, call: &str, outcome: &str) {
+    if outcome != "failed" {
+        core.link.record(Instant::now());
+    }
     core.metrics
         .store_calls
         .with_label_values(&[call, outcome])
--- a/edge/src/fleet/peers.rs
+++ b/edge/src/fleet/peers.rs
@@ -231,6 +231,7 @@
     own: SocketAddr,
 ) {
     let round = Cell::new(0_u64);
+    let mut reached = true;
     loop {
         sleep(QUERY_PAUSE).await;
         let age = core.config_age_ms(Instant::now());
@@ -239,13 +240,19 @@
         }
         round.set(round.get() + 1);
         let chosen = choose_peers(&core, &seeds, own, round.get());
+        let asked = chosen.len();
+        let replies = Rc::new(Cell::new(0_usize));
         let mut tasks = Vec::new();
         for address in chosen {
+            let replies = Rc::clone(&replies);
             let core = Rc::clone(&core);
             let store = Rc::clone(&store);
             tasks.push(spawn_local(async move {
                 match timeout(QUERY_TIMEOUT, query_peer(&core, address)).await {
-                    Ok(Ok(reply)) => apply_reply(&core, &*store, reply),
+                    Ok(Ok(reply)) => {
+                        replies.set(replies.get() + 1);
+                        apply_reply(&core, &*store, reply);
+                    }
                     Ok(Err(e)) => {
                         log::debug!("event=peer_unreachable peer={address} error=\"{e}\"")
                     }
@@ -258,6 +265,14 @@
                 log::warn!("event=task_failed task=ask_peer error=\"{e}\"");
             }
         }
+        if reached != (replies.get() > 0) {
+            reached = !reached;
+            log::info!(
+                "event=peers_{} asked={asked} replied={}",
+                if reached { "reached" } else { "lost" },
+                replies.get()
+            );
+        }
     }
 }
 
@@ -310,6 +325,7 @@
 /// Applies a reply: configuration, its confirmation, strikes and runners.
 fn apply_reply<D, S: Store>(core: &Core<D>, store: &S, reply: PeerReply) {
     let now = Instant::now();
+    core.link.record(now);
     if let Some(bytes) = reply.config {
         match store.decode_config(&bytes) {
             Ok(config) => {
--- a/edge/src/fleet/rows.rs
+++ b/edge/src/fleet/rows.rs
@@ -22,6 +22,7 @@
     },
     prepaid::{
         Audit,
+        Batch,
         CommitOutcome,
         Ledger,
         WRITE_INTERVAL, //
@@ -32,6 +33,9 @@
 /// Interval between two reads of all rows.
 const READ_INTERVAL: Duration = Duration::from_millis(1000);
 
+/// Response time of the store from which a commit is logged as slow.
+const SLOW_COMMIT: Duration = Duration::from_millis(100);
+
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -42,6 +46,11 @@
         match store.fetch_rows().await {
             Ok(rows) => {
                 count_store_call(&core, "rows", "ok");
+                log::info!(
+                    "event=rows_read count={} ms={}",
+                    rows.rows.len(),
+                    asked.elapsed().as_millis()
+                );
                 let old = core.ledger.borrow().audits().clone();
                 core.ledger
                     .borrow_mut()
@@ -125,6 +134,21 @@
     }
 }
 
+/// Logs a commit that conflicted or that the store took long for.
+fn log_commit(batch: &Batch, commit: &CommitOutcome, sent: Instant) {
+    let time = sent.elapsed();
+    let outcome = match commit {
+        CommitOutcome::Conflict(_) => "conflict",
+        CommitOutcome::Done { .. } if time >= SLOW_COMMIT => "slow",
+        CommitOutcome::Done { .. } => return,
+    };
+    log::info!(
+        "event=commit outcome={outcome} customers={} ms={}",
+        batch.customers.len(),
+        time.as_millis()
+    );
+}
+
 /// Writes the row once. Returns whether to write again at once, because of a conflict.
 async fn write_once<D, S: Store>(core: &Core<D>, store: &S, lost: &mut Option<Instant>) -> bool {
     let now = Instant::now();
@@ -137,6 +161,7 @@
         Ok(commit) => {
             let conflict = matches!(commit, CommitOutcome::Conflict(_));
             count_store_call(core, "commit", if conflict { "conflict" } else { "ok" });
+            log_commit(&plan.batch, &commit, now);
             if let Some(at) = lost.take() {
                 log::info!(
                     "event=writes_regained after_ms={}",
--- a/edge/src/serve/core.rs
+++ b/edge/src/serve/core.rs
@@ -17,7 +17,10 @@
 
 use tokio::sync::Notify;
 
-use super::Upstream;
+use super::{
+    LinkActivity,
+    Upstream, //
+};
 use crate::{
     accept::Shutdown,
     adapter::ConfigVersion,
@@ -77,6 +80,8 @@
     pub bounds: Cell<Bounds>,
     /// Metrics.
     pub metrics: Metrics,
+    /// Bytes received from other machines.
+    pub link: Rc<LinkActivity>,
     /// Prepaid budgets.
     pub ledger: RefCell<Ledger>,
     /// Notified when tokens may have become available; wakes requests that wait for them.
@@ -125,6 +130,7 @@
             zone: Arc::from(zone),
             bounds: Cell::new(bounds),
             metrics,
+            link: Rc::new(LinkActivity::new(Instant::now())),
             ledger: RefCell::new(ledger),
             tokens_freed: Notify::new(),
             writer_wake: Notify::new(),
@@ -232,7 +238,7 @@
         if let Some(upstream) = known {
             return upstream;
         }
-        let upstream = Rc::new(Upstream::new(Arc::clone(runner)));
+        let upstream = Rc::new(Upstream::new(Arc::clone(runner), Rc::clone(&self.link)));
         map.insert(Arc::clone(&runner.id), Rc::clone(&upstream));
         upstream
     }
--- a/edge/src/serve/mod.rs
+++ b/edge/src/serve/mod.rs
@@ -5,6 +5,7 @@
 mod core;
 mod exchange;
 mod handler;
+mod link;
 mod ready;
 mod relay;
 mod response;
@@ -16,5 +17,6 @@
     Bounds,
     Core, //
 };
+pub use link::LinkActivity;
 pub use ready::bind_ready;
 pub use upstream::Upstream;
--- a/edge/src/serve/send.rs
+++ b/edge/src/serve/send.rs
@@ -145,6 +145,7 @@
         let prefill = Duration::from_millis(
             (upstream.backlog_tokens().max(prompt_tokens)) / MIN_PREFILL_PER_MS,
         );
+        let begun = Instant::now();
         match timeout(MAX_SILENCE + prefill, connection.fill()).await {
             Ok(Ok(n)) => {
                 upstream.mark_alive(Instant::now());
@@ -153,7 +154,18 @@
             Ok(Err(e)) => return Err(SendError::new(Failure::Broken, e.to_string())),
             Err(_) if upstream.silence(Instant::now()) < MAX_SILENCE => {}
             Err(_) => {
+                let probed = Instant::now();
                 if upstream.is_unreachable().await {
+                    log::info!(
+                        "event=runner_silent runner={} silent_ms={} late_ms={} probe_ms={} link_quiet_ms={}",
+                        upstream.runner.borrow().id,
+                        upstream.silence(probed).as_millis(),
+                        (probed - begun)
+                            .saturating_sub(MAX_SILENCE + prefill)
+                            .as_millis(),
+                        probed.elapsed().as_millis(),
+                        upstream.link.silence(Instant::now()).as_millis()
+                    );
                     upstream.mark_down(Instant::now());
                     return Err(SendError::new(
                         Failure::Silent,
--- a/edge/src/serve/upstream.rs
+++ b/edge/src/serve/upstream.rs
@@ -15,6 +15,7 @@
     },
 };
 
+use super::LinkActivity;
 use crate::{
     adapter::Load,
     catalog::Runner,
@@ -77,6 +78,8 @@
 
 /// State that the daemon keeps for one runner.
 pub struct Upstream {
+    /// Bytes received from any other machine, to tell a silent runner from a stalled link.
+    pub link: Rc<LinkActivity>,
     /// Newest entry of the runner.
     pub runner: RefCell<Arc<Runner>>,
     /// Open connections without a request.
@@ -105,8 +108,9 @@
 
 impl Upstream {
     /// Creates the state of a runner that has not been used yet.
-    pub fn new(runner: Arc<Runner>) -> Upstream {
+    pub fn new(runner: Arc<Runner>, link: Rc<LinkActivity>) -> Upstream {
         Upstream {
+            link,
             runner: RefCell::new(runner),
             idle: RefCell::default(),
             in_flight: Cell::new(0),
@@ -227,6 +231,7 @@
     /// Records that the runner has sent bytes or accepted a connection.
     pub fn mark_alive(&self, now: Instant) {
         self.last_heard.set(now);
+        self.link.record(now);
         if self.down_until.get().is_some() {
             self.down_until.set(None);
             self.down_time.set(MIN_DOWN_TIME);
