Keep waiting for a silent runner when the request can't be retried

Cause: after 130 ms without a byte and two connections that were not accepted within 60 ms each, the attempt ended as silent, whether or not anything could follow. Such a pause is common: a runner that prefills a long prompt, a full accept queue, a link of 10 Mbit/s that carries a large read, or a pause of this process.

An attempt now ends for silence only if the request may be sent to another runner and the retry budget has room for it. A connection that timed out counts against a runner only if this process ran on time and heard from another machine meanwhile; local errors don't count at all. The same holds for connection attempts and for the strikes after a reset. Bytes that came during a probe refute it. The response is read in its own module, with limits on heads and answers.

--- a/edge/src/decide/retry_budget.rs
+++ b/edge/src/decide/retry_budget.rs
@@ -80,9 +80,9 @@
         self.current_slot(now).1 += 1;
     }
 
-    /// Counts one retry and returns `true` if the budget allows it. `members` is the number of
-    /// daemons that share `extra`.
-    pub fn try_retry(&mut self, now: Instant, members: u32, urgent: bool) -> bool {
+    /// Whether the budget allows one more retry. `members` is the number of daemons that share
+    /// `extra`.
+    pub fn allows_retry(&mut self, now: Instant, members: u32, urgent: bool) -> bool {
         self.current_slot(now);
         let (requests, retries) = self
             .slots
@@ -91,10 +91,15 @@
         let fraction = if urgent { 1.0 } else { 1.0 - URGENT_FRACTION };
         let share = self.extra / f64::from(members.max(1));
         let limit = (LOCAL_FRACTION * self.ratio * f64::from(requests) + share) * fraction;
-        if f64::from(retries) + 1.0 > limit.max(if urgent { share.floor() } else { 0.0 }) {
-            return false;
+        f64::from(retries) + 1.0 <= limit.max(if urgent { share.floor() } else { 0.0 })
+    }
+
+    /// Counts one retry and returns `true` if the budget allows it.
+    pub fn try_retry(&mut self, now: Instant, members: u32, urgent: bool) -> bool {
+        let allowed = self.allows_retry(now, members, urgent);
+        if allowed {
+            self.current_slot(now).2 += 1;
         }
-        self.current_slot(now).2 += 1;
-        true
+        allowed
     }
 }
--- a/edge/src/http/connection.rs
+++ b/edge/src/http/connection.rs
@@ -61,6 +61,30 @@
 
 impl std::error::Error for ConnectionError {}
 
+impl ConnectionError {
+    /// Whether the connection could not be opened in time.
+    pub fn is_timeout(&self) -> bool {
+        matches!(self, ConnectionError::Connect(e) if e.kind() == io::ErrorKind::TimedOut)
+    }
+
+    /// Whether the connection could not be opened for a reason on this VM, such as a lack of file
+    /// descriptors or local ports.
+    pub fn is_local(&self) -> bool {
+        let ConnectionError::Connect(e) = self else {
+            return false;
+        };
+        !matches!(
+            e.kind(),
+            io::ErrorKind::TimedOut
+                | io::ErrorKind::ConnectionRefused
+                | io::ErrorKind::ConnectionReset
+                | io::ErrorKind::ConnectionAborted
+                | io::ErrorKind::HostUnreachable
+                | io::ErrorKind::NetworkUnreachable
+        )
+    }
+}
+
 /// A TCP connection with a read buffer.
 #[derive(Debug)]
 pub struct Connection {
@@ -158,6 +182,15 @@
         read_some(&self.stream, &mut self.buf).await
     }
 
+    /// Reads what has already arrived into the buffer; `None` if that is nothing.
+    pub fn try_fill(&mut self) -> Option<io::Result<usize>> {
+        self.buf.reserve(READ_SIZE_BYTES);
+        match self.stream.try_read_buf(&mut self.buf) {
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => None,
+            result => Some(result),
+        }
+    }
+
     /// Writes all of `bytes`.
     ///
     /// # Errors
--- a/edge/src/serve/exchange.rs
+++ b/edge/src/serve/exchange.rs
@@ -28,6 +28,7 @@
         choose_service,
         wait_for_runner, //
     },
+    receive::Attempt,
     relay::{
         Relay,
         RelayError, //
@@ -39,13 +40,13 @@
     send::{
         Reply,
         SendError,
-        read_body,
         send, //
     },
     tokens::{
         TokenCharge,
         take_tokens, //
     },
+    upstream::Probe,
 };
 use crate::{
     adapter::Dialect,
@@ -298,7 +299,15 @@
         let runner = Arc::clone(&upstream.runner.borrow().id);
         history.tried.push(Arc::clone(&runner));
         let mut span = call.start_span("send");
-        let sent = send_once(core, call, &upstream, &charge, history, relay, out).await;
+        let attempt = Attempt {
+            core,
+            call,
+            upstream: &upstream,
+            service: &service,
+            started: history.started,
+            rejected: history.rejected,
+        };
+        let sent = send_once(&attempt, &charge, relay, out).await;
         if let Some(span) = &mut span {
             span.add_field("runner", &runner);
             span.add_field("outcome", send_outcome(&sent));
@@ -400,8 +409,7 @@
         Failure::Failed | Failure::Silent => upstream.record_outcome(now, true),
         Failure::Broken => {
             upstream.record_outcome(now, true);
-            let crashed = upstream.is_unreachable().await;
-            if crashed {
+            if upstream.probe().await == Probe::Unreachable {
                 upstream.mark_down(Instant::now());
                 core.strikes.borrow_mut().add_strike(call.fingerprint, now);
                 core.state_changed.notify_waiters();
@@ -418,19 +426,17 @@
 
 /// Sends the request to one runner and relays its response. Returns the status.
 async fn send_once<D: Dialect>(
-    core: &Rc<Core<D>>,
-    call: &Call,
-    upstream: &Rc<Upstream>,
+    attempt: &Attempt<'_, D>,
     charge: &TokenCharge<D>,
-    history: &mut SendHistory,
     relay: &mut Relay,
     out: &TcpStream,
 ) -> Result<u16, RelayError> {
+    let (call, upstream) = (attempt.call, attempt.upstream);
     charge.prompt_read.set(true);
-    let mut reply = match send(core, call, upstream, relay.last_id).await {
+    let mut reply = match send(attempt, relay.last_id).await {
         Ok(reply) => reply,
         Err(error) => {
-            if error.failure == Failure::NoConnection && history.started == 0 {
+            if error.failure == Failure::NoConnection && attempt.started == 0 {
                 charge.prompt_read.set(false);
             }
             return Err(RelayError::Runner(error));
@@ -438,7 +444,7 @@
     };
     let status = reply.head.status;
     if reply.meta.not_run || status == 421 {
-        if history.started == 0 {
+        if attempt.started == 0 {
             charge.prompt_read.set(false);
         }
         if status == 421 {
@@ -455,7 +461,7 @@
         return Err(RelayError::Runner(error));
     }
     if status == 200 && call.route.retry.is_stream() {
-        let result = relay.run(call, upstream, &mut reply, out).await;
+        let result = relay.run(attempt, &mut reply, out).await;
         result?;
         upstream.record_outcome(Instant::now(), false);
         reuse_connection(upstream, reply);
@@ -465,25 +471,25 @@
         let detail = format!("status {status} to a resumed stream");
         return Err(RelayError::Runner(SendError::new(Failure::Failed, detail)));
     }
-    forward_body(call, upstream, reply, history, out).await
+    forward_body(attempt, reply, out).await
 }
 
 /// Reads a complete response and forwards it, unless it has to be retried.
-async fn forward_body(
-    call: &Call,
-    upstream: &Rc<Upstream>,
+async fn forward_body<D>(
+    attempt: &Attempt<'_, D>,
     mut reply: Reply,
-    history: &SendHistory,
     out: &TcpStream,
 ) -> Result<u16, RelayError> {
+    let (call, upstream) = (attempt.call, attempt.upstream);
     let status = reply.head.status;
-    let body = read_body(upstream, &mut reply.connection, &mut reply.decoder)
+    let body = attempt
+        .read_body(&mut reply.connection, &mut reply.decoder)
         .await
         .map_err(RelayError::Runner)?;
     let claims_not_run = matches!(status, 408 | 421 | 429 | 503);
     let may_retry = status >= 500
         && call.route.retry.allows_rerun()
-        && history.started + 1 < call.route.max_attempts;
+        && attempt.started + 1 < call.route.max_attempts;
     if !reply.meta.sealed || claims_not_run || may_retry {
         let detail = format!("status {status} sealed={}", reply.meta.sealed);
         if reply.meta.sealed {
--- a/edge/src/serve/mod.rs
+++ b/edge/src/serve/mod.rs
@@ -7,6 +7,7 @@
 mod handler;
 mod link;
 mod ready;
+mod receive;
 mod relay;
 mod response;
 mod send;
@@ -19,4 +20,7 @@
 };
 pub use link::LinkActivity;
 pub use ready::bind_ready;
-pub use upstream::Upstream;
+pub use upstream::{
+    Probe,
+    Upstream, //
+};
--- /dev/null
+++ b/edge/src/serve/receive.rs
@@ -0,0 +1,226 @@
+//! Reads the response of one runner, and decides when its silence ends the attempt.
+
+use std::{
+    rc::Rc,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use bytes::BytesMut;
+use tokio::time::timeout;
+
+use super::{
+    Core,
+    Upstream,
+    call::Call,
+    send::SendError,
+    upstream::Probe, //
+};
+use crate::{
+    catalog::ServiceId,
+    decide::{
+        FailedAttempt,
+        Failure,
+        RetryDecision,
+        decide_retry, //
+    },
+    http::{
+        BodyDecoder,
+        Connection,
+        ConnectionError,
+        ResponseHead,
+        parse_response, //
+    },
+};
+
+/// Time without a byte from a runner, not counting prefill, after which it is probed.
+const MAX_SILENCE: Duration = Duration::from_millis(130);
+
+/// Slowest prefill of a runner, in prompt tokens per millisecond. A runner may be silent during
+/// prefill.
+const MIN_PREFILL_PER_MS: u64 = 25;
+
+/// Largest response that is buffered; only streams may be longer. Several at once must fit into the
+/// memory of the smallest VM.
+const MAX_ANSWER_BYTES: usize = 2 * 1024 * 1024;
+
+/// Largest response head.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
+/// Most interim responses before a response.
+const MAX_INTERIM_RESPONSES: u32 = 16;
+
+/// One attempt to serve a request at one runner.
+pub(super) struct Attempt<'a, D> {
+    pub core: &'a Rc<Core<D>>,
+    pub call: &'a Call,
+    pub upstream: &'a Rc<Upstream>,
+    pub service: &'a ServiceId,
+    /// Earlier attempts after which the request may have run.
+    pub started: u32,
+    /// Earlier attempts that a runner rejected.
+    pub rejected: u32,
+}
+
+impl<D> Attempt<'_, D> {
+    /// Whether the request could be sent to another runner at once if this attempt were given up.
+    /// Does not use up the retry budget.
+    fn may_retry(&self, now: Instant) -> bool {
+        let next = decide_retry(&FailedAttempt {
+            failure: Failure::Silent,
+            retry: self.call.route.retry,
+            started: self.started + 1,
+            rejected: self.rejected,
+            max_attempts: self.call.route.max_attempts,
+            remaining: self.call.time_left(now),
+            objective: self.call.route.objective,
+        });
+        let members = self.core.ledger.borrow().members();
+        let urgent = self.call.rank == 0;
+        match next {
+            RetryDecision::GiveUp => false,
+            RetryDecision::Retry { uses_budget: false } => true,
+            RetryDecision::Retry { uses_budget: true } => self
+                .core
+                .with_retry_budget(self.service, |b| b.allows_retry(now, members, urgent)),
+        }
+    }
+
+    /// Reads more bytes from the runner; returns 0 at the end of the stream. Probes a runner that is
+    /// silent for longer than its prefill can take. An unreachable one is given up only if the request
+    /// can be retried: otherwise the answer may still come, and nothing is gained by ending it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection breaks or the runner is given up.
+    pub(super) async fn read_more(
+        &self,
+        connection: &mut Connection,
+        prompt_tokens: u64,
+    ) -> Result<usize, SendError> {
+        let upstream = self.upstream;
+        let broken = |e: std::io::Error| SendError::new(Failure::Broken, e.to_string());
+        loop {
+            let prefill = Duration::from_millis(
+                upstream.backlog_tokens().max(prompt_tokens) / MIN_PREFILL_PER_MS,
+            );
+            let begun = Instant::now();
+            let limit = MAX_SILENCE + prefill;
+            if let Ok(read) = timeout(limit, connection.fill()).await {
+                let n = read.map_err(broken)?;
+                upstream.mark_alive(Instant::now());
+                return Ok(n);
+            }
+            let probed = Instant::now();
+            if upstream.silence(probed) < MAX_SILENCE {
+                continue;
+            }
+            let probe = upstream.probe().await;
+            let now = Instant::now();
+            // Bytes that arrived during the probe refute it.
+            if let Some(read) = connection.try_fill() {
+                let n = read.map_err(broken)?;
+                upstream.mark_alive(now);
+                return Ok(n);
+            }
+            if probe == Probe::Reachable {
+                upstream.mark_alive(now);
+                continue;
+            }
+            let may_retry = self.may_retry(now);
+            let given_up = probe == Probe::Unreachable && may_retry;
+            log::info!(
+                "event=runner_silent id={} runner={} probe={} silent_ms={} late_ms={} probe_ms={} link_quiet_ms={} may_retry={may_retry} given_up={given_up}",
+                self.call.meta.id,
+                upstream.runner.borrow().id,
+                probe.as_str(),
+                upstream.silence(probed).as_millis(),
+                (probed - begun).saturating_sub(limit).as_millis(),
+                (now - probed).as_millis(),
+                upstream.link.silence(now).as_millis()
+            );
+            if probe == Probe::Unreachable {
+                upstream.mark_down(now);
+            }
+            if given_up {
+                return Err(SendError::new(
+                    Failure::Silent,
+                    "runner does not accept connections",
+                ));
+            }
+        }
+    }
+
+    /// Reads a response head, skipping interim responses.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection ends first, or if the bytes are no response head.
+    pub(super) async fn read_head(
+        &self,
+        connection: &mut Connection,
+        prompt_tokens: u64,
+    ) -> Result<ResponseHead, SendError> {
+        let mut interim = 0;
+        loop {
+            match parse_response(&mut connection.buf) {
+                Ok(Some(head)) if head.status < 200 => {
+                    interim += 1;
+                    if interim > MAX_INTERIM_RESPONSES {
+                        return Err(too_long("more interim responses than allowed"));
+                    }
+                }
+                Ok(Some(head)) => return Ok(head),
+                Ok(None) if connection.buf.len() > MAX_HEAD_BYTES => {
+                    return Err(too_long("response head exceeds the size limit"));
+                }
+                Ok(None) => {
+                    if self.read_more(connection, prompt_tokens).await? == 0 {
+                        return Err(ConnectionError::Closed.into());
+                    }
+                }
+                Err(e) => return Err(ConnectionError::Protocol(e).into()),
+            }
+        }
+    }
+
+    /// Reads the rest of a body. A response without a length is complete only after an orderly close.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body is incomplete, invalid or too long.
+    pub(super) async fn read_body(
+        &self,
+        connection: &mut Connection,
+        decoder: &mut BodyDecoder,
+    ) -> Result<BytesMut, SendError> {
+        let mut body = BytesMut::new();
+        loop {
+            while let Some(piece) = decoder
+                .take(&mut connection.buf)
+                .map_err(|e| SendError::from(ConnectionError::Protocol(e)))?
+            {
+                body.extend_from_slice(&piece);
+            }
+            if decoder.is_done() {
+                return Ok(body);
+            }
+            if body.len() > MAX_ANSWER_BYTES {
+                return Err(too_long("response exceeds the size limit"));
+            }
+            if self.read_more(connection, 0).await? == 0 {
+                if decoder.ends_with_connection() {
+                    return Ok(body);
+                }
+                return Err(ConnectionError::Closed.into());
+            }
+        }
+    }
+}
+
+/// Error for a response of which more was received than can be part of an answer.
+fn too_long(detail: &str) -> SendError {
+    SendError::new(Failure::Broken, detail)
+}
--- a/edge/src/serve/relay.rs
+++ b/edge/src/serve/relay.rs
@@ -12,13 +12,12 @@
 use tokio::net::TcpStream;
 
 use super::{
-    Upstream,
     call::Call,
+    receive::Attempt,
     response::encode_head,
     send::{
         Reply,
-        SendError,
-        read_more, //
+        SendError, //
     },
 };
 use crate::{
@@ -59,13 +58,13 @@
 impl Relay {
     /// Relays events until the end of the stream. After success the connection to the runner may be
     /// reused.
-    pub(super) async fn run(
+    pub(super) async fn run<D>(
         &mut self,
-        call: &Call,
-        upstream: &Upstream,
+        attempt: &Attempt<'_, D>,
         reply: &mut Reply,
         out: &TcpStream,
     ) -> Result<(), RelayError> {
+        let (call, upstream) = (attempt.call, attempt.upstream);
         let mut events = EventBuffer::default();
         let mut bytes = Vec::new();
         loop {
@@ -94,7 +93,8 @@
             } else {
                 call.prompt_tokens()
             };
-            let n = read_more(upstream, &mut reply.connection, prompt)
+            let n = attempt
+                .read_more(&mut reply.connection, prompt)
                 .await
                 .map_err(RelayError::Runner)?;
             if n == 0 {
--- a/edge/src/serve/send.rs
+++ b/edge/src/serve/send.rs
@@ -2,21 +2,20 @@
 
 use std::{
     net::SocketAddr,
-    rc::Rc,
     time::{
         Duration,
         Instant, //
     },
 };
 
-use bytes::BytesMut;
-use tokio::time::timeout;
-
 use super::{
-    Core,
     Upstream,
     call::Call,
-    upstream::InFlight, //
+    receive::Attempt,
+    upstream::{
+        InFlight,
+        Probe, //
+    },
 };
 use crate::{
     adapter::{
@@ -37,16 +36,6 @@
 /// Longest time for opening a connection to a runner: several round trips between data centres.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// Time without a byte from a runner, not counting prefill, after which it is probed.
-const MAX_SILENCE: Duration = Duration::from_millis(130);
-
-/// Slowest prefill of a runner, in prompt tokens per millisecond. A runner may be silent during
-/// prefill.
-const MIN_PREFILL_PER_MS: u64 = 25;
-
-/// Largest response that is buffered; only streams may be longer.
-const MAX_ANSWER_BYTES: usize = 32 * 1024 * 1024;
-
 /// Responses to other requests that are skipped on one connection.
 const MAX_FOREIGN_ANSWERS: u32 = 4;
 
@@ -122,121 +111,27 @@
 
 /// Opens a connection to a runner and records whether that succeeded.
 async fn connect(upstream: &Upstream, address: SocketAddr) -> Result<Connection, SendError> {
+    let begun = Instant::now();
     match Connection::open(address, CONNECT_TIMEOUT).await {
         Ok(connection) => {
             upstream.mark_alive(Instant::now());
             Ok(connection)
         }
         Err(e) => {
-            upstream.mark_down(Instant::now());
-            Err(e.into())
-        }
-    }
-}
-
-/// Reads more bytes from a runner; returns 0 at the end of the stream. Probes a runner that is silent
-/// for longer than its prefill can take.
-pub(super) async fn read_more(
-    upstream: &Upstream,
-    connection: &mut Connection,
-    prompt_tokens: u64,
-) -> Result<usize, SendError> {
-    loop {
-        let prefill = Duration::from_millis(
-            (upstream.backlog_tokens().max(prompt_tokens)) / MIN_PREFILL_PER_MS,
-        );
-        let begun = Instant::now();
-        match timeout(MAX_SILENCE + prefill, connection.fill()).await {
-            Ok(Ok(n)) => {
-                upstream.mark_alive(Instant::now());
-                return Ok(n);
-            }
-            Ok(Err(e)) => return Err(SendError::new(Failure::Broken, e.to_string())),
-            Err(_) if upstream.silence(Instant::now()) < MAX_SILENCE => {}
-            Err(_) => {
-                let probed = Instant::now();
-                if upstream.is_unreachable().await {
-                    log::info!(
-                        "event=runner_silent runner={} silent_ms={} late_ms={} probe_ms={} link_quiet_ms={}",
-                        upstream.runner.borrow().id,
-                        upstream.silence(probed).as_millis(),
-                        (probed - begun)
-                            .saturating_sub(MAX_SILENCE + prefill)
-                            .as_millis(),
-                        probed.elapsed().as_millis(),
-                        upstream.link.silence(Instant::now()).as_millis()
-                    );
-                    upstream.mark_down(Instant::now());
-                    return Err(SendError::new(
-                        Failure::Silent,
-                        "runner does not accept connections",
-                    ));
-                }
-                upstream.mark_alive(Instant::now());
+            if upstream.classify(&e, begun, CONNECT_TIMEOUT) == Probe::Unreachable {
+                upstream.mark_down(Instant::now());
             }
+            Err(e.into())
         }
     }
 }
 
-/// Reads a response head, skipping interim responses.
-async fn read_head(
-    upstream: &Upstream,
-    connection: &mut Connection,
-    prompt_tokens: u64,
-) -> Result<ResponseHead, SendError> {
-    loop {
-        match crate::http::parse_response(&mut connection.buf) {
-            Ok(Some(head)) if head.status < 200 => {}
-            Ok(Some(head)) => return Ok(head),
-            Ok(None) => {
-                if read_more(upstream, connection, prompt_tokens).await? == 0 {
-                    return Err(ConnectionError::Closed.into());
-                }
-            }
-            Err(e) => return Err(ConnectionError::Protocol(e).into()),
-        }
-    }
-}
-
-/// Reads the rest of a body. A response without a length is complete only after an orderly close.
-pub(super) async fn read_body(
-    upstream: &Upstream,
-    connection: &mut Connection,
-    decoder: &mut BodyDecoder,
-) -> Result<BytesMut, SendError> {
-    let mut body = BytesMut::new();
-    loop {
-        while let Some(piece) = decoder
-            .take(&mut connection.buf)
-            .map_err(|e| SendError::from(ConnectionError::Protocol(e)))?
-        {
-            body.extend_from_slice(&piece);
-        }
-        if decoder.is_done() {
-            return Ok(body);
-        }
-        if body.len() > MAX_ANSWER_BYTES {
-            return Err(SendError::new(
-                Failure::Broken,
-                "response exceeds the size limit",
-            ));
-        }
-        if read_more(upstream, connection, 0).await? == 0 {
-            if decoder.ends_with_connection() {
-                return Ok(body);
-            }
-            return Err(ConnectionError::Closed.into());
-        }
-    }
-}
-
-/// Sends the request to `upstream` and reads the head of the response to it.
+/// Sends the request to the runner of `attempt` and reads the head of the response to it.
 pub(super) async fn send<D: Dialect>(
-    core: &Rc<Core<D>>,
-    call: &Call,
-    upstream: &Rc<Upstream>,
+    attempt: &Attempt<'_, D>,
     last_event: Option<u64>,
 ) -> Result<Reply, SendError> {
+    let (core, call, upstream) = (attempt.core, attempt.call, attempt.upstream);
     let now = Instant::now();
     let (runner, address) = {
         let runner_entry = upstream.runner.borrow();
@@ -268,7 +163,7 @@
         .await
         .map_err(ConnectionError::Io)?;
     for _ in 0..=MAX_FOREIGN_ANSWERS {
-        let head = read_head(upstream, &mut connection, prompt_tokens).await?;
+        let head = attempt.read_head(&mut connection, prompt_tokens).await?;
         let meta = D::response_meta(&head.fields);
         if let Some(load) = meta.load {
             upstream.record_load(Instant::now(), load);
@@ -303,7 +198,7 @@
                 "response to another request",
             ));
         }
-        read_body(upstream, &mut connection, &mut decoder).await?;
+        attempt.read_body(&mut connection, &mut decoder).await?;
     }
     core.metrics.sends.with_label_values(&["foreign"]).inc();
     Err(SendError::new(
--- a/edge/src/serve/upstream.rs
+++ b/edge/src/serve/upstream.rs
@@ -6,7 +6,6 @@
         RefCell, //
     },
     collections::HashMap,
-    io,
     rc::Rc,
     sync::Arc,
     time::{
@@ -67,6 +66,31 @@
 /// Time in which the failure rate decays to about a third (1/e), in seconds.
 const FAILURE_DECAY_S: f64 = 4.0;
 
+/// Delay of a timer from which this process counts as stalled.
+const MAX_TIMER_DELAY: Duration = Duration::from_millis(30);
+
+/// Result of a probe of a runner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Probe {
+    /// It accepts connections.
+    Reachable,
+    /// It does not.
+    Unreachable,
+    /// The probe failed for a reason that may lie with this VM.
+    Inconclusive,
+}
+
+impl Probe {
+    /// Name in log lines.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Probe::Reachable => "reachable",
+            Probe::Unreachable => "unreachable",
+            Probe::Inconclusive => "inconclusive",
+        }
+    }
+}
+
 /// A connection that is kept for reuse.
 struct IdleConnection {
     connection: Connection,
@@ -254,18 +278,44 @@
         self.load_delta.set(0);
     }
 
-    /// Probes whether nothing at the runner's address accepts connections. Tries twice, as a packet may
-    /// be lost.
-    pub async fn is_unreachable(&self) -> bool {
+    /// Probes whether the runner accepts connections. Tries twice, as a packet may be lost.
+    pub async fn probe(&self) -> Probe {
         let address = self.runner.borrow().address;
+        let mut result = Probe::Unreachable;
         for _ in 0..2 {
-            match Connection::open(address, PROBE_TIMEOUT).await {
-                Ok(_) => return false,
-                Err(ConnectionError::Connect(e)) if e.kind() == io::ErrorKind::TimedOut => {}
-                Err(_) => return true,
+            let begun = Instant::now();
+            let Err(error) = Connection::open(address, PROBE_TIMEOUT).await else {
+                return Probe::Reachable;
+            };
+            if !error.is_timeout() {
+                return self.classify(&error, begun, PROBE_TIMEOUT);
             }
+            if self.classify(&error, begun, PROBE_TIMEOUT) == Probe::Inconclusive {
+                result = Probe::Inconclusive;
+            }
+        }
+        result
+    }
+
+    /// What a failure to connect, begun at `begun` with the timeout `limit`, tells about the runner.
+    /// A timeout counts against it only if this process ran on time and heard from other machines
+    /// meanwhile; else the VM or its link may have stalled.
+    pub fn classify(&self, error: &ConnectionError, begun: Instant, limit: Duration) -> Probe {
+        if error.is_timeout() {
+            let late = begun.elapsed().saturating_sub(limit);
+            if late > MAX_TIMER_DELAY || !self.link.is_active_since(begun) {
+                return Probe::Inconclusive;
+            }
+            return Probe::Unreachable;
+        }
+        if error.is_local() {
+            log::warn!(
+                "event=connect_failed_locally runner={} error=\"{error}\"",
+                self.runner.borrow().id
+            );
+            return Probe::Inconclusive;
         }
-        true
+        Probe::Unreachable
     }
 
     /// Takes an idle connection that may be reused; `once` says that the request must not be sent
--- /dev/null
+++ b/edge/tests/silence.rs
@@ -0,0 +1,89 @@
+//! What a failed connection tells about a runner, and what about this VM.
+
+use std::{
+    io,
+    rc::Rc,
+    sync::Arc,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use cuminloom_edge::{
+    catalog::{
+        Runner,
+        RunnerState, //
+    },
+    decide::RetryBudget,
+    http::ConnectionError,
+    serve::{
+        LinkActivity,
+        Probe,
+        Upstream, //
+    },
+};
+
+const LIMIT: Duration = Duration::from_millis(60);
+
+fn error(kind: io::ErrorKind) -> ConnectionError {
+    ConnectionError::Connect(kind.into())
+}
+
+/// Result of a probe that began `elapsed` ago and failed with `error`, if the daemon last received
+/// anything `quiet` ago.
+fn classify(error: &ConnectionError, elapsed: Duration, quiet: Duration) -> Probe {
+    let now = Instant::now();
+    let link = Rc::new(LinkActivity::new(now));
+    let runner = Runner {
+        id: Arc::from("i-1"),
+        service: Arc::from("engine"),
+        address: "127.0.0.1:9".parse().unwrap(),
+        zone: Arc::from("z-1"),
+        slots: 8,
+        state: RunnerState::Ready,
+        born: 1,
+    };
+    let upstream = Upstream::new(Arc::new(runner), Rc::clone(&link));
+    link.record(now.checked_sub(quiet).unwrap());
+    upstream.classify(error, now.checked_sub(elapsed).unwrap(), LIMIT)
+}
+
+/// Guards against taking a stall of this VM's link for the silence of a runner.
+#[test]
+fn a_timeout_on_a_quiet_link_is_inconclusive() {
+    let timeout = error(io::ErrorKind::TimedOut);
+    let ms = Duration::from_millis;
+    assert_eq!(classify(&timeout, LIMIT, ms(80)), Probe::Inconclusive);
+    assert_eq!(classify(&timeout, LIMIT, ms(10)), Probe::Unreachable);
+}
+
+/// Guards against taking a pause of this process for the silence of a runner.
+#[test]
+fn a_late_timeout_is_inconclusive() {
+    let timeout = error(io::ErrorKind::TimedOut);
+    let ms = Duration::from_millis;
+    assert_eq!(classify(&timeout, ms(200), ms(10)), Probe::Inconclusive);
+}
+
+/// Guards against blaming a runner for a lack of file descriptors, and against doubting a refusal.
+#[test]
+fn only_refusals_by_the_other_side_count() {
+    let ms = Duration::from_millis;
+    let many_files = ConnectionError::Connect(io::Error::from_raw_os_error(24));
+    assert_eq!(classify(&many_files, ms(1), ms(0)), Probe::Inconclusive);
+    let refused = error(io::ErrorKind::ConnectionRefused);
+    assert_eq!(classify(&refused, ms(1), ms(500)), Probe::Unreachable);
+}
+
+/// Guards against a look at the retry budget that uses it up.
+#[test]
+fn a_look_at_the_retry_budget_is_free() {
+    let now = Instant::now();
+    let mut budget = RetryBudget::new(0.2, 7.0, Duration::from_secs(10));
+    for _ in 0..5 {
+        assert!(budget.allows_retry(now, 7, true));
+    }
+    assert!(budget.try_retry(now, 7, true));
+    assert!(!budget.allows_retry(now, 7, true));
+}
