Cut off answers without end

Callers whose runner sent bytes without end (the users' new line) waited until their deadline while the daemon took 75 MB of them, half of the memory of the smallest VM.

Cause: a buffered answer was limited to 32 MiB, a partial head, trailer fields and the events of a stream not at all.

--- a/edge/src/http/body.rs
+++ b/edge/src/http/body.rs
@@ -13,6 +13,9 @@
 /// Longest chunk size line or trailer field.
 const MAX_LINE_BYTES: usize = 4096;
 
+/// Most bytes of all trailer fields.
+const MAX_TRAILER_BYTES: usize = 16 * 1024;
+
 /// How the end of a message body is determined.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Framing {
@@ -53,6 +56,8 @@
 pub struct BodyDecoder {
     framing: Framing,
     state: State,
+    /// Bytes of the trailer fields so far.
+    trailer_bytes: usize,
 }
 
 impl BodyDecoder {
@@ -64,7 +69,11 @@
             Framing::Chunked => State::Size,
             Framing::Close => State::Data(u64::MAX),
         };
-        BodyDecoder { framing, state }
+        BodyDecoder {
+            framing,
+            state,
+            trailer_bytes: 0,
+        }
     }
 
     /// Whether the body is complete. Never true for a body that ends with its connection.
@@ -81,7 +90,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if the chunked coding is invalid.
+    /// Fails if the chunked coding is invalid or the trailer is too long.
     pub fn take(&mut self, buf: &mut BytesMut) -> Result<Option<Bytes>, ParseError> {
         loop {
             match self.state {
@@ -118,8 +127,11 @@
                     let Some(line) = take_line(buf)? else {
                         return Ok(None);
                     };
+                    self.trailer_bytes += line.len();
                     if line.is_empty() {
                         self.state = State::Done;
+                    } else if self.trailer_bytes > MAX_TRAILER_BYTES {
+                        return Err(ParseError::Framing);
                     }
                 }
             }
--- a/edge/src/serve/call.rs
+++ b/edge/src/serve/call.rs
@@ -103,6 +103,12 @@
         self.meta.tokens.map_or(0, |t| t.prompt)
     }
 
+    /// Most events of a response with one token each, with those that the caller already has.
+    pub(super) fn max_events(&self) -> u64 {
+        let output = self.meta.tokens.map_or(u64::MAX, |t| t.output);
+        output.saturating_add(self.meta.last_event.unwrap_or(0))
+    }
+
     /// Starts a child span if the request is traced.
     pub(super) fn start_span(&self, name: &'static str) -> Option<Span> {
         let span = self.span.as_ref()?.borrow();
--- a/edge/src/serve/relay.rs
+++ b/edge/src/serve/relay.rs
@@ -30,6 +30,10 @@
     },
 };
 
+/// Events that a runner may send beyond the tokens that it may generate: comments and repetitions of
+/// what the caller has.
+const MAX_EXTRA_EVENTS: u64 = 1000;
+
 /// State of a streamed response, over all runners that send a part of it.
 #[derive(Debug, Default)]
 pub(super) struct Relay {
@@ -45,6 +49,8 @@
     pub max_pause: Duration,
     /// Time of the last write of events.
     last_event: Option<Instant>,
+    /// Number of events received from the present runner.
+    received: u64,
 }
 
 /// Why a relay ended before the last event.
@@ -65,6 +71,7 @@
         out: &TcpStream,
     ) -> Result<(), RelayError> {
         let (call, upstream) = (attempt.call, attempt.upstream);
+        self.received = 0;
         let mut events = EventBuffer::default();
         let mut bytes = Vec::new();
         loop {
@@ -155,7 +162,13 @@
         events: &mut EventBuffer,
         bytes: &mut Vec<u8>,
     ) -> Option<SendError> {
+        let limit = call.max_events().saturating_add(MAX_EXTRA_EVENTS);
         while let Some(event) = events.next_event() {
+            self.received += 1;
+            if self.received > limit {
+                let detail = "more events than the request allows tokens";
+                return Some(SendError::new(Failure::Broken, detail));
+            }
             if let (Some(id), Some(last)) = (event.id, self.last_id) {
                 if id <= last {
                     continue;
--- a/edge/tests/http.rs
+++ b/edge/tests/http.rs
@@ -176,3 +176,17 @@
     assert_eq!(head.framing, Framing::Close);
     assert!(!head.keep_alive);
 }
+
+/// Guards against reading trailer fields without end.
+#[test]
+fn trailers_without_end_are_invalid() {
+    let mut decoder = BodyDecoder::new(Framing::Chunked);
+    let mut buf = BytesMut::from("0\r\n");
+    for _ in 0..1000 {
+        buf.extend_from_slice(format!("x: {}\r\n", "m".repeat(1000)).as_bytes());
+        if decoder.take(&mut buf).is_err() {
+            return;
+        }
+    }
+    panic!("1 MB of trailer fields were read");
+}
