--- a/edge/src/fleet/mod.rs
+++ b/edge/src/fleet/mod.rs
@@ -11,9 +11,6 @@
     follow_runners, //
 };
 pub use peers::{
-    PeerQuery,
-    PeerReply,
-    PeerRunner,
     query_peers,
     serve_peers, //
 };
--- a/edge/src/fleet/peers.rs
+++ b/edge/src/fleet/peers.rs
@@ -1,8 +1,7 @@
-//! Queries between daemons while the store is unreachable.
+//! Messages between daemons.
 //!
 //! A daemon that has lost its feeds queries some of the others for a newer configuration, the
-//! runners and the strikes against requests. While the store is reachable, daemons exchange no
-//! messages.
+//! runners and the strikes against requests. Daemons without grants reserve tokens at the holders.
 
 use std::{
     cell::Cell,
@@ -20,10 +19,6 @@
     SinkExt,
     StreamExt, //
 };
-use serde::{
-    Deserialize,
-    Serialize, //
-};
 use tokio::{
     net::{
         TcpListener,
@@ -38,8 +33,7 @@
 use tokio_tungstenite::{
     WebSocketStream,
     accept_async,
-    client_async,
-    tungstenite::Message, //
+    client_async, //
 };
 
 use crate::{
@@ -47,11 +41,17 @@
         ConfigVersion,
         Store, //
     },
-    catalog::{
-        Runner,
-        RunnerState, //
-    },
+    catalog::Runner,
     decide::rendezvous_weight,
+    http::configure_stream,
+    peer::{
+        PeerMessage,
+        PeerQuery,
+        PeerReply,
+        ReserveReply,
+        decode,
+        encode, //
+    },
     serve::Core,
 };
 
@@ -70,88 +70,8 @@
 /// Age of the replying daemon's own confirmation up to which its reply confirms the configuration.
 const MAX_CONFIRM_AGE: Duration = Duration::from_millis(1500);
 
-/// Time after which a connection without a query is closed.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
-
-/// Query of a daemon to another one.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct PeerQuery {
-    /// Version of the configuration that the sender has; 0 for none.
-    pub version: u64,
-}
-
-/// Reply of a daemon to a query.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
-pub struct PeerReply {
-    /// Name of the replying daemon.
-    pub node: String,
-    /// Encoded configuration, if it is newer than the one in the query.
-    pub config: Option<Vec<u8>>,
-    /// Version of the configuration in force; 0 for none.
-    pub version: u64,
-    /// Time since that version was last confirmed as the newest, in milliseconds.
-    pub age_ms: u64,
-    /// The runners, if the daemon currently receives them from the store.
-    pub runners: Option<Vec<PeerRunner>>,
-    /// Fingerprints of requests that crashed runners, with the number of strikes.
-    pub strikes: Vec<(u64, u32)>,
-}
-
-/// A runner as encoded in a reply.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct PeerRunner {
-    id: String,
-    service: String,
-    address: SocketAddr,
-    zone: String,
-    slots: u32,
-    ready: bool,
-    born: u64,
-}
-
-impl From<&Runner> for PeerRunner {
-    fn from(runner: &Runner) -> PeerRunner {
-        PeerRunner {
-            id: runner.id.to_string(),
-            service: runner.service.to_string(),
-            address: runner.address,
-            zone: runner.zone.to_string(),
-            slots: runner.slots,
-            ready: runner.state == RunnerState::Ready,
-            born: runner.born,
-        }
-    }
-}
-
-impl From<PeerRunner> for Runner {
-    fn from(peer: PeerRunner) -> Runner {
-        Runner {
-            id: Arc::from(peer.id),
-            service: Arc::from(peer.service),
-            address: peer.address,
-            zone: Arc::from(peer.zone),
-            slots: peer.slots,
-            state: if peer.ready {
-                RunnerState::Ready
-            } else {
-                RunnerState::Draining
-            },
-            born: peer.born,
-        }
-    }
-}
-
-/// Encodes a query or reply as CBOR in a binary message.
-fn encode<T: Serialize>(value: &T) -> io::Result<Message> {
-    let mut bytes = Vec::new();
-    ciborium::into_writer(value, &mut bytes).map_err(io::Error::other)?;
-    Ok(Message::binary(bytes))
-}
-
-/// Decodes a query or reply from CBOR.
-fn decode<T: for<'de> Deserialize<'de>>(message: &Message) -> io::Result<T> {
-    ciborium::from_reader(&message.clone().into_data()[..]).map_err(io::Error::other)
-}
+/// Time after which a connection without a message is closed: longer than a request may last.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// Listens on `address` and answers the queries of other daemons.
 ///
@@ -182,21 +102,52 @@
     Ok(())
 }
 
-/// Answers the queries on one connection until it is closed or idle.
-async fn serve_connection<D>(core: &Core<D>, stream: TcpStream) -> io::Result<()> {
-    let mut socket = timeout(QUERY_TIMEOUT, accept_async(stream))
+/// Answers the messages on one connection until it is closed or idle.
+async fn serve_connection<D: 'static>(core: &Rc<Core<D>>, stream: TcpStream) -> io::Result<()> {
+    configure_stream(&stream);
+    let socket = timeout(QUERY_TIMEOUT, accept_async(stream))
         .await?
         .map_err(io::Error::other)?;
-    while let Some(message) = timeout(IDLE_TIMEOUT, socket.next()).await? {
-        let message = message.map_err(io::Error::other)?;
-        if !message.is_binary() {
-            continue;
+    let (mut sink, mut messages) = socket.split();
+    let (reserved, outcomes) = flume::unbounded();
+    loop {
+        tokio::select! {
+            message = timeout(IDLE_TIMEOUT, messages.next()) => {
+                let Some(message) = message? else {
+                    return Ok(());
+                };
+                let message = message.map_err(io::Error::other)?;
+                if !message.is_binary() {
+                    continue;
+                }
+                if let Some(reply) = handle_message(core, decode(&message)?, &reserved) {
+                    sink.send(encode(&reply)?).await.map_err(io::Error::other)?;
+                }
+            }
+            Ok(reply) = outcomes.recv_async() => {
+                sink.send(encode(&reply)?).await.map_err(io::Error::other)?;
+            }
         }
-        let query: PeerQuery = decode(&message)?;
-        let reply = encode(&build_reply(core, &query))?;
-        socket.send(reply).await.map_err(io::Error::other)?;
     }
-    Ok(())
+}
+
+/// Handles one message. The outcomes of a reservation are sent to `reserved`, as it may have to wait;
+/// returns the reply to a query.
+fn handle_message<D: 'static>(
+    core: &Rc<Core<D>>,
+    message: PeerMessage,
+    reserved: &flume::Sender<ReserveReply>,
+) -> Option<PeerReply> {
+    core.link.record(Instant::now());
+    match message {
+        PeerMessage::Query(query) => return Some(build_reply(core, &query)),
+        PeerMessage::Settle { settle } => core.settle_for_peer(&settle),
+        PeerMessage::Reserve { reserve } => {
+            let (core, reserved) = (Rc::clone(core), reserved.clone());
+            spawn_local(async move { core.reserve_for_peer(reserve, reserved).await });
+        }
+    }
+    None
 }
 
 /// Builds the reply to a query.
--- a/edge/src/fleet/shutdown.rs
+++ b/edge/src/fleet/shutdown.rs
@@ -54,10 +54,11 @@
     while begun.elapsed() < end {
         core.writer_wake.notify_one();
         sleep(CHECK_INTERVAL).await;
-        if core.open_requests() == 0 && core.ledger.borrow().is_returned() {
+        let idle = core.open_requests() == 0 && core.reservation_count() == 0;
+        if idle && core.ledger.borrow().is_returned() {
             break;
         }
-        if core.open_requests() == 0 && begun.elapsed() > DRAIN_DELAY + RETURN_TIMEOUT {
+        if idle && begun.elapsed() > DRAIN_DELAY + RETURN_TIMEOUT {
             break;
         }
     }
--- a/edge/src/lib.rs
+++ b/edge/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod decide;
 pub mod fleet;
 pub mod http;
+pub mod peer;
 pub mod prepaid;
 pub mod serve;
 pub mod telemetry;
--- /dev/null
+++ b/edge/src/peer/link.rs
@@ -0,0 +1,222 @@
+//! Connection to a daemon at which tokens are reserved.
+
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    collections::HashMap,
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use futures_util::{
+    SinkExt,
+    StreamExt, //
+};
+use tokio::{
+    net::TcpStream,
+    sync::Notify,
+    task::spawn_local,
+    time::{
+        sleep,
+        timeout, //
+    },
+};
+use tokio_tungstenite::{
+    WebSocketStream,
+    client_async, //
+};
+
+use super::{
+    PeerMessage,
+    ReserveOutcome,
+    ReserveReply,
+    ReserveRequest,
+    Settlement,
+    decode,
+    encode, //
+};
+use crate::http::configure_stream;
+
+/// Longest time for opening a connection, with the WebSocket handshake.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Pause before a connection is opened again to deliver a settlement.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(500);
+
+/// Attempts to deliver a settlement. The holder charges the whole reservation when it expires.
+const MAX_DELIVERIES: u32 = 20;
+
+/// Time for which a daemon that failed to reply is not asked.
+const DOWN_TIME: Duration = Duration::from_millis(1000);
+
+/// Link to one daemon. It connects when there is something to send.
+#[derive(Debug)]
+pub struct PeerLink {
+    address: SocketAddr,
+    outgoing: flume::Sender<PeerMessage>,
+    /// Reservations without a final reply.
+    pending: RefCell<HashMap<u64, flume::Sender<ReserveOutcome>>>,
+    /// Time until which the daemon is not asked.
+    down_until: Cell<Option<Instant>>,
+    /// Ends the connection, so that the next message opens a new one.
+    reset: Notify,
+}
+
+impl PeerLink {
+    /// Spawns the link to the daemon at `address` on the current `LocalSet`.
+    pub fn spawn(address: SocketAddr) -> Rc<PeerLink> {
+        let (outgoing, queue) = flume::unbounded();
+        let link = Rc::new(PeerLink {
+            address,
+            outgoing,
+            pending: RefCell::default(),
+            down_until: Cell::new(None),
+            reset: Notify::new(),
+        });
+        spawn_local(Rc::clone(&link).run(queue));
+        link
+    }
+
+    /// Address of the daemon.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Whether the daemon failed to reply recently.
+    pub fn is_down(&self, now: Instant) -> bool {
+        self.down_until.get().is_some_and(|until| now < until)
+    }
+
+    /// Records that the daemon failed to reply.
+    pub fn mark_down(&self, now: Instant) {
+        self.down_until.set(Some(now + DOWN_TIME));
+    }
+
+    /// Records that the daemon was silent, and closes the connection: a connection may go silent for good
+    /// while a new one works.
+    pub fn give_up(&self, now: Instant) {
+        self.mark_down(now);
+        self.reset.notify_waiters();
+    }
+
+    /// Sends a reservation. The receiver yields its outcomes, and ends if the connection fails.
+    pub fn reserve(&self, request: ReserveRequest) -> flume::Receiver<ReserveOutcome> {
+        let (sender, receiver) = flume::unbounded();
+        self.pending.borrow_mut().insert(request.number, sender);
+        self.send(PeerMessage::Reserve { reserve: request });
+        receiver
+    }
+
+    /// Ends a reservation, also one whose outcome is not known.
+    pub fn settle(&self, settlement: Settlement) {
+        self.pending.borrow_mut().remove(&settlement.number);
+        self.send(PeerMessage::Settle { settle: settlement });
+    }
+
+    /// Queues a message.
+    fn send(&self, message: PeerMessage) {
+        if self.outgoing.send(message).is_err() {
+            log::warn!("event=peer_link_closed peer={}", self.address);
+        }
+    }
+
+    /// Sends the queued messages, over a new connection after each failure.
+    async fn run(self: Rc<Self>, queue: flume::Receiver<PeerMessage>) {
+        while let Ok(message) = queue.recv_async().await {
+            let Some(socket) = self.connect_for(&message).await else {
+                continue;
+            };
+            if let Err(e) = self.exchange(socket, message, &queue).await {
+                log::info!("event=peer_link_lost peer={} error=\"{e}\"", self.address);
+            }
+            self.pending.borrow_mut().clear();
+        }
+    }
+
+    /// Connects to send `message`; `None` if that failed. Only settlements are worth another attempt.
+    async fn connect_for(&self, message: &PeerMessage) -> Option<WebSocketStream<TcpStream>> {
+        for _ in 0..MAX_DELIVERIES {
+            let error = match timeout(CONNECT_TIMEOUT, self.connect()).await {
+                Ok(Ok(socket)) => return Some(socket),
+                Ok(Err(e)) => e.to_string(),
+                Err(_) => "timeout".to_owned(),
+            };
+            log::info!(
+                "event=peer_unreachable peer={} error=\"{error}\"",
+                self.address
+            );
+            self.mark_down(Instant::now());
+            self.pending.borrow_mut().clear();
+            if !matches!(message, PeerMessage::Settle { .. }) {
+                return None;
+            }
+            sleep(RECONNECT_PAUSE).await;
+        }
+        log::warn!(
+            "event=settlement_dropped peer={} message=\"{message:?}\"",
+            self.address
+        );
+        None
+    }
+
+    /// Opens the connection.
+    async fn connect(&self) -> io::Result<WebSocketStream<TcpStream>> {
+        let stream = TcpStream::connect(self.address).await?;
+        configure_stream(&stream);
+        let url = format!("ws://{}/", self.address);
+        let (socket, _) = client_async(url, stream).await.map_err(io::Error::other)?;
+        Ok(socket)
+    }
+
+    /// Sends `first` and then the queued messages, and passes on the replies, until the connection
+    /// fails.
+    async fn exchange(
+        &self,
+        socket: WebSocketStream<TcpStream>,
+        first: PeerMessage,
+        queue: &flume::Receiver<PeerMessage>,
+    ) -> io::Result<()> {
+        let (mut sink, mut replies) = socket.split();
+        sink.send(encode(&first)?).await.map_err(io::Error::other)?;
+        loop {
+            tokio::select! {
+                () = self.reset.notified() => return Err(io::ErrorKind::TimedOut.into()),
+                message = queue.recv_async() => {
+                    let Ok(message) = message else {
+                        return Ok(());
+                    };
+                    sink.send(encode(&message)?).await.map_err(io::Error::other)?;
+                }
+                reply = replies.next() => {
+                    let Some(message) = reply.transpose().map_err(io::Error::other)? else {
+                        return Err(io::ErrorKind::UnexpectedEof.into());
+                    };
+                    if message.is_binary() {
+                        self.deliver(decode(&message)?);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Passes a reply to the request that waits for it.
+    fn deliver(&self, reply: ReserveReply) {
+        self.down_until.set(None);
+        let is_final = reply.outcome != ReserveOutcome::Waiting;
+        let mut pending = self.pending.borrow_mut();
+        let delivered = match pending.get(&reply.number) {
+            Some(sender) => sender.send(reply.outcome).is_ok(),
+            None => false,
+        };
+        if is_final || !delivered {
+            pending.remove(&reply.number);
+        }
+    }
+}
--- /dev/null
+++ b/edge/src/peer/message.rs
@@ -0,0 +1,216 @@
+//! Messages between daemons.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration, //
+};
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use tokio_tungstenite::tungstenite::Message;
+
+use crate::{
+    catalog::{
+        Runner,
+        RunnerState, //
+    },
+    prepaid::Admission,
+};
+
+/// Message of a daemon that opened a connection.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum PeerMessage {
+    /// Reserves tokens for one request.
+    Reserve {
+        /// The reservation.
+        reserve: ReserveRequest,
+    },
+    /// Ends a reservation.
+    Settle {
+        /// What was consumed.
+        settle: Settlement,
+    },
+    /// Asks for newer state. Not an enum variant of its own name on the wire, as daemons that know no
+    /// reservations send only this one.
+    Query(PeerQuery),
+}
+
+/// Reservation of tokens at a holder.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReserveRequest {
+    /// Process that sends the request.
+    pub process: u64,
+    /// Number of the reservation, unique within the process.
+    pub number: u64,
+    /// Attempt id of the caller's request, for the log.
+    pub request: String,
+    /// Customer to whom the tokens belong.
+    pub customer: String,
+    /// Tokens that the request may consume at most.
+    pub cost: u64,
+    /// Version of the configuration by which the sender knows the customer's limit.
+    pub config: u64,
+    /// Time for which the request can wait for tokens, in milliseconds.
+    pub wait_ms: u64,
+    /// Time after which the request has ended in any case, in milliseconds.
+    pub expires_ms: u64,
+}
+
+/// End of a reservation.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Settlement {
+    /// Process that made the reservation.
+    pub process: u64,
+    /// Number of the reservation.
+    pub number: u64,
+    /// Tokens that the request consumed.
+    pub used: u64,
+}
+
+/// Reply to a [`ReserveRequest`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReserveReply {
+    /// Number of the reservation.
+    pub number: u64,
+    /// Outcome.
+    pub outcome: ReserveOutcome,
+}
+
+/// Outcome of a reservation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ReserveOutcome {
+    /// The tokens are reserved.
+    Taken,
+    /// The holder waits for tokens; the final reply follows.
+    Waiting,
+    /// The holder got no tokens from the store in time.
+    Grant,
+    /// The store is unreachable; the reserve covers the request after this many milliseconds.
+    Release(u64),
+    /// The store is unreachable and the reserve is spent.
+    Refused,
+    /// The customer's remaining tokens do not cover the request.
+    Exhausted,
+    /// This daemon can't tell: it is stopping, or does not know the customer or the newest limit.
+    Unavailable,
+}
+
+impl From<Admission> for ReserveOutcome {
+    fn from(admission: Admission) -> ReserveOutcome {
+        match admission {
+            Admission::Taken => ReserveOutcome::Taken,
+            Admission::Grant => ReserveOutcome::Grant,
+            Admission::Release(time) => ReserveOutcome::Release(time.as_millis() as u64),
+            Admission::Refused => ReserveOutcome::Refused,
+            Admission::Exhausted => ReserveOutcome::Exhausted,
+        }
+    }
+}
+
+impl ReserveOutcome {
+    /// The final outcome as an admission; `None` if the holder decided nothing.
+    pub fn admission(self) -> Option<Admission> {
+        match self {
+            ReserveOutcome::Taken => Some(Admission::Taken),
+            ReserveOutcome::Grant => Some(Admission::Grant),
+            ReserveOutcome::Release(ms) => Some(Admission::Release(Duration::from_millis(ms))),
+            ReserveOutcome::Refused => Some(Admission::Refused),
+            ReserveOutcome::Exhausted => Some(Admission::Exhausted),
+            ReserveOutcome::Waiting | ReserveOutcome::Unavailable => None,
+        }
+    }
+}
+
+/// Query of a daemon to another one.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct PeerQuery {
+    /// Version of the configuration that the sender has; 0 for none.
+    pub version: u64,
+}
+
+/// Reply of a daemon to a query.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct PeerReply {
+    /// Name of the replying daemon.
+    pub node: String,
+    /// Encoded configuration, if it is newer than the one in the query.
+    pub config: Option<Vec<u8>>,
+    /// Version of the configuration in force; 0 for none.
+    pub version: u64,
+    /// Time since that version was last confirmed as the newest, in milliseconds.
+    pub age_ms: u64,
+    /// The runners, if the daemon currently receives them from the store.
+    pub runners: Option<Vec<PeerRunner>>,
+    /// Fingerprints of requests that crashed runners, with the number of strikes.
+    pub strikes: Vec<(u64, u32)>,
+}
+
+/// A runner as encoded in a reply.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct PeerRunner {
+    id: String,
+    service: String,
+    address: SocketAddr,
+    zone: String,
+    slots: u32,
+    ready: bool,
+    born: u64,
+}
+
+impl From<&Runner> for PeerRunner {
+    fn from(runner: &Runner) -> PeerRunner {
+        PeerRunner {
+            id: runner.id.to_string(),
+            service: runner.service.to_string(),
+            address: runner.address,
+            zone: runner.zone.to_string(),
+            slots: runner.slots,
+            ready: runner.state == RunnerState::Ready,
+            born: runner.born,
+        }
+    }
+}
+
+impl From<PeerRunner> for Runner {
+    fn from(peer: PeerRunner) -> Runner {
+        Runner {
+            id: Arc::from(peer.id),
+            service: Arc::from(peer.service),
+            address: peer.address,
+            zone: Arc::from(peer.zone),
+            slots: peer.slots,
+            state: if peer.ready {
+                RunnerState::Ready
+            } else {
+                RunnerState::Draining
+            },
+            born: peer.born,
+        }
+    }
+}
+
+/// Encodes a message as CBOR in a binary WebSocket message.
+///
+/// # Errors
+///
+/// Fails if the value can't be encoded.
+pub fn encode<T: Serialize>(value: &T) -> io::Result<Message> {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(value, &mut bytes).map_err(io::Error::other)?;
+    Ok(Message::binary(bytes))
+}
+
+/// Decodes a message from CBOR.
+///
+/// # Errors
+///
+/// Fails if the bytes are no such message.
+pub fn decode<T: for<'de> Deserialize<'de>>(message: &Message) -> io::Result<T> {
+    ciborium::from_reader(&message.clone().into_data()[..]).map_err(io::Error::other)
+}
--- a/edge/src/prepaid/grant.rs
+++ b/edge/src/prepaid/grant.rs
@@ -66,6 +66,17 @@
         self.issued + by_time.min(by_pace)
     }
 
+    /// Whether nothing is committed to the daemon and nothing was consumed.
+    pub fn is_empty(&self) -> bool {
+        self.cap == 0 && self.spent == 0 && self.open == 0
+    }
+
+    /// Sets `cap` back to `cap`, and `issued` to no more than that.
+    pub fn keep_cap(&mut self, cap: u64) {
+        self.cap = cap;
+        self.issued = self.issued.min(cap);
+    }
+
     /// Seconds after the last accepted write from which `tokens` may be spent in total; `None` if
     /// the grant does not cover them.
     pub fn release_time(&self, tokens: u64) -> Option<f64> {
--- /dev/null
+++ b/edge/src/prepaid/ledger/membership.rs
@@ -0,0 +1,89 @@
+//! Which daemons hold grants, as this daemon sees it.
+
+use std::{
+    net::SocketAddr,
+    time::Instant, //
+};
+
+use super::{
+    super::{
+        Member,
+        choose_holders,
+        rank_holders, //
+    },
+    Ledger,
+};
+
+impl Ledger {
+    /// Sets the data centre of this VM and its processor share, in thousandths of a core.
+    #[must_use]
+    pub fn with_place(mut self, zone: &str, capacity: u32) -> Ledger {
+        zone.clone_into(&mut self.zone);
+        self.capacity = capacity;
+        self
+    }
+
+    /// Whether this daemon holds grants.
+    pub fn is_holder(&self) -> bool {
+        self.holders.iter().any(|h| h.node == self.node)
+    }
+
+    /// Whether the holders have been chosen, which takes a read of all rows after the first write of the
+    /// own one: when all daemons start at once, the others have written theirs by then.
+    pub fn knows_holders(&self) -> bool {
+        !self.holders.is_empty()
+    }
+
+    /// Number of daemons that hold grants.
+    pub fn holder_count(&self) -> usize {
+        self.holders.len().max(1)
+    }
+
+    /// Addresses of the daemons at which tokens of `customer` can be reserved, best first.
+    pub fn holders_for(&self, customer: &str) -> Vec<SocketAddr> {
+        let mut order = rank_holders(&self.holders, &self.zone, customer);
+        order.retain(|address| Some(*address) != self.peer);
+        order
+    }
+
+    /// Whether this daemon has grants, so that the age of its row matters.
+    pub fn holds_tokens(&self) -> bool {
+        self.accounts
+            .values()
+            .any(|a| a.confirmed.cap > a.spent || !a.uncertain.is_empty())
+    }
+
+    /// Chooses the holders among the daemons whose rows were read at `asked`.
+    pub(super) fn update_holders(&mut self, asked: Instant) {
+        if !self.owned {
+            return;
+        }
+        let own = Member {
+            node: self.node.clone(),
+            zone: self.zone.clone(),
+            capacity: self.capacity,
+            peer: self.peer,
+        };
+        let others = self
+            .peer_rows
+            .iter()
+            .filter(|(name, (_, row))| !row.leaving && !self.is_silent(name, asked))
+            .map(|(name, (_, row))| Member {
+                node: name.clone(),
+                zone: row.zone.clone(),
+                capacity: row.capacity,
+                peer: row.peer,
+            });
+        let members: Vec<Member> = others.chain((!self.leaving).then_some(own)).collect();
+        let before = self.is_holder();
+        self.holders = choose_holders(&members);
+        let after = self.is_holder();
+        if before != after {
+            log::info!(
+                "event=holder_role holds={after} holders={} members={}",
+                self.holders.len(),
+                members.len()
+            );
+        }
+    }
+}
--- a/edge/src/prepaid/ledger/mod.rs
+++ b/edge/src/prepaid/ledger/mod.rs
@@ -1,6 +1,7 @@
 //! State machine of a daemon's grants: admits requests, and plans and confirms writes of the rows.
 
 mod admission;
+mod membership;
 mod sizing;
 mod takeover;
 
@@ -26,6 +27,7 @@
     CustomerRow,
     DaemonRow,
     Grant,
+    Member,
     Precondition,
     Row,
     Rows,
@@ -45,10 +47,24 @@
 /// write is likely to bring tokens.
 const MAX_CONTACT_AGE: Duration = Duration::from_millis(900);
 
+/// Time since any response of the store within which it counts as reachable for a daemon that writes
+/// seldom: its feeds are answered at least each second.
+const MAX_ANSWER_AGE: Duration = Duration::from_millis(1500);
+
 /// Time without a new version of a daemon's row after which its tokens count as orphaned. The
 /// longest partition that the users state is 9 s.
 const SILENT_AFTER: Duration = Duration::from_secs(20);
 
+/// Which rows a write contains.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WriteScope {
+    /// Only the daemon's own row, which no other daemon writes, so that it can't conflict: what the
+    /// daemon has consumed, and that it still runs.
+    OwnRow,
+    /// Also the rows of the customers whose committed tokens should change.
+    Customers,
+}
+
 /// Tokens reserved for one open request.
 #[derive(Clone, Debug)]
 pub struct Reservation {
@@ -100,6 +116,12 @@
     /// Id of this process.
     process: u64,
     peer: Option<SocketAddr>,
+    /// Data centre of this VM.
+    zone: String,
+    /// Processor share of this VM, in thousandths of a core.
+    capacity: u32,
+    /// Daemons that hold grants, as of the newest read of all rows.
+    holders: Vec<Member>,
     /// Whether this process has replaced the row of the previous one.
     owned: bool,
     /// Whether another process has replaced the row of this one.
@@ -140,6 +162,9 @@
             node: node.to_owned(),
             process,
             peer,
+            zone: String::new(),
+            capacity: 0,
+            holders: Vec::new(),
             owned: false,
             fenced: false,
             leaving: false,
@@ -160,6 +185,11 @@
         }
     }
 
+    /// Id of this process.
+    pub fn process(&self) -> u64 {
+        self.process
+    }
+
     /// Records that this process has bound the listen address of the VM's daemon, so that no
     /// previous process runs any more.
     pub fn mark_exclusive(&mut self, now: Instant) {
@@ -187,11 +217,14 @@
         self.owned
     }
 
-    /// Whether the store has accepted a write recently, so that the next one is likely to bring
-    /// tokens.
+    /// Whether the store has answered recently, so that the next write is likely to bring tokens. A
+    /// holder writes often, so for it only accepted writes count; the others write seldom.
     pub fn is_attached(&self, now: Instant) -> bool {
-        self.contact
-            .is_some_and(|at| now.duration_since(at) < MAX_CONTACT_AGE)
+        let recent = |at: Option<Instant>, limit| {
+            at.is_some_and(|at| now.saturating_duration_since(at) < limit)
+        };
+        recent(self.contact, MAX_CONTACT_AGE)
+            || (!self.is_holder() && recent(self.store_time.1, MAX_ANSWER_AGE))
     }
 
     /// Number of writes that the store has accepted.
@@ -371,6 +404,9 @@
             // There is no row of a previous process to take over.
             self.inherited = Some(DaemonRow::default());
         }
+        if whole {
+            self.update_holders(asked);
+        }
     }
 
     /// Whether the daemon on the VM `name` has not written its row for [`SILENT_AFTER`].
@@ -385,6 +421,16 @@
         &mut self,
         now: Instant,
         strikes: Vec<(Fingerprint, u32)>,
+    ) -> Option<WritePlan> {
+        self.plan_scoped(now, strikes, WriteScope::Customers)
+    }
+
+    /// Plans the next write with the rows of `scope`, as [`Ledger::plan_write`] does.
+    pub fn plan_scoped(
+        &mut self,
+        now: Instant,
+        strikes: Vec<(Fingerprint, u32)>,
+        scope: WriteScope,
     ) -> Option<WritePlan> {
         if self.fenced || !self.rows_read {
             return None;
@@ -404,7 +450,10 @@
                 .get(&name)
                 .map(|a| a.confirmed)
                 .unwrap_or_default();
-            let new = self.next_grant(&name, now);
+            let mut new = self.next_grant(&name, now);
+            if scope == WriteScope::OwnRow {
+                new.keep_cap(old.cap);
+            }
             if new.cap != old.cap {
                 let (version, sum) = self.customer_rows.get(&name).copied().unwrap_or_default();
                 let committed = (sum.committed + new.cap).saturating_sub(old.cap);
@@ -457,8 +506,14 @@
                 number: self.number,
                 seen: self.store_time.0,
                 peer: self.peer,
+                zone: self.zone.clone(),
+                capacity: self.capacity,
                 leaving: self.leaving,
-                grants: grants.clone(),
+                grants: grants
+                    .iter()
+                    .filter(|(_, grant)| !grant.is_empty())
+                    .map(|(name, grant)| (name.clone(), *grant))
+                    .collect(),
                 strikes,
             },
         ));
@@ -485,15 +540,16 @@
         self.owned = true;
         self.version = version;
         self.number = self.number.max(number);
-        for (name, grant) in grants {
-            let account = self.accounts.entry(name.clone()).or_default();
-            account.confirmed = *grant;
-            if first {
-                account.spent += grant.spent;
-            }
+        for name in grants.keys() {
+            self.accounts.entry(name.clone()).or_default();
         }
-        for account in self.accounts.values_mut() {
+        for (name, account) in &mut self.accounts {
+            // A row does not contain empty grants.
+            account.confirmed = grants.get(name).copied().unwrap_or_default();
             account.uncertain.clear();
+            if first {
+                account.spent += account.confirmed.spent;
+            }
         }
     }
 
--- a/edge/src/prepaid/ledger/sizing.rs
+++ b/edge/src/prepaid/ledger/sizing.rs
@@ -25,7 +25,7 @@
 /// Fraction of the spare tokens that daemons without demand together hold as reserve.
 const IDLE_FRACTION: f64 = 0.25;
 
-/// Requests of mean cost per daemon that stay uncommitted, as the common pool, before any reserve
+/// Requests of mean cost per holder that stay uncommitted, as the common pool, before any reserve
 /// is made.
 const POOL_REQUESTS: f64 = 1.5;
 
@@ -70,7 +70,7 @@
             return grant;
         }
         let remaining = self.remaining(name);
-        let members = u64::from(self.members());
+        let members = self.holder_count() as u64;
         let pool = POOL_REQUESTS * members as f64 * account.mean_cost;
         let spare = (remaining as f64 - pool).max(0.0);
         let total = self.peer_rate(name) + rate;
@@ -81,9 +81,13 @@
         };
         let ahead = (rate * ISSUE_S).min(spare * share * ISSUE_FRACTION);
         let idle = spare * IDLE_FRACTION / members as f64;
-        let reserve = (rate * RESERVE_S)
-            .min(spare * share * RESERVE_FRACTION)
-            .max(idle) as u64;
+        let reserve = if self.is_holder() {
+            (rate * RESERVE_S)
+                .min(spare * share * RESERVE_FRACTION)
+                .max(idle) as u64
+        } else {
+            0
+        };
         let issue = used + account.waiting_tokens + ahead as u64;
         let wanted = issue + reserve;
         let slack = MAX_SLACK_TOKENS.min(remaining / (SLACK_DIVISOR * members));
--- a/edge/src/prepaid/mod.rs
+++ b/edge/src/prepaid/mod.rs
@@ -9,6 +9,7 @@
 
 mod audit;
 mod grant;
+mod holders;
 mod ledger;
 mod rate;
 mod row;
@@ -22,12 +23,18 @@
     Grant,
     UncertainGrant, //
 };
+pub use holders::{
+    Member,
+    choose_holders,
+    rank_holders, //
+};
 pub use ledger::{
     Admission,
     Ledger,
     Reservation,
     WRITE_INTERVAL,
-    WritePlan, //
+    WritePlan,
+    WriteScope, //
 };
 pub use rate::DemandRate;
 pub use row::{
--- a/edge/src/prepaid/row.rs
+++ b/edge/src/prepaid/row.rs
@@ -21,8 +21,14 @@
     pub number: u64,
     /// Newest store time that the process knew when it wrote the row, in milliseconds.
     pub seen: u64,
-    /// Address for queries of other daemons.
+    /// Address for other daemons.
     pub peer: Option<SocketAddr>,
+    /// Data centre of the VM.
+    #[serde(default)]
+    pub zone: String,
+    /// Processor share of the VM, in thousandths of a core.
+    #[serde(default)]
+    pub capacity: u32,
     /// Whether the daemon is stopping.
     #[serde(default)]
     pub leaving: bool,
--- a/edge/src/serve/core.rs
+++ b/edge/src/serve/core.rs
@@ -7,6 +7,7 @@
     },
     collections::HashMap,
     marker::PhantomData,
+    net::SocketAddr,
     rc::Rc,
     sync::Arc,
     time::{
@@ -19,7 +20,8 @@
 
 use super::{
     LinkActivity,
-    Upstream, //
+    Upstream,
+    reservations::Reservations, //
 };
 use crate::{
     accept::Shutdown,
@@ -34,6 +36,7 @@
         RetryBudget,
         Strikes, //
     },
+    peer::PeerLink,
     prepaid::Ledger,
     telemetry::Metrics, //
 };
@@ -106,6 +109,12 @@
     upstreams: RefCell<HashMap<RunnerId, Rc<Upstream>>>,
     /// Retry budget of each service.
     retry_budgets: RefCell<HashMap<ServiceId, RetryBudget>>,
+    /// Links to the daemons at which tokens are reserved.
+    peer_links: RefCell<HashMap<SocketAddr, Rc<PeerLink>>>,
+    /// Number of the last reservation at another daemon.
+    last_reservation: Cell<u64>,
+    /// Tokens reserved for requests of other daemons.
+    pub(super) reservations: Reservations,
     /// Time at which the planned stop began.
     stop_began: Cell<Option<Instant>>,
     /// State of the shutdown of the callers' listener.
@@ -143,6 +152,9 @@
             runners_confirmed: Cell::new(None),
             upstreams: RefCell::default(),
             retry_budgets: RefCell::default(),
+            peer_links: RefCell::default(),
+            last_reservation: Cell::new(0),
+            reservations: Reservations::default(),
             stop_began: Cell::new(None),
             shutdown: Shutdown::default(),
             open_requests: Cell::new(0),
@@ -273,6 +285,22 @@
         f(budget)
     }
 
+    /// Returns the link to the daemon at `address`.
+    pub fn peer_link(&self, address: SocketAddr) -> Rc<PeerLink> {
+        let mut links = self.peer_links.borrow_mut();
+        let link = links
+            .entry(address)
+            .or_insert_with(|| PeerLink::spawn(address));
+        Rc::clone(link)
+    }
+
+    /// Returns a number for a reservation at another daemon.
+    pub(super) fn next_reservation(&self) -> u64 {
+        let number = self.last_reservation.get() + 1;
+        self.last_reservation.set(number);
+        number
+    }
+
     /// Begins the planned stop, unless it has begun.
     pub fn begin_stop(&self, now: Instant) {
         if self.stop_began.get().is_none() {
--- a/edge/src/serve/exchange.rs
+++ b/edge/src/serve/exchange.rs
@@ -412,6 +412,7 @@
             if upstream.probe().await == Probe::Unreachable {
                 upstream.mark_down(Instant::now());
                 core.strikes.borrow_mut().add_strike(call.fingerprint, now);
+                core.writer_wake.notify_one();
                 core.state_changed.notify_waiters();
                 log::info!(
                     "event=runner_crashed runner={} id={} fingerprint={:016x}",
--- a/edge/src/serve/mod.rs
+++ b/edge/src/serve/mod.rs
@@ -9,6 +9,7 @@
 mod ready;
 mod receive;
 mod relay;
+mod reservations;
 mod response;
 mod send;
 mod tokens;
--- /dev/null
+++ b/edge/src/serve/reservations.rs
@@ -0,0 +1,191 @@
+//! Tokens that this daemon has reserved for requests of other daemons.
+
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    rc::Rc,
+    sync::Arc,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use super::{
+    Core,
+    tokens::{
+        TokenRequest,
+        try_admit,
+        wait_for_tokens, //
+    },
+};
+use crate::{
+    peer::{
+        ReserveOutcome,
+        ReserveReply,
+        ReserveRequest,
+        Settlement, //
+    },
+    prepaid::{
+        Admission,
+        Reservation, //
+    },
+};
+
+/// Process and number of a reservation.
+type ReservationId = (u64, u64);
+
+/// A reservation for another daemon.
+#[derive(Debug)]
+struct Entry {
+    /// The tokens; `None` while the request waits for them.
+    tokens: Option<Reservation>,
+    /// Time at which the request has ended in any case.
+    expires: Instant,
+}
+
+/// Open reservations for other daemons.
+#[derive(Debug, Default)]
+pub(super) struct Reservations(RefCell<HashMap<ReservationId, Entry>>);
+
+impl<D> Core<D> {
+    /// Number of reservations for other daemons that are open or wait for tokens.
+    pub fn reservation_count(&self) -> usize {
+        self.reservations.0.borrow().len()
+    }
+
+    /// Reserves tokens for a request of another daemon and sends the outcome to `replies`. Waits for
+    /// tokens as for a request of this daemon's own callers.
+    pub async fn reserve_for_peer(
+        self: &Rc<Self>,
+        request: ReserveRequest,
+        replies: flume::Sender<ReserveReply>,
+    ) {
+        let received_at = Instant::now();
+        let outcome = self
+            .decide_reservation(&request, received_at, &replies)
+            .await;
+        log::info!(
+            "event=reservation id={} customer={} cost={} process={} number={} outcome={outcome:?} waited_ms={}",
+            request.request,
+            request.customer,
+            request.cost,
+            request.process,
+            request.number,
+            received_at.elapsed().as_millis()
+        );
+        send_reply(&replies, request.number, outcome);
+    }
+
+    /// Decides about a reservation and records it if the tokens were taken.
+    async fn decide_reservation(
+        self: &Rc<Self>,
+        request: &ReserveRequest,
+        received_at: Instant,
+        replies: &flume::Sender<ReserveReply>,
+    ) -> ReserveOutcome {
+        if !self.can_decide(request) {
+            return ReserveOutcome::Unavailable;
+        }
+        let id = (request.process, request.number);
+        let entry = Entry {
+            tokens: None,
+            expires: received_at + Duration::from_millis(request.expires_ms),
+        };
+        self.reservations.0.borrow_mut().insert(id, entry);
+        let reservation = Reservation {
+            customer: Arc::from(&*request.customer),
+            cost: request.cost,
+        };
+        let mut admission = try_admit(self, &reservation, received_at);
+        if matches!(admission, Admission::Grant | Admission::Release(_)) {
+            send_reply(replies, request.number, ReserveOutcome::Waiting);
+            let wait = Duration::from_millis(request.wait_ms);
+            let token_request = TokenRequest {
+                reservation: &reservation,
+                received_at,
+                wait,
+            };
+            admission = wait_for_tokens(self, &token_request).await;
+        }
+        self.record_admission(id, reservation, admission);
+        if admission == Admission::Exhausted && !self.knows_config(request.config) {
+            return ReserveOutcome::Unavailable;
+        }
+        admission.into()
+    }
+
+    /// Whether this daemon knows the customer's limit and is not stopping.
+    fn can_decide(&self, request: &ReserveRequest) -> bool {
+        let known = self.config().is_some_and(|config| {
+            let mut customers = config.customers.iter();
+            customers.any(|c| *c.name == *request.customer && c.prepaid.is_some())
+        });
+        known && self.stopping_for(Instant::now()).is_none()
+    }
+
+    /// Whether the configuration in force is at least `version`.
+    fn knows_config(&self, version: u64) -> bool {
+        self.config().is_some_and(|c| c.version >= version)
+    }
+
+    /// Records the tokens taken for a reservation, or returns them if it has been ended meanwhile.
+    fn record_admission(&self, id: ReservationId, reservation: Reservation, admission: Admission) {
+        let mut open = self.reservations.0.borrow_mut();
+        if admission != Admission::Taken {
+            open.remove(&id);
+            return;
+        }
+        match open.get_mut(&id) {
+            Some(entry) => entry.tokens = Some(reservation),
+            None => self.settle_tokens(&reservation, 0),
+        }
+    }
+
+    /// Ends a reservation of another daemon.
+    pub fn settle_for_peer(&self, settlement: &Settlement) {
+        let id = (settlement.process, settlement.number);
+        let entry = self.reservations.0.borrow_mut().remove(&id);
+        if let Some(tokens) = entry.and_then(|e| e.tokens) {
+            self.settle_tokens(&tokens, settlement.used.min(tokens.cost));
+        }
+    }
+
+    /// Charges the whole cost of reservations whose end was not told in time.
+    pub fn expire_reservations(&self, now: Instant) {
+        let mut expired = Vec::new();
+        self.reservations.0.borrow_mut().retain(|id, entry| {
+            let keep = now < entry.expires || entry.tokens.is_none();
+            if !keep {
+                expired.push((*id, entry.tokens.take()));
+            }
+            keep
+        });
+        for ((process, number), tokens) in expired {
+            let Some(tokens) = tokens else {
+                continue;
+            };
+            log::warn!(
+                "event=reservation_expired process={process} number={number} customer={} charged={}",
+                tokens.customer,
+                tokens.cost
+            );
+            self.settle_tokens(&tokens, tokens.cost);
+        }
+    }
+
+    /// Settles tokens and wakes requests that wait for some.
+    pub(super) fn settle_tokens(&self, reservation: &Reservation, used: u64) {
+        self.ledger
+            .borrow_mut()
+            .settle(reservation, used, Instant::now());
+        self.tokens_freed.notify_waiters();
+    }
+}
+
+/// Sends a reply; the connection may have failed meanwhile, and then nobody waits for it.
+fn send_reply(replies: &flume::Sender<ReserveReply>, number: u64, outcome: ReserveOutcome) {
+    if replies.send(ReserveReply { number, outcome }).is_err() {
+        log::debug!("event=reply_dropped number={number}");
+    }
+}
--- a/edge/src/serve/tokens.rs
+++ b/edge/src/serve/tokens.rs
@@ -12,10 +12,20 @@
 
 use tokio::time::timeout;
 
-use super::{Core, call::Call, response::Refusal};
+use super::{
+    Core,
+    call::Call,
+    response::Refusal, //
+};
 use crate::{
     adapter::Dialect,
     decide::retry_after,
+    peer::{
+        PeerLink,
+        ReserveOutcome,
+        ReserveRequest,
+        Settlement, //
+    },
     prepaid::{
         Admission,
         Reservation, //
@@ -33,11 +43,29 @@
 /// Interval at which a request that waits for a write checks whether the store is still reachable.
 const GRANT_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time within which a holder replies to a reservation, if only that it waits for tokens.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Holders that are asked for one request.
+const MAX_HOLDERS_ASKED: usize = 3;
+
+/// Time by which a holder keeps a reservation beyond the deadline of the request.
+const EXPIRY_MARGIN: Duration = Duration::from_secs(2);
+
+/// Who holds the tokens that a request has reserved.
+enum Charge {
+    /// The request is not prepaid.
+    None,
+    /// This daemon.
+    Local(Reservation),
+    /// Another daemon.
+    Remote(RemoteReservation),
+}
+
 /// Tokens taken for a request. When dropped, charges those that were used and returns the rest.
 pub(super) struct TokenCharge<D> {
     core: Rc<Core<D>>,
-    /// Tokens to settle; `None` if the request is not prepaid.
-    reservation: Option<Reservation>,
+    charge: Charge,
     prompt_tokens: u64,
     /// Maximum number of tokens in one event.
     event_tokens: u64,
@@ -47,26 +75,60 @@
     event_count: Rc<Cell<u64>>,
 }
 
-impl<D> Drop for TokenCharge<D> {
-    fn drop(&mut self) {
-        let Some(reservation) = &self.reservation else {
-            return;
-        };
-        let used = if self.prompt_read.get() {
-            (self.prompt_tokens + self.event_count.get() * self.event_tokens).min(reservation.cost)
+impl<D> TokenCharge<D> {
+    /// Tokens that the request has consumed so far.
+    fn used(&self) -> u64 {
+        if self.prompt_read.get() {
+            self.prompt_tokens + self.event_count.get() * self.event_tokens
         } else {
             0
-        };
-        self.core
-            .ledger
-            .borrow_mut()
-            .settle(reservation, used, Instant::now());
-        self.core.tokens_freed.notify_waiters();
+        }
+    }
+}
+
+impl<D> Drop for TokenCharge<D> {
+    fn drop(&mut self) {
+        let used = self.used();
+        match &mut self.charge {
+            Charge::None => {}
+            Charge::Local(reservation) => {
+                self.core
+                    .settle_tokens(reservation, used.min(reservation.cost));
+            }
+            Charge::Remote(remote) => remote.used = used,
+        }
+    }
+}
+
+/// Tokens reserved at another daemon. When dropped, tells it how many were used.
+struct RemoteReservation {
+    link: Rc<PeerLink>,
+    process: u64,
+    number: u64,
+    used: u64,
+}
+
+impl Drop for RemoteReservation {
+    fn drop(&mut self) {
+        self.link.settle(Settlement {
+            process: self.process,
+            number: self.number,
+            used: self.used,
+        });
     }
 }
 
-/// Takes the maximum number of tokens that the request can consume. Waits for a grant while the store
-/// is reachable.
+/// A request for tokens of this daemon.
+pub(super) struct TokenRequest<'a> {
+    pub reservation: &'a Reservation,
+    /// Time at which it was received.
+    pub received_at: Instant,
+    /// Time for which it can wait.
+    pub wait: Duration,
+}
+
+/// Takes the maximum number of tokens that the request can consume, from this daemon's grants or at
+/// a holder. Waits for a grant while the store is reachable.
 ///
 /// # Errors
 ///
@@ -79,7 +141,7 @@
 ) -> Result<TokenCharge<D>, Refusal> {
     let mut charge = TokenCharge {
         core: Rc::clone(core),
-        reservation: None,
+        charge: Charge::None,
         prompt_tokens: call.prompt_tokens(),
         event_tokens: call.event_tokens(),
         prompt_read: Cell::new(false),
@@ -91,62 +153,206 @@
     if customer.prepaid.is_none() {
         return Ok(charge);
     }
-    let cost = tokens.prompt + tokens.output;
     let reservation = Reservation {
         customer: Arc::clone(&customer.name),
-        cost,
+        cost: tokens.prompt.saturating_add(tokens.output),
     };
     let mut span = call.start_span("tokens");
-    let admission = wait_for_tokens(core, call, &reservation).await;
+    let (admission, taken) = reserve(core, call, &reservation).await;
     if let Some(span) = &mut span {
         span.add_field("outcome", format_args!("{admission:?}"));
     }
     drop(span);
+    log_tokens(core, call, &reservation, admission, &taken);
+    match admission {
+        Admission::Taken => {
+            charge.charge = taken;
+            Ok(charge)
+        }
+        Admission::Exhausted => Err(Refusal::rejected(402, "budget_exhausted")),
+        Admission::Grant | Admission::Refused | Admission::Release(_) => {
+            let left = call.time_left(Instant::now());
+            let retry = retry_after(admission.retry_delay(), left);
+            Err(Refusal::not_run("no_grant", retry))
+        }
+    }
+}
+
+/// Logs the decision about the tokens of a request and what it was based on.
+fn log_tokens<D>(
+    core: &Core<D>,
+    call: &Call,
+    reservation: &Reservation,
+    admission: Admission,
+    taken: &Charge,
+) {
     let now = Instant::now();
     let ledger = core.ledger.borrow();
+    let holder = match taken {
+        Charge::Remote(remote) => remote.link.address().to_string(),
+        Charge::Local(_) | Charge::None => "-".to_owned(),
+    };
     log::info!(
-        "event=tokens id={} customer={} prompt={} cost={cost} outcome={admission:?} remaining={} attached={} contact_ms={} waited_ms={}",
+        "event=tokens id={} customer={} prompt={} cost={} outcome={admission:?} holder={holder} remaining={} attached={} contact_ms={} waited_ms={}",
         call.meta.id,
-        customer.name,
-        tokens.prompt,
-        ledger.remaining(&customer.name),
+        reservation.customer,
+        call.prompt_tokens(),
+        reservation.cost,
+        ledger.remaining(&reservation.customer),
         ledger.is_attached(now),
         ledger.contact_age(now).map_or(-1, |d| d.as_millis() as i64),
         now.duration_since(call.received_at).as_millis()
     );
-    match admission {
-        Admission::Taken => {
-            charge.reservation = Some(reservation);
-            Ok(charge)
+}
+
+/// Reserves tokens: at this daemon if it holds grants, or else at a holder. If no holder replies, this
+/// daemon draws tokens itself.
+async fn reserve<D: Dialect>(
+    core: &Rc<Core<D>>,
+    call: &Call,
+    reservation: &Reservation,
+) -> (Admission, Charge) {
+    let is_holder = core.ledger.borrow().is_holder();
+    if !is_holder && let Some(result) = reserve_at_holders(core, call, reservation).await {
+        return result;
+    }
+    let request = TokenRequest {
+        reservation,
+        received_at: call.received_at,
+        wait: call.wait_limit(),
+    };
+    let admission = wait_for_tokens(core, &request).await;
+    (admission, Charge::Local(reservation.clone()))
+}
+
+/// Asks holders in turn until one has tokens; `None` if none of them decided.
+async fn reserve_at_holders<D>(
+    core: &Rc<Core<D>>,
+    call: &Call,
+    reservation: &Reservation,
+) -> Option<(Admission, Charge)> {
+    let end = call.received_at + call.wait_limit();
+    let addresses = core.ledger.borrow().holders_for(&reservation.customer);
+    let links: Vec<Rc<PeerLink>> = addresses
+        .into_iter()
+        .map(|address| core.peer_link(address))
+        .filter(|link| !link.is_down(Instant::now()))
+        .take(MAX_HOLDERS_ASKED)
+        .collect();
+    let mut refusal = None;
+    for link in links {
+        let left = end.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            break;
         }
-        Admission::Exhausted => Err(Refusal::rejected(402, "budget_exhausted")),
-        Admission::Grant | Admission::Refused | Admission::Release(_) => {
-            let retry = retry_after(admission.retry_delay(), call.time_left(now));
-            Err(Refusal::not_run("no_grant", retry))
+        match ask_holder(core, call, reservation, &link, left).await {
+            None => {}
+            Some((admission @ (Admission::Taken | Admission::Exhausted), charge)) => {
+                return Some((admission, charge));
+            }
+            Some(result) => refusal = Some(result),
         }
     }
+    refusal
 }
 
-/// Takes tokens as soon as some are available: at once, after the next writes, or when the reserve is
-/// released. Returns early if none can become available in time.
-async fn wait_for_tokens<D: Dialect>(
+/// Reserves tokens at one holder; `None` if it decided nothing.
+async fn ask_holder<D>(
     core: &Rc<Core<D>>,
     call: &Call,
     reservation: &Reservation,
-) -> Admission {
-    let try_admit = |now| {
-        core.ledger
-            .borrow_mut()
-            .admit(&reservation.customer, reservation.cost, now)
+    link: &Rc<PeerLink>,
+    wait: Duration,
+) -> Option<(Admission, Charge)> {
+    let now = Instant::now();
+    let process = core.ledger.borrow().process();
+    let number = core.next_reservation();
+    let expires = call.time_left(now) + EXPIRY_MARGIN;
+    let replies = link.reserve(ReserveRequest {
+        process,
+        number,
+        request: call.meta.id.to_string(),
+        customer: reservation.customer.to_string(),
+        cost: reservation.cost,
+        config: call.config.version,
+        wait_ms: wait.as_millis() as u64,
+        expires_ms: expires.as_millis() as u64,
+    });
+    // If this function ends early, dropping it returns the tokens.
+    let remote = RemoteReservation {
+        link: Rc::clone(link),
+        process,
+        number,
+        used: 0,
     };
-    let mut admission = try_admit(call.received_at);
+    let outcome = await_outcome(core, link, &replies, now + wait).await?;
+    let Some(admission) = outcome.admission() else {
+        link.mark_down(Instant::now());
+        return None;
+    };
+    if admission == Admission::Taken {
+        return Some((admission, Charge::Remote(remote)));
+    }
+    Some((admission, Charge::None))
+}
+
+/// Waits for the final reply of a holder; `None` if it does not reply. Silence does not count against the
+/// holder while nothing else is received either: then this VM or its link may have stalled.
+async fn await_outcome<D>(
+    core: &Core<D>,
+    link: &PeerLink,
+    replies: &flume::Receiver<ReserveOutcome>,
+    end: Instant,
+) -> Option<ReserveOutcome> {
+    let mut limit = REPLY_TIMEOUT;
+    loop {
+        let begun = Instant::now();
+        match timeout(limit, replies.recv_async()).await {
+            Ok(Ok(ReserveOutcome::Waiting)) => {
+                core.link.record(Instant::now());
+                limit = end.saturating_duration_since(begun) + REPLY_TIMEOUT;
+            }
+            Ok(Ok(outcome)) => {
+                core.link.record(Instant::now());
+                return Some(outcome);
+            }
+            Ok(Err(flume::RecvError::Disconnected)) => return None,
+            Err(_) if begun < end && !core.link.is_active_since(begun) => {}
+            Err(_) => {
+                log::info!(
+                    "event=holder_silent peer={} waited_ms={}",
+                    link.address(),
+                    begun.elapsed().as_millis()
+                );
+                link.give_up(Instant::now());
+                return None;
+            }
+        }
+    }
+}
+
+/// Reserves tokens of this daemon's grants.
+pub(super) fn try_admit<D>(core: &Core<D>, reservation: &Reservation, now: Instant) -> Admission {
+    core.ledger
+        .borrow_mut()
+        .admit(&reservation.customer, reservation.cost, now)
+}
+
+/// Takes tokens of this daemon's grants as soon as some are available: at once, after the next writes,
+/// or when the reserve is released. Returns early if none can become available in time.
+pub(super) async fn wait_for_tokens<D>(
+    core: &Rc<Core<D>>,
+    request: &TokenRequest<'_>,
+) -> Admission {
+    let reservation = request.reservation;
+    let mut admission = try_admit(core, reservation, request.received_at);
     let start_writes = core.ledger.borrow().accepted_writes();
     let mut demand = None;
     loop {
         let now = Instant::now();
         match admission {
             Admission::Taken | Admission::Exhausted | Admission::Refused => return admission,
-            Admission::Release(time) if now + time > call.received_at + call.wait_limit() => {
+            Admission::Release(time) if now + time > request.received_at + request.wait => {
                 return admission;
             }
             Admission::Release(time) => {
@@ -160,7 +366,7 @@
                     ledger.accepted_writes() - start_writes >= MIN_GRANT_WRITES
                         && ledger.is_pool_short(&reservation.customer, reservation.cost, now)
                 };
-                if pool_short || now > call.received_at + MAX_GRANT_WAIT {
+                if pool_short || now > request.received_at + MAX_GRANT_WAIT {
                     return admission;
                 }
                 demand.get_or_insert_with(|| TokenDemand::new(core, reservation));
@@ -168,7 +374,7 @@
                 let _ = timeout(GRANT_POLL_INTERVAL, freed).await;
             }
         }
-        admission = try_admit(Instant::now());
+        admission = try_admit(core, reservation, Instant::now());
     }
 }
 
