--- a/edge/src/prepaid/ledger/membership.rs
+++ b/edge/src/prepaid/ledger/membership.rs
@@ -75,10 +75,10 @@
                 peer: row.peer,
             });
         let members: Vec<Member> = others.chain((!self.leaving).then_some(own)).collect();
-        let before = self.is_holder();
+        let before = self.knows_holders().then_some(self.is_holder());
         self.holders = choose_holders(&members);
         let after = self.is_holder();
-        if before != after {
+        if before != Some(after) {
             log::info!(
                 "event=holder_role holds={after} holders={} members={}",
                 self.holders.len(),
