Return all tokens that a daemon without grants drew

Callers could be refused near the end of a budget: a daemon that had drawn tokens because no holder replied kept up to 3,000 of each customer for good, as the slack that saves a holder's writes applied to it too. a_member_returns_all_that_it_drew failed before (2,000 kept of 2,000, 500 used).

--- a/edge/src/prepaid/ledger/sizing.rs
+++ b/edge/src/prepaid/ledger/sizing.rs
@@ -93,9 +93,13 @@
         };
         let issue = used + account.waiting_tokens + ahead as u64;
         let wanted = issue + reserve;
-        let slack = MIN_SLACK_TOKENS
-            .max(reserve / RESERVE_SLACK_DIVISOR)
-            .min(remaining / (SLACK_DIVISOR * members));
+        let slack = if self.is_holder() {
+            MIN_SLACK_TOKENS
+                .max(reserve / RESERVE_SLACK_DIVISOR)
+                .min(remaining / (SLACK_DIVISOR * members))
+        } else {
+            0
+        };
         grant.cap = if wanted > old.cap {
             let shortfall = wanted - old.cap;
             let worth_write = issue > old.cap || shortfall > slack;
