--- a/fleetctl/src/explain.rs
+++ b/fleetctl/src/explain.rs
@@ -10,7 +10,7 @@
 
 /// Events about the state that requests depend on: the process, its settings, the configuration, the
 /// store, the budgets and other daemons.
-const CONTEXT_EVENTS: [&str; 16] = [
+const CONTEXT_EVENTS: [&str; 22] = [
     "started",
     "stop_begun",
     "stopped",
@@ -27,6 +27,12 @@
     "audit_unbalanced",
     "lines_dropped",
     "peer_unreachable",
+    "peer_link_lost",
+    "peers_lost",
+    "peers_reached",
+    "holder_role",
+    "holder_silent",
+    "commit",
 ];
 
 /// Log line with the daemon that wrote it.
@@ -146,7 +152,8 @@
         "budget_exhausted" => "the customer's tokens are used up",
         "no_grant" => {
             "the tokens could not be reserved in time; outcome and contact_ms of `tokens` tell whether \
-             the store was unreachable (Release, Refused) or other daemons held them (Grant)"
+             the store was unreachable (Release, Refused) or other daemons held them (Grant); `holder` and \
+             the line `reservation` of another daemon tell who decided"
         }
         "crashes_runners" => "the same request crashed runners before",
         "no_runner" => "no runner could take it in time; `placed` shows the state at each send",
