--- /dev/null
+++ b/edge/src/serve/holders.rs
@@ -0,0 +1,164 @@
+//! Reserves tokens at the daemons that hold grants.
+
+use std::{
+    rc::Rc,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use tokio::time::timeout;
+
+use super::{
+    Core,
+    call::Call,
+    tokens::Charge, //
+};
+use crate::{
+    peer::{
+        PeerLink,
+        ReserveOutcome,
+        ReserveRequest,
+        Settlement, //
+    },
+    prepaid::{
+        Admission,
+        Reservation, //
+    },
+};
+
+/// Time within which a holder replies to a reservation, if only that it waits for tokens.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Holders that are asked for one request.
+const MAX_HOLDERS_ASKED: usize = 3;
+
+/// Time by which a holder keeps a reservation beyond the deadline of the request.
+const EXPIRY_MARGIN: Duration = Duration::from_secs(2);
+
+/// Tokens reserved at another daemon. When dropped, tells it how many were used.
+pub(super) struct RemoteReservation {
+    /// Link to the holder.
+    pub link: Rc<PeerLink>,
+    process: u64,
+    number: u64,
+    /// Tokens that the request has used.
+    pub used: u64,
+}
+
+impl Drop for RemoteReservation {
+    fn drop(&mut self) {
+        self.link.settle(Settlement {
+            process: self.process,
+            number: self.number,
+            used: self.used,
+        });
+    }
+}
+
+/// Asks holders in turn until one has tokens; `None` if none of them decided.
+pub(super) async fn reserve_at_holders<D>(
+    core: &Rc<Core<D>>,
+    call: &Call,
+    reservation: &Reservation,
+) -> Option<(Admission, Charge)> {
+    let end = call.received_at + call.wait_limit();
+    let addresses = core.ledger.borrow().holders_for(&reservation.customer);
+    let links: Vec<Rc<PeerLink>> = addresses
+        .into_iter()
+        .map(|address| core.peer_link(address))
+        .filter(|link| !link.is_down(Instant::now()))
+        .take(MAX_HOLDERS_ASKED)
+        .collect();
+    let mut refusal = None;
+    for link in links {
+        let left = end.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            break;
+        }
+        match ask_holder(core, call, reservation, &link, left).await {
+            None => {}
+            Some((admission @ (Admission::Taken | Admission::Exhausted), charge)) => {
+                return Some((admission, charge));
+            }
+            Some(result) => refusal = Some(result),
+        }
+    }
+    refusal
+}
+
+/// Reserves tokens at one holder; `None` if it decided nothing.
+async fn ask_holder<D>(
+    core: &Rc<Core<D>>,
+    call: &Call,
+    reservation: &Reservation,
+    link: &Rc<PeerLink>,
+    wait: Duration,
+) -> Option<(Admission, Charge)> {
+    let now = Instant::now();
+    let process = core.ledger.borrow().process();
+    let number = core.next_reservation();
+    let expires = call.time_left(now) + EXPIRY_MARGIN;
+    let replies = link.reserve(ReserveRequest {
+        process,
+        number,
+        request: call.meta.id.to_string(),
+        customer: reservation.customer.to_string(),
+        cost: reservation.cost,
+        config: call.config.version,
+        wait_ms: wait.as_millis() as u64,
+        expires_ms: expires.as_millis() as u64,
+    });
+    // If this function ends early, dropping it returns the tokens.
+    let remote = RemoteReservation {
+        link: Rc::clone(link),
+        process,
+        number,
+        used: 0,
+    };
+    let outcome = await_outcome(core, link, &replies, now + wait).await?;
+    let Some(admission) = outcome.admission() else {
+        link.mark_down(Instant::now());
+        return None;
+    };
+    if admission == Admission::Taken {
+        return Some((admission, Charge::Remote(remote)));
+    }
+    Some((admission, Charge::None))
+}
+
+/// Waits for the final reply of a holder; `None` if it does not reply. Silence does not count against the
+/// holder while nothing else is received either: then this VM or its link may have stalled.
+async fn await_outcome<D>(
+    core: &Core<D>,
+    link: &PeerLink,
+    replies: &flume::Receiver<ReserveOutcome>,
+    end: Instant,
+) -> Option<ReserveOutcome> {
+    let mut limit = REPLY_TIMEOUT;
+    loop {
+        let begun = Instant::now();
+        match timeout(limit, replies.recv_async()).await {
+            Ok(Ok(ReserveOutcome::Waiting)) => {
+                core.link.record(Instant::now());
+                limit = end.saturating_duration_since(begun) + REPLY_TIMEOUT;
+            }
+            Ok(Ok(outcome)) => {
+                core.link.record(Instant::now());
+                return Some(outcome);
+            }
+            Ok(Err(flume::RecvError::Disconnected)) => return None,
+            Err(_) if begun < end && !core.link.is_active_since(begun) => {}
+            Err(_) => {
+                log::info!(
+                    "event=holder_silent peer={} waited_ms={}",
+                    link.address(),
+                    begun.elapsed().as_millis()
+                );
+                link.give_up(Instant::now());
+                return None;
+            }
+        }
+    }
+}
--- a/edge/src/serve/mod.rs
+++ b/edge/src/serve/mod.rs
@@ -5,6 +5,7 @@
 mod core;
 mod exchange;
 mod handler;
+mod holders;
 mod link;
 mod ready;
 mod receive;
--- a/edge/tests/holder_world/mod.rs
+++ b/edge/tests/holder_world/mod.rs
@@ -3,6 +3,8 @@
 
 mod load;
 mod outcome;
+mod requests;
+mod rows;
 
 use std::{
     collections::{
@@ -17,12 +19,10 @@
 };
 
 use cuminloom_edge::prepaid::{
-    Admission,
     CommitOutcome,
     Ledger,
     Reservation,
-    WritePlan,
-    WriteScope, //
+    WritePlan, //
 };
 use rand::{
     RngExt,
@@ -362,229 +362,6 @@
         });
     }
 
-    fn read(&mut self, i: usize) {
-        let (now, instant) = (self.now, self.instant(i));
-        let node = &mut self.nodes[i];
-        let Some(ledger) = node.ledger.as_mut().filter(|_| now >= node.next_read) else {
-            return;
-        };
-        ledger.apply_rows(self.store.rows(now), true, instant, instant);
-        let frequent = ledger.is_holder() || !ledger.knows_holders();
-        node.next_read = now + if frequent { READ_MS } else { MEMBER_READ_MS };
-    }
-
-    /// Sends the next write of node `i` to the store, if it is due.
-    fn write(&mut self, i: usize) {
-        let (now, instant) = (self.now, self.instant(i));
-        let scope = match (self.mechanism, self.nodes[i].conflicts) {
-            (Mechanism::Everyone, _) | (_, 0) => WriteScope::Customers(usize::MAX),
-            (_, n) if !n.is_multiple_of(2) => WriteScope::OwnRow,
-            (_, 2) => WriteScope::Customers(4),
-            _ => WriteScope::Customers(1),
-        };
-        let lost = self.chance(self.faults.lost);
-        let node = &mut self.nodes[i];
-        let Some(ledger) = &mut node.ledger else {
-            return;
-        };
-        let spacing = write_spacing(ledger);
-        let spaced = self.mechanism == Mechanism::Everyone || now >= node.last_write + spacing;
-        let wanted = ledger.has_waiting() && node.conflicts == 0 && spaced;
-        let due = now >= node.next_write || wanted;
-        if node.in_flight.is_some() || !due {
-            return;
-        }
-        let Some(plan) = ledger.plan_scoped(instant, Vec::new(), scope) else {
-            return;
-        };
-        node.last_write = now;
-        self.part_free = self.part_free.max(now as f64) + 1000.0 / PART_RATE;
-        let commit = self.store.apply(&plan.batch, self.part_free as u64);
-        node.in_flight = Some(InFlight {
-            done_at: if lost {
-                now + ANSWER_TIMEOUT_MS
-            } else {
-                (self.part_free + STORE_MS) as u64
-            },
-            sent: now,
-            plan,
-            commit: (!lost).then_some(commit),
-        });
-    }
-
-    /// Applies the answer to the write of node `i` that has arrived.
-    fn finish_write(&mut self, i: usize) {
-        let (now, instant) = (self.now, self.instant(i));
-        let pause = match self.mechanism {
-            Mechanism::Everyone => 0.0,
-            Mechanism::Holders => self.random.random_range(0.0..CONFLICT_PAUSE),
-        };
-        let member_write = self
-            .random
-            .random_range(MEMBER_WRITE_MS / 2..MEMBER_WRITE_MS * 3 / 2);
-        let node = &mut self.nodes[i];
-        let Some(write) = node.in_flight.take_if(|w| w.done_at <= now) else {
-            return;
-        };
-        let Some(ledger) = &mut node.ledger else {
-            return;
-        };
-        let frequent = ledger.is_holder() || !ledger.is_owned() || ledger.holds_tokens();
-        node.next_write = now + if frequent { WRITE_MS } else { member_write };
-        let Some(commit) = write.commit else {
-            return;
-        };
-        self.outcome.commits += 1;
-        self.outcome.commit_ms += now - write.sent;
-        let conflict = matches!(commit, CommitOutcome::Conflict(_));
-        ledger.apply_outcome(&write.plan, commit, instant);
-        let rest = node.conflicts > 0 && write.plan.batch.customers.is_empty();
-        if conflict || (rest && ledger.has_waiting()) {
-            self.outcome.conflicts += u64::from(conflict);
-            node.conflicts += 1;
-            node.next_write = now + (write_spacing(ledger) as f64 * pause) as u64;
-        } else {
-            node.conflicts = 0;
-        }
-    }
-
-    /// Tries again the requests that wait for tokens at node `i`.
-    fn retry_waiting(&mut self, i: usize) {
-        for waiting in std::mem::take(&mut self.nodes[i].waiting) {
-            self.admit(i, waiting, false);
-        }
-    }
-
-    /// Offers a request to holder `h`, or lets it wait there.
-    fn admit(&mut self, h: usize, waiting: Waiting, first: bool) {
-        let (now, instant) = (self.now, self.instant(h));
-        let request = &waiting.request;
-        let node = &mut self.nodes[h];
-        let Some(ledger) = &mut node.ledger else {
-            let request = waiting.request;
-            return self.refuse(&request);
-        };
-        let admission = ledger.admit(&request.customer, request.cost, instant);
-        let waited = now - waiting.since;
-        let waits = match admission {
-            Admission::Grant => {
-                let known = ledger.accepted_writes() - waiting.writes_before >= 2;
-                waited < MAX_WAIT_MS
-                    && !(known && ledger.is_pool_short(&request.customer, request.cost, instant))
-            }
-            Admission::Release(time) => waited + time.as_millis() as u64 <= 3 * MAX_WAIT_MS,
-            Admission::Taken | Admission::Refused | Admission::Exhausted => false,
-        };
-        if waits && first {
-            ledger.adjust_waiting(&request.customer, request.cost, true);
-        }
-        if !waits && !first {
-            ledger.adjust_waiting(&request.customer, request.cost, false);
-        }
-        if waits {
-            node.waiting.push(waiting);
-            return;
-        }
-        if admission != Admission::Taken {
-            return self.ask_next(h, waiting, admission);
-        }
-        let request = waiting.request;
-        self.outcome.waited_ms += waited;
-        self.reservations += 1;
-        let reservation = Reservation {
-            customer: request.customer.as_str().into(),
-            cost: request.cost,
-        };
-        let entry = (reservation, request.origin, now + EXPIRY_MS);
-        node.open.insert(self.reservations, entry);
-        self.running.push(Running {
-            ends: now + request.duration_ms,
-            origin: request.origin,
-            holder: h,
-            number: self.reservations,
-            request,
-        });
-    }
-
-    /// Offers a request that holder `h` refused to another one.
-    fn ask_next(&mut self, h: usize, mut waiting: Waiting, admission: Admission) {
-        waiting.asked.push(h);
-        let late = self.now - waiting.since > 3 * MAX_WAIT_MS;
-        let next = self.other_holder(&waiting);
-        let Some(next) = next.filter(|_| admission != Admission::Exhausted && !late) else {
-            return self.refuse(&waiting.request);
-        };
-        let ledger = self.nodes[next].ledger.as_ref();
-        waiting.writes_before = ledger.map_or(0, Ledger::accepted_writes);
-        self.admit(next, waiting, true);
-    }
-
-    /// Holder that has not been asked for a request, if not too many have.
-    fn other_holder(&self, waiting: &Waiting) -> Option<usize> {
-        if self.mechanism == Mechanism::Everyone || waiting.asked.len() > MAX_ASKED {
-            return None;
-        }
-        let ledger = self.nodes[waiting.request.origin].ledger.as_ref()?;
-        ledger
-            .holders_for(&waiting.request.customer)
-            .into_iter()
-            .map(|a| usize::from(a.port()) - 10_000)
-            .filter(|i| !waiting.asked.contains(i))
-            .find(|i| self.is_up(*i))
-    }
-
-    /// Whether the daemon on node `i` replies.
-    fn is_up(&self, i: usize) -> bool {
-        self.nodes[i].ledger.is_some() && self.now >= self.nodes[i].frozen_until
-    }
-
-    /// Daemon that decides about the tokens of a request at `origin`.
-    fn holder_of(&self, origin: usize, customer: &str) -> Option<usize> {
-        let node = &self.nodes[origin];
-        let ledger = node.ledger.as_ref()?;
-        if ledger.is_holder() {
-            return Some(origin);
-        }
-        let holders = ledger.holders_for(customer).into_iter();
-        let up =
-            |i: &usize| self.nodes[*i].ledger.is_some() && self.now >= self.nodes[*i].frozen_until;
-        let first = holders.map(|a| usize::from(a.port()) - 10_000).find(up);
-        Some(first.unwrap_or(origin))
-    }
-
-    /// Sends the requests of this step.
-    fn send_requests(&mut self) {
-        for origin in 0..self.nodes.len() {
-            let Some(request) = Request::draw(&mut self.random, origin, STEP_MS) else {
-                continue;
-            };
-            if self.now < self.nodes[origin].frozen_until {
-                continue;
-            }
-            let Some(holder) = self.holder_of(origin, &request.customer) else {
-                continue;
-            };
-            self.outcome.asked += 1;
-            let writes = self.nodes[holder].ledger.as_ref();
-            let waiting = Waiting {
-                request,
-                since: self.now,
-                writes_before: writes.map_or(0, Ledger::accepted_writes),
-                asked: Vec::new(),
-            };
-            self.admit(holder, waiting, true);
-        }
-    }
-
-    /// Counts a refused request; it would have fitted if it was within 97% of the limit.
-    fn refuse(&mut self, request: &Request) {
-        self.outcome.refused += 1;
-        let reserved: u64 = self.usage(&request.customer, |r| r.cost);
-        if reserved + request.cost <= self.limits[&request.customer] * 97 / 100 {
-            self.outcome.refused_fitting += 1;
-        }
-    }
-
     /// Tokens of `customer` that were consumed, with `open` of each running request.
     fn usage(&self, customer: &str, open: impl Fn(&Request) -> u64) -> u64 {
         let running: u64 = self
--- /dev/null
+++ b/edge/tests/holder_world/requests.rs
@@ -0,0 +1,147 @@
+//! Requests and the tokens that they take.
+
+use cuminloom_edge::prepaid::{
+    Admission,
+    Reservation, //
+};
+
+use super::*;
+
+impl World {
+    /// Tries again the requests that wait for tokens at node `i`.
+    pub(super) fn retry_waiting(&mut self, i: usize) {
+        for waiting in std::mem::take(&mut self.nodes[i].waiting) {
+            self.admit(i, waiting, false);
+        }
+    }
+
+    /// Offers a request to holder `h`, or lets it wait there.
+    pub(super) fn admit(&mut self, h: usize, waiting: Waiting, first: bool) {
+        let (now, instant) = (self.now, self.instant(h));
+        let request = &waiting.request;
+        let node = &mut self.nodes[h];
+        let Some(ledger) = &mut node.ledger else {
+            let request = waiting.request;
+            return self.refuse(&request);
+        };
+        let admission = ledger.admit(&request.customer, request.cost, instant);
+        let waited = now - waiting.since;
+        let waits = match admission {
+            Admission::Grant => {
+                let known = ledger.accepted_writes() - waiting.writes_before >= 2;
+                waited < MAX_WAIT_MS
+                    && !(known && ledger.is_pool_short(&request.customer, request.cost, instant))
+            }
+            Admission::Release(time) => waited + time.as_millis() as u64 <= 3 * MAX_WAIT_MS,
+            Admission::Taken | Admission::Refused | Admission::Exhausted => false,
+        };
+        if waits && first {
+            ledger.adjust_waiting(&request.customer, request.cost, true);
+        }
+        if !waits && !first {
+            ledger.adjust_waiting(&request.customer, request.cost, false);
+        }
+        if waits {
+            node.waiting.push(waiting);
+            return;
+        }
+        if admission != Admission::Taken {
+            return self.ask_next(h, waiting, admission);
+        }
+        let request = waiting.request;
+        self.outcome.waited_ms += waited;
+        self.reservations += 1;
+        let reservation = Reservation {
+            customer: request.customer.as_str().into(),
+            cost: request.cost,
+        };
+        let entry = (reservation, request.origin, now + EXPIRY_MS);
+        node.open.insert(self.reservations, entry);
+        self.running.push(Running {
+            ends: now + request.duration_ms,
+            origin: request.origin,
+            holder: h,
+            number: self.reservations,
+            request,
+        });
+    }
+
+    /// Offers a request that holder `h` refused to another one.
+    pub(super) fn ask_next(&mut self, h: usize, mut waiting: Waiting, admission: Admission) {
+        waiting.asked.push(h);
+        let late = self.now - waiting.since > 3 * MAX_WAIT_MS;
+        let next = self.other_holder(&waiting);
+        let Some(next) = next.filter(|_| admission != Admission::Exhausted && !late) else {
+            return self.refuse(&waiting.request);
+        };
+        let ledger = self.nodes[next].ledger.as_ref();
+        waiting.writes_before = ledger.map_or(0, Ledger::accepted_writes);
+        self.admit(next, waiting, true);
+    }
+
+    /// Holder that has not been asked for a request, if not too many have.
+    pub(super) fn other_holder(&self, waiting: &Waiting) -> Option<usize> {
+        if self.mechanism == Mechanism::Everyone || waiting.asked.len() > MAX_ASKED {
+            return None;
+        }
+        let ledger = self.nodes[waiting.request.origin].ledger.as_ref()?;
+        ledger
+            .holders_for(&waiting.request.customer)
+            .into_iter()
+            .map(|a| usize::from(a.port()) - 10_000)
+            .filter(|i| !waiting.asked.contains(i))
+            .find(|i| self.is_up(*i))
+    }
+
+    /// Whether the daemon on node `i` replies.
+    pub(super) fn is_up(&self, i: usize) -> bool {
+        self.nodes[i].ledger.is_some() && self.now >= self.nodes[i].frozen_until
+    }
+
+    /// Daemon that decides about the tokens of a request at `origin`.
+    pub(super) fn holder_of(&self, origin: usize, customer: &str) -> Option<usize> {
+        let node = &self.nodes[origin];
+        let ledger = node.ledger.as_ref()?;
+        if ledger.is_holder() {
+            return Some(origin);
+        }
+        let holders = ledger.holders_for(customer).into_iter();
+        let up =
+            |i: &usize| self.nodes[*i].ledger.is_some() && self.now >= self.nodes[*i].frozen_until;
+        let first = holders.map(|a| usize::from(a.port()) - 10_000).find(up);
+        Some(first.unwrap_or(origin))
+    }
+
+    /// Sends the requests of this step.
+    pub(super) fn send_requests(&mut self) {
+        for origin in 0..self.nodes.len() {
+            let Some(request) = Request::draw(&mut self.random, origin, STEP_MS) else {
+                continue;
+            };
+            if self.now < self.nodes[origin].frozen_until {
+                continue;
+            }
+            let Some(holder) = self.holder_of(origin, &request.customer) else {
+                continue;
+            };
+            self.outcome.asked += 1;
+            let writes = self.nodes[holder].ledger.as_ref();
+            let waiting = Waiting {
+                request,
+                since: self.now,
+                writes_before: writes.map_or(0, Ledger::accepted_writes),
+                asked: Vec::new(),
+            };
+            self.admit(holder, waiting, true);
+        }
+    }
+
+    /// Counts a refused request; it would have fitted if it was within 97% of the limit.
+    pub(super) fn refuse(&mut self, request: &Request) {
+        self.outcome.refused += 1;
+        let reserved: u64 = self.usage(&request.customer, |r| r.cost);
+        if reserved + request.cost <= self.limits[&request.customer] * 97 / 100 {
+            self.outcome.refused_fitting += 1;
+        }
+    }
+}
