End a target's stream of comments without end

Heads, lines and whole answers were bounded already. a_stream_of_comments_ends failed before (64 MiB read).

--- a/src/target/event.rs
+++ b/src/target/event.rs
@@ -24,6 +24,9 @@
 /// Longest line of an event that is accepted from an engine.
 const MAX_LINE_BYTES: u64 = 1 << 20;
 
+/// Most bytes of comments and other fields before the next event with data.
+const MAX_SKIPPED_BYTES: usize = 1 << 20;
+
 /// Data of the event that ends a complete stream.
 const DONE_DATA: &[u8] = b"[DONE]";
 
@@ -80,6 +83,7 @@
 
     /// Reads up to the next event with data.
     fn read_event(&mut self) -> Result<StreamEvent, RequestError> {
+        let mut skipped = 0;
         loop {
             let mut line = Vec::new();
             let read = (&mut self.input)
@@ -96,6 +100,13 @@
             }
             // Comments and fields other than data are skipped.
             let Some(data) = line.strip_prefix(b"data:") else {
+                skipped += line.len();
+                if skipped > MAX_SKIPPED_BYTES {
+                    return Err(RequestError::may_have_run(
+                        Code::TargetFailed,
+                        "the stream has no event",
+                    ));
+                }
                 continue;
             };
             return Ok(parse_data(data.trim_ascii()));
