Extend timeouts on other machines for the delay of the own link

Its link of 10 Mbit/s was full: connections took over 200 ms, so runners counted as down, the holders as silent and a commit took 0.4 s, while its timers were on time and other data kept arriving.

The time that connections and first replies of holders take, over all machines, is now measured, rising fast and falling slowly; timeouts for connections, probes, silence and replies are extended by three times that. When only others are slow or dark, the exchanges with the rest stay fast and the timeouts short.

--- a/edge/src/http/mod.rs
+++ b/edge/src/http/mod.rs
@@ -8,6 +8,7 @@
 mod connection;
 mod event;
 mod head;
+mod link;
 
 pub use body::{
     BodyDecoder,
@@ -36,3 +37,4 @@
     parse_response,
     reason_phrase, //
 };
+pub use link::LinkActivity;
--- a/edge/src/peer/link.rs
+++ b/edge/src/peer/link.rs
@@ -42,7 +42,10 @@
     decode,
     encode, //
 };
-use crate::http::configure_stream;
+use crate::http::{
+    LinkActivity,
+    configure_stream, //
+};
 
 /// Longest time for opening a connection, with the WebSocket handshake.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -64,6 +67,8 @@
 #[derive(Debug)]
 pub struct PeerLink {
     address: SocketAddr,
+    /// Delay of this VM's link.
+    link: Rc<LinkActivity>,
     outgoing: flume::Sender<PeerMessage>,
     /// Reservations without a final reply.
     pending: RefCell<HashMap<u64, flume::Sender<ReserveOutcome>>>,
@@ -77,10 +82,11 @@
 
 impl PeerLink {
     /// Spawns the link to the daemon at `address` on the current `LocalSet`.
-    pub fn spawn(address: SocketAddr) -> Rc<PeerLink> {
+    pub fn spawn(address: SocketAddr, link: Rc<LinkActivity>) -> Rc<PeerLink> {
         let (outgoing, queue) = flume::unbounded();
         let link = Rc::new(PeerLink {
             address,
+            link,
             outgoing,
             pending: RefCell::default(),
             down_until: Cell::new(None),
@@ -155,7 +161,8 @@
     /// Connects to send `message`; `None` if that failed. Only settlements are worth another attempt.
     async fn connect_for(&self, message: &PeerMessage) -> Option<WebSocketStream<TcpStream>> {
         for _ in 0..MAX_DELIVERIES {
-            let error = match timeout(CONNECT_TIMEOUT, self.connect()).await {
+            let limit = CONNECT_TIMEOUT + self.link.allowance(Instant::now());
+            let error = match timeout(limit, self.connect()).await {
                 Ok(Ok(socket)) => return Some(socket),
                 Ok(Err(e)) => e.to_string(),
                 Err(_) => "timeout".to_owned(),
--- a/edge/src/serve/core.rs
+++ b/edge/src/serve/core.rs
@@ -19,7 +19,6 @@
 use tokio::sync::Notify;
 
 use super::{
-    LinkActivity,
     Upstream,
     reservations::Reservations, //
 };
@@ -36,6 +35,7 @@
         RetryBudget,
         Strikes, //
     },
+    http::LinkActivity,
     peer::PeerLink,
     prepaid::Ledger,
     telemetry::Metrics, //
@@ -293,7 +293,7 @@
         let mut links = self.peer_links.borrow_mut();
         let link = links
             .entry(address)
-            .or_insert_with(|| PeerLink::spawn(address));
+            .or_insert_with(|| PeerLink::spawn(address, Rc::clone(&self.link)));
         Rc::clone(link)
     }
 
--- a/edge/src/serve/holders.rs
+++ b/edge/src/serve/holders.rs
@@ -136,16 +136,22 @@
     replies: &flume::Receiver<ReserveOutcome>,
     end: Instant,
 ) -> Option<ReserveOutcome> {
-    let mut limit = REPLY_TIMEOUT;
+    let asked = Instant::now();
+    let mut limit = REPLY_TIMEOUT + core.link.allowance(asked);
+    let mut replied = false;
     loop {
         let begun = Instant::now();
         match timeout(limit, replies.recv_async()).await {
             Ok(Ok(ReserveOutcome::Waiting)) => {
-                core.link.record(Instant::now());
+                replied = true;
+                core.link.record_round_trip(Instant::now(), asked.elapsed());
                 limit = end.saturating_duration_since(begun) + REPLY_TIMEOUT;
             }
             Ok(Ok(outcome)) => {
-                core.link.record(Instant::now());
+                // A later reply has waited for tokens.
+                if !replied {
+                    core.link.record_round_trip(Instant::now(), asked.elapsed());
+                }
                 return Some(outcome);
             }
             Ok(Err(flume::RecvError::Disconnected)) => return None,
--- a/edge/src/serve/mod.rs
+++ b/edge/src/serve/mod.rs
@@ -6,7 +6,6 @@
 mod exchange;
 mod handler;
 mod holders;
-mod link;
 mod ready;
 mod receive;
 mod relay;
@@ -20,7 +19,6 @@
     Bounds,
     Core, //
 };
-pub use link::LinkActivity;
 pub use ready::bind_ready;
 pub use upstream::{
     Probe,
--- a/edge/src/serve/receive.rs
+++ b/edge/src/serve/receive.rs
@@ -107,14 +107,14 @@
                 upstream.backlog_tokens().max(prompt_tokens) / MIN_PREFILL_PER_MS,
             );
             let begun = Instant::now();
-            let limit = MAX_SILENCE + prefill;
+            let limit = MAX_SILENCE + prefill + upstream.link.allowance(begun);
             if let Ok(read) = timeout(limit, connection.fill()).await {
                 let n = read.map_err(broken)?;
                 upstream.mark_alive(Instant::now());
                 return Ok(n);
             }
             let probed = Instant::now();
-            if upstream.silence(probed) < MAX_SILENCE {
+            if upstream.silence(probed) < limit - prefill {
                 continue;
             }
             let probe = upstream.probe().await;
--- a/edge/src/serve/send.rs
+++ b/edge/src/serve/send.rs
@@ -1,11 +1,8 @@
 //! Sends a request to one runner and reads the start of its response.
 
-use std::{
-    net::SocketAddr,
-    time::{
-        Duration,
-        Instant, //
-    },
+use std::time::{
+    Duration,
+    Instant, //
 };
 
 use super::{
@@ -110,18 +107,19 @@
 }
 
 /// Opens a connection to a runner and records whether that succeeded.
-async fn connect(upstream: &Upstream, address: SocketAddr) -> Result<Connection, SendError> {
-    let begun = Instant::now();
-    match Connection::open(address, CONNECT_TIMEOUT).await {
+async fn connect(upstream: &Upstream) -> Result<Connection, SendError> {
+    let opened = upstream.open(CONNECT_TIMEOUT).await;
+    let now = Instant::now();
+    match opened {
         Ok(connection) => {
-            upstream.mark_alive(Instant::now());
+            upstream.mark_alive(now);
             Ok(connection)
         }
-        Err(e) => {
-            if upstream.classify(&e, begun, CONNECT_TIMEOUT) == Probe::Unreachable {
-                upstream.mark_down(Instant::now());
+        Err(failed) => {
+            if failed.tells == Probe::Unreachable {
+                upstream.mark_down(now);
             }
-            Err(e.into())
+            Err(failed.error.into())
         }
     }
 }
@@ -133,19 +131,13 @@
 ) -> Result<Reply, SendError> {
     let (core, call, upstream) = (attempt.core, attempt.call, attempt.upstream);
     let now = Instant::now();
-    let (runner, address) = {
-        let runner_entry = upstream.runner.borrow();
-        (
-            std::sync::Arc::clone(&runner_entry.id),
-            runner_entry.address,
-        )
-    };
+    let runner = std::sync::Arc::clone(&upstream.runner.borrow().id);
     let prompt_tokens = call.meta.tokens.map_or(0, |t| t.prompt);
     let in_flight = upstream.track_request(prompt_tokens);
     let idle = upstream.take_idle(now, !call.route.retry.allows_rerun());
     let mut connection = match idle {
         Some(connection) => connection,
-        None => connect(upstream, address).await?,
+        None => connect(upstream).await?,
     };
     let bytes = request_bytes::<D>(
         call,
--- a/edge/src/serve/upstream.rs
+++ b/edge/src/serve/upstream.rs
@@ -14,7 +14,6 @@
     },
 };
 
-use super::LinkActivity;
 use crate::{
     adapter::Load,
     catalog::Runner,
@@ -24,7 +23,8 @@
     },
     http::{
         Connection,
-        ConnectionError, //
+        ConnectionError,
+        LinkActivity, //
     },
 };
 
@@ -91,6 +91,15 @@
     }
 }
 
+/// Why a connection to a runner could not be opened.
+#[derive(Debug)]
+pub struct OpenError {
+    /// The error.
+    pub error: ConnectionError,
+    /// What it tells about the runner.
+    pub tells: Probe,
+}
+
 /// A connection that is kept for reuse.
 struct IdleConnection {
     connection: Connection,
@@ -278,19 +287,39 @@
         self.load_delta.set(0);
     }
 
+    /// Opens a connection. The timeout `base` is extended for the delay of this VM's link.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection is refused or not open in time, and says what that tells about the runner.
+    pub async fn open(&self, base: Duration) -> Result<Connection, OpenError> {
+        let address = self.runner.borrow().address;
+        let begun = Instant::now();
+        let limit = base + self.link.allowance(begun);
+        match Connection::open(address, limit).await {
+            Ok(connection) => {
+                let now = Instant::now();
+                self.link.record_round_trip(now, now - begun);
+                Ok(connection)
+            }
+            Err(error) => {
+                let tells = self.classify(&error, begun, limit);
+                Err(OpenError { error, tells })
+            }
+        }
+    }
+
     /// Probes whether the runner accepts connections. Tries twice, as a packet may be lost.
     pub async fn probe(&self) -> Probe {
-        let address = self.runner.borrow().address;
         let mut result = Probe::Unreachable;
         for _ in 0..2 {
-            let begun = Instant::now();
-            let Err(error) = Connection::open(address, PROBE_TIMEOUT).await else {
+            let Err(failed) = self.open(PROBE_TIMEOUT).await else {
                 return Probe::Reachable;
             };
-            if !error.is_timeout() {
-                return self.classify(&error, begun, PROBE_TIMEOUT);
+            if !failed.error.is_timeout() {
+                return failed.tells;
             }
-            if self.classify(&error, begun, PROBE_TIMEOUT) == Probe::Inconclusive {
+            if failed.tells == Probe::Inconclusive {
                 result = Probe::Inconclusive;
             }
         }
