--- a/edge/src/serve/call.rs
+++ b/edge/src/serve/call.rs
@@ -31,6 +31,8 @@
         Route, //
     },
     decide::{
+        FailedAttempt,
+        Failure,
         Fingerprint,
         fingerprint,
         retry_after, //
@@ -122,6 +124,26 @@
         }
     }
 
+    /// State of the request after an attempt that failed with `failure`, for the decision about a retry;
+    /// `started` and `rejected` count the attempts as in [`FailedAttempt`].
+    pub(super) fn failed_attempt(
+        &self,
+        failure: Failure,
+        started: u32,
+        rejected: u32,
+        now: Instant,
+    ) -> FailedAttempt {
+        FailedAttempt {
+            failure,
+            retry: self.route.retry,
+            started,
+            rejected,
+            max_attempts: self.route.max_attempts,
+            remaining: self.time_left(now),
+            objective: self.route.objective,
+        }
+    }
+
     /// Maximum number of tokens in one event of the response, over all services of the route.
     pub(super) fn event_tokens(&self) -> u64 {
         self.route
--- a/edge/src/serve/exchange.rs
+++ b/edge/src/serve/exchange.rs
@@ -2,9 +2,7 @@
 
 use std::{
     cell::Cell,
-    fmt::Write,
     rc::Rc,
-    sync::Arc,
     time::{
         Duration,
         Instant, //
@@ -18,47 +16,22 @@
 };
 
 use super::{
-    Core, Upstream,
+    Core,
+    attempts::{
+        SendHistory,
+        ServeError,
+        serve, //
+    },
     call::{
         Call,
-        RUNNER_RETRY_AFTER,
         resolve_call, //
     },
-    choose::{
-        choose_service,
-        wait_for_runner, //
-    },
-    receive::Attempt,
-    relay::{
-        Relay,
-        RelayError, //
-    },
-    response::{
-        Refusal,
-        encode_head, //
-    },
-    send::{
-        Reply,
-        SendError,
-        send, //
-    },
-    tokens::{
-        TokenCharge,
-        take_tokens, //
-    },
-    upstream::Probe,
+    relay::Relay,
+    response::Refusal,
 };
 use crate::{
     adapter::Dialect,
-    catalog::ServiceId,
-    decide::{
-        self,
-        Failure,
-        RetryDecision,
-        Verdict,
-        decide_retry,
-        retry_after, //
-    },
+    decide::Verdict,
     http::{
         RequestHead,
         reset_on_drop,
@@ -66,45 +39,6 @@
     },
 };
 
-/// Results of the sends of one request so far.
-#[derive(Default)]
-struct SendHistory {
-    /// Sends after which the request may have run.
-    started: u32,
-    /// Sends that a runner refused without running the request.
-    rejected: u32,
-    /// Verdict of the last send that may have run.
-    verdict: Option<Verdict>,
-    /// Runners in the order in which they were tried.
-    tried: Vec<Arc<str>>,
-    /// One entry a send, for the `request_done` log line.
-    summary: String,
-}
-
-impl SendHistory {
-    /// Appends the outcome of a send, which began at `since`, to the summary.
-    fn add_summary(&mut self, runner: &str, what: &str, detail: &str, since: Instant) {
-        let ms = since.elapsed().as_millis();
-        let _ = write!(self.summary, "{runner}:{what}:{ms}ms");
-        if !detail.is_empty() {
-            let _ = write!(self.summary, "({detail})");
-        }
-        self.summary.push(';');
-    }
-
-    /// Counts a failed send. A connection that was not opened counts neither as started nor as rejected.
-    fn count_failure(&mut self, failure: Failure) {
-        match failure.verdict() {
-            Verdict::NotRun if failure == Failure::NoConnection => {}
-            Verdict::NotRun => self.rejected += 1,
-            verdict => {
-                self.started += 1;
-                self.verdict = Some(verdict);
-            }
-        }
-    }
-}
-
 /// Processes one request and writes the response to `out`. Returns whether the connection may carry
 /// another request.
 pub(super) async fn exchange<D: Dialect>(
@@ -182,14 +116,6 @@
     }
 }
 
-/// Why a request ended without a complete response.
-enum ServeError {
-    /// The daemon responds with an error.
-    Refused(Refusal),
-    /// The caller has closed the connection.
-    CallerLeft,
-}
-
 /// The error for a request whose deadline has passed.
 fn deadline_refusal(call: &Call) -> Refusal {
     if call.sent_at.get().is_some() {
@@ -265,253 +191,3 @@
     );
     keep_alive
 }
-
-/// Takes the tokens of a request and sends it to runners until one responds or no retry is left.
-/// Returns the status of the response that was relayed.
-async fn serve<D: Dialect>(
-    core: &Rc<Core<D>>,
-    call: &Call,
-    history: &mut SendHistory,
-    relay: &mut Relay,
-    out: &TcpStream,
-) -> Result<u16, ServeError> {
-    let event_count = Rc::clone(&relay.event_count);
-    let charge = take_tokens(core, call, event_count)
-        .await
-        .map_err(ServeError::Refused)?;
-    let service = choose_service(call);
-    core.with_retry_budget(&service, |a| a.record_request(call.received_at));
-    relay.last_id = call.meta.last_event;
-    loop {
-        let span = call.start_span("place");
-        let upstream = match wait_for_runner(core, call, &history.tried, &service).await {
-            Some(upstream) => upstream,
-            None => {
-                return Err(ServeError::Refused(final_refusal(
-                    call,
-                    history,
-                    "no_runner",
-                )));
-            }
-        };
-        drop(span);
-        let since = Instant::now();
-        let runner = Arc::clone(&upstream.runner.borrow().id);
-        history.tried.push(Arc::clone(&runner));
-        let mut span = call.start_span("send");
-        let attempt = Attempt {
-            core,
-            call,
-            upstream: &upstream,
-            service: &service,
-            started: history.started,
-            rejected: history.rejected,
-        };
-        let sent = send_once(&attempt, &charge, relay, out).await;
-        if let Some(span) = &mut span {
-            span.add_field("runner", &runner);
-            span.add_field("outcome", send_outcome(&sent));
-        }
-        drop(span);
-        let error = match sent {
-            Ok(status) => {
-                history.add_summary(&runner, "answered", "", since);
-                core.metrics.sends.with_label_values(&["answered"]).inc();
-                return Ok(status);
-            }
-            Err(RelayError::Caller) => return Err(ServeError::CallerLeft),
-            Err(RelayError::Runner(error)) => error,
-        };
-        history.add_summary(&runner, error.failure.as_str(), &error.detail, since);
-        core.metrics
-            .sends
-            .with_label_values(&[error.failure.as_str()])
-            .inc();
-        history.count_failure(error.failure);
-        record_failure(core, call, &upstream, &error).await;
-        check_retry(core, call, history, &service, &error).map_err(ServeError::Refused)?;
-    }
-}
-
-/// Outcome of a send as recorded in its span.
-fn send_outcome(sent: &Result<u16, RelayError>) -> &'static str {
-    match sent {
-        Ok(_) => "answered",
-        Err(RelayError::Caller) => "caller_left",
-        Err(RelayError::Runner(error)) => error.failure.as_str(),
-    }
-}
-
-/// Decides whether the request is sent again after a failed send.
-///
-/// # Errors
-///
-/// Fails with the response for the caller if it is not sent again.
-fn check_retry<D: Dialect>(
-    core: &Rc<Core<D>>,
-    call: &Call,
-    history: &SendHistory,
-    service: &ServiceId,
-    error: &SendError,
-) -> Result<(), Refusal> {
-    let now = Instant::now();
-    let next = decide_retry(&decide::FailedAttempt {
-        failure: error.failure,
-        retry: call.route.retry,
-        started: history.started,
-        rejected: history.rejected,
-        max_attempts: call.route.max_attempts,
-        remaining: call.time_left(now),
-        objective: call.route.objective,
-    });
-    let members = core.ledger.borrow().members();
-    let send_again = match next {
-        RetryDecision::GiveUp => false,
-        RetryDecision::Retry { uses_budget: false } => true,
-        RetryDecision::Retry { uses_budget: true } => {
-            core.with_retry_budget(service, |a| a.try_retry(now, members, call.rank == 0))
-        }
-    };
-    log::info!(
-        "event=retry_decided id={} failure={} ran={} turned={} attempts={} members={members} left_ms={} again={send_again}",
-        call.meta.id,
-        error.failure.as_str(),
-        history.started,
-        history.rejected,
-        call.route.max_attempts,
-        call.time_left(now).as_millis()
-    );
-    if send_again {
-        return Ok(());
-    }
-    Err(final_refusal(call, history, error.failure.as_str()))
-}
-
-/// The error response to a request that is not sent again.
-fn final_refusal(call: &Call, history: &SendHistory, code: &'static str) -> Refusal {
-    if history.verdict.is_some() {
-        return Refusal::may_have_run(502, code);
-    }
-    let left = call.time_left(Instant::now());
-    Refusal::not_run(code, retry_after(RUNNER_RETRY_AFTER, left))
-}
-
-/// Records a failed send for the runner, and a strike against the request if the runner has crashed.
-async fn record_failure<D: Dialect>(
-    core: &Rc<Core<D>>,
-    call: &Call,
-    upstream: &Rc<Upstream>,
-    error: &SendError,
-) {
-    let now = Instant::now();
-    match error.failure {
-        Failure::TurnedAway | Failure::NoConnection => {}
-        Failure::Failed | Failure::Silent => upstream.record_outcome(now, true),
-        Failure::Broken => {
-            upstream.record_outcome(now, true);
-            if upstream.probe().await == Probe::Unreachable {
-                upstream.mark_down(Instant::now());
-                core.strikes.borrow_mut().add_strike(call.fingerprint, now);
-                core.writer_wake.notify_one();
-                core.state_changed.notify_waiters();
-                log::info!(
-                    "event=runner_crashed runner={} id={} fingerprint={:016x}",
-                    upstream.runner.borrow().id,
-                    call.meta.id,
-                    call.fingerprint
-                );
-            }
-        }
-    }
-}
-
-/// Sends the request to one runner and relays its response. Returns the status.
-async fn send_once<D: Dialect>(
-    attempt: &Attempt<'_, D>,
-    charge: &TokenCharge<D>,
-    relay: &mut Relay,
-    out: &TcpStream,
-) -> Result<u16, RelayError> {
-    let (call, upstream) = (attempt.call, attempt.upstream);
-    charge.prompt_read.set(true);
-    let mut reply = match send(attempt, relay.last_id).await {
-        Ok(reply) => reply,
-        Err(error) => {
-            if error.failure == Failure::NoConnection && attempt.started == 0 {
-                charge.prompt_read.set(false);
-            }
-            return Err(RelayError::Runner(error));
-        }
-    };
-    let status = reply.head.status;
-    if reply.meta.not_run || status == 421 {
-        if attempt.started == 0 {
-            charge.prompt_read.set(false);
-        }
-        if status == 421 {
-            upstream.mark_replaced(Instant::now());
-        }
-        let detail = format!("status {status}");
-        return Err(RelayError::Runner(SendError::new(
-            Failure::TurnedAway,
-            detail,
-        )));
-    }
-    if reply.head.fields.get("content-encoding").is_some() {
-        let error = SendError::new(Failure::Broken, "response has a content encoding");
-        return Err(RelayError::Runner(error));
-    }
-    if status == 200 && call.route.retry.is_stream() {
-        let result = relay.run(attempt, &mut reply, out).await;
-        result?;
-        upstream.record_outcome(Instant::now(), false);
-        reuse_connection(upstream, reply);
-        return Ok(status);
-    }
-    if relay.head_sent {
-        let detail = format!("status {status} to a resumed stream");
-        return Err(RelayError::Runner(SendError::new(Failure::Failed, detail)));
-    }
-    forward_body(attempt, reply, out).await
-}
-
-/// Reads a complete response and forwards it, unless it has to be retried.
-async fn forward_body<D>(
-    attempt: &Attempt<'_, D>,
-    mut reply: Reply,
-    out: &TcpStream,
-) -> Result<u16, RelayError> {
-    let (call, upstream) = (attempt.call, attempt.upstream);
-    let status = reply.head.status;
-    let body = attempt
-        .read_body(&mut reply.connection, &mut reply.decoder)
-        .await
-        .map_err(RelayError::Runner)?;
-    let claims_not_run = matches!(status, 408 | 421 | 429 | 503);
-    let may_retry = status >= 500
-        && call.route.retry.allows_rerun()
-        && attempt.started + 1 < call.route.max_attempts;
-    if !reply.meta.sealed || claims_not_run || may_retry {
-        let detail = format!("status {status} sealed={}", reply.meta.sealed);
-        if reply.meta.sealed {
-            reuse_connection(upstream, reply);
-        }
-        return Err(RelayError::Runner(SendError::new(Failure::Failed, detail)));
-    }
-    upstream.record_outcome(Instant::now(), status >= 500);
-    let mut bytes = encode_head(status, &reply.head.fields, call.keep_alive);
-    bytes.extend_from_slice(format!("Content-Length: {}\r\n\r\n", body.len()).as_bytes());
-    bytes.extend_from_slice(&body);
-    reuse_connection(upstream, reply);
-    write_all(out, &bytes)
-        .await
-        .map_err(|_| RelayError::Caller)?;
-    Ok(status)
-}
-
-/// Keeps a connection for reuse if its response was read completely.
-fn reuse_connection(upstream: &Rc<Upstream>, reply: Reply) {
-    if reply.head.keep_alive && reply.decoder.is_done() && reply.connection.buf.is_empty() {
-        upstream.keep_idle(Instant::now(), reply.connection, reply.meta.idle);
-    }
-}
--- a/edge/src/serve/mod.rs
+++ b/edge/src/serve/mod.rs
@@ -1,5 +1,6 @@
 //! Serves requests: chooses a runner, sends the request there and relays the response.
 
+mod attempts;
 mod call;
 mod choose;
 mod core;
--- a/edge/src/serve/receive.rs
+++ b/edge/src/serve/receive.rs
@@ -21,7 +21,6 @@
 use crate::{
     catalog::ServiceId,
     decide::{
-        FailedAttempt,
         Failure,
         RetryDecision,
         decide_retry, //
@@ -68,15 +67,11 @@
     /// Whether the request could be sent to another runner at once if this attempt were given up.
     /// Does not use up the retry budget.
     fn may_retry(&self, now: Instant) -> bool {
-        let next = decide_retry(&FailedAttempt {
-            failure: Failure::Silent,
-            retry: self.call.route.retry,
-            started: self.started + 1,
-            rejected: self.rejected,
-            max_attempts: self.call.route.max_attempts,
-            remaining: self.call.time_left(now),
-            objective: self.call.route.objective,
-        });
+        let started = self.started + 1;
+        let failed = self
+            .call
+            .failed_attempt(Failure::Silent, started, self.rejected, now);
+        let next = decide_retry(&failed);
         let members = self.core.ledger.borrow().members();
         let urgent = self.call.rank == 0;
         match next {
