--- a/edge/src/peer/message.rs
+++ b/edge/src/peer/message.rs
@@ -35,8 +35,7 @@
         /// What was consumed.
         settle: Settlement,
     },
-    /// Asks for newer state. Not an enum variant of its own name on the wire, as daemons that know no
-    /// reservations send only this one.
+    /// Asks for newer state. It has no tag, so that daemons of the earlier version understand it.
     Query(PeerQuery),
 }
 
--- a/edge/src/serve/receive.rs
+++ b/edge/src/serve/receive.rs
@@ -53,9 +53,13 @@
 
 /// One attempt to serve a request at one runner.
 pub(super) struct Attempt<'a, D> {
+    /// State of the daemon.
     pub core: &'a Rc<Core<D>>,
+    /// The request.
     pub call: &'a Call,
+    /// The runner.
     pub upstream: &'a Rc<Upstream>,
+    /// Service of the runner.
     pub service: &'a ServiceId,
     /// Earlier attempts after which the request may have run.
     pub started: u32,
--- a/edge/src/serve/reservations.rs
+++ b/edge/src/serve/reservations.rs
@@ -32,6 +32,9 @@
     },
 };
 
+/// Longest time for which a reservation is kept or waits, whatever its sender asks for.
+const MAX_RESERVATION_TIME: Duration = Duration::from_secs(3600);
+
 /// Process and number of a reservation.
 type ReservationId = (u64, u64);
 
@@ -90,7 +93,7 @@
         let id = (request.process, request.number);
         let entry = Entry {
             tokens: None,
-            expires: received_at + Duration::from_millis(request.expires_ms),
+            expires: received_at + bounded_time(request.expires_ms),
         };
         self.reservations.0.borrow_mut().insert(id, entry);
         let reservation = Reservation {
@@ -100,7 +103,7 @@
         let mut admission = try_admit(self, &reservation, received_at);
         if matches!(admission, Admission::Grant | Admission::Release(_)) {
             send_reply(replies, request.number, ReserveOutcome::Waiting);
-            let wait = Duration::from_millis(request.wait_ms);
+            let wait = bounded_time(request.wait_ms);
             let token_request = TokenRequest {
                 reservation: &reservation,
                 received_at,
@@ -183,6 +186,11 @@
     }
 }
 
+/// Duration of `ms` milliseconds, at most [`MAX_RESERVATION_TIME`].
+fn bounded_time(ms: u64) -> Duration {
+    Duration::from_millis(ms).min(MAX_RESERVATION_TIME)
+}
+
 /// Sends a reply; the connection may have failed meanwhile, and then nobody waits for it.
 fn send_reply(replies: &flume::Sender<ReserveReply>, number: u64, outcome: ReserveOutcome) {
     if replies.send(ReserveReply { number, outcome }).is_err() {
--- a/edge/src/serve/tokens.rs
+++ b/edge/src/serve/tokens.rs
@@ -91,6 +91,7 @@
 
 /// A request for tokens of this daemon.
 pub(super) struct TokenRequest<'a> {
+    /// The tokens.
     pub reservation: &'a Reservation,
     /// Time at which it was received.
     pub received_at: Instant,
