Test the reservations that a holder makes for others

The other tests cover settling once, the full charge at the expiry, and replies of a holder that cannot tell.

--- /dev/null
+++ b/edge/tests/reservations.rs
@@ -0,0 +1,161 @@
+//! Reservations that a holder makes for other daemons.
+
+#[allow(dead_code, reason = "the runs of the ledger use the rest")]
+#[path = "budget_world/store.rs"]
+mod store;
+
+use std::{
+    rc::Rc,
+    sync::Arc,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use cuminloom_edge::{
+    adapter::ConfigVersion,
+    catalog::{
+        Config,
+        Customer, //
+    },
+    peer::{
+        ReserveOutcome,
+        ReserveRequest,
+        Settlement, //
+    },
+    prepaid::Ledger,
+    serve::{
+        Bounds,
+        Core, //
+    },
+    telemetry::Metrics,
+};
+use store::FakeStore;
+
+/// Tokens of the customer `ann`.
+const LIMIT: u64 = 1000;
+
+/// A holder that has issued all tokens of the customer to itself.
+fn holder() -> Rc<Core<()>> {
+    let mut store = FakeStore::default();
+    let mut ledger = Ledger::new("vm-1", 1, None);
+    ledger.set_limits([("ann".to_owned(), LIMIT)].into());
+    let now = Instant::now();
+    ledger.adjust_waiting("ann", LIMIT, true);
+    for _ in 0..3 {
+        ledger.apply_rows(store.rows(0), true, now, now);
+        let plan = ledger.plan_write(now, Vec::new()).unwrap();
+        let commit = store.apply(&plan.batch, 0);
+        ledger.apply_outcome(&plan, commit, now);
+    }
+    ledger.adjust_waiting("ann", LIMIT, false);
+    let metrics = Metrics::new().unwrap();
+    let core: Rc<Core<()>> = Core::new("vm-1", "z-1", Bounds::default(), ledger, metrics);
+    let customer = Customer {
+        name: "ann".into(),
+        rank: None,
+        prepaid: Some(LIMIT),
+    };
+    let config = Config {
+        version: 3,
+        customers: vec![Arc::new(customer)],
+        ..Config::default()
+    };
+    let version = ConfigVersion {
+        config: Arc::new(config),
+        bytes: Arc::from(&b""[..]),
+    };
+    assert!(core.apply_config(version, "test"));
+    core
+}
+
+/// Reservation of `cost` tokens.
+fn request(number: u64, cost: u64) -> ReserveRequest {
+    ReserveRequest {
+        process: 2,
+        number,
+        request: format!("r-{number}"),
+        customer: "ann".to_owned(),
+        cost,
+        config: 3,
+        wait_ms: 0,
+        expires_ms: 1000,
+    }
+}
+
+/// Final outcome of `request`.
+fn reserve(core: &Rc<Core<()>>, request: ReserveRequest) -> ReserveOutcome {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    let (sender, replies) = flume::unbounded();
+    runtime.block_on(core.reserve_for_peer(request, sender));
+    replies.drain().last().unwrap().outcome
+}
+
+/// Tokens of `ann` that are consumed or reserved.
+fn used(core: &Core<()>) -> u64 {
+    core.ledger.borrow().held_and_used("ann").1
+}
+
+/// Guards against a holder that refuses or ends because a message names an absurd time.
+#[test]
+fn huge_times_do_not_end_the_holder() {
+    let core = holder();
+    let huge = ReserveRequest {
+        wait_ms: u64::MAX,
+        expires_ms: u64::MAX,
+        ..request(1, 100)
+    };
+    assert_eq!(reserve(&core, huge), ReserveOutcome::Taken);
+}
+
+/// Guards against tokens that are charged twice, not at all, or never come back.
+#[test]
+fn a_reservation_is_settled_once() {
+    let core = holder();
+    assert_eq!(reserve(&core, request(1, 400)), ReserveOutcome::Taken);
+    assert_eq!(used(&core), 400);
+    let settlement = Settlement {
+        process: 2,
+        number: 1,
+        used: 150,
+    };
+    core.settle_for_peer(&settlement);
+    core.settle_for_peer(&settlement);
+    assert_eq!(used(&core), 150);
+    assert_eq!(core.reservation_count(), 0);
+}
+
+/// Guards against spending again what a daemon may have used whose settlement never came.
+#[test]
+fn an_unsettled_reservation_is_charged_in_full() {
+    let core = holder();
+    assert_eq!(reserve(&core, request(1, 400)), ReserveOutcome::Taken);
+    core.expire_reservations(Instant::now());
+    assert_eq!(core.reservation_count(), 1);
+    core.expire_reservations(Instant::now() + Duration::from_secs(2));
+    assert_eq!((used(&core), core.reservation_count()), (400, 0));
+}
+
+/// Guards against 402 by a holder that does not know the customer or the newest limit, and against waiting
+/// at one that stops.
+#[test]
+fn a_holder_that_cannot_tell_says_so() {
+    let core = holder();
+    assert_eq!(reserve(&core, request(1, 2000)), ReserveOutcome::Exhausted);
+    let newer = ReserveRequest {
+        config: 4,
+        ..request(2, 2000)
+    };
+    assert_eq!(reserve(&core, newer), ReserveOutcome::Unavailable);
+    let unknown = ReserveRequest {
+        customer: "eve".to_owned(),
+        ..request(3, 10)
+    };
+    assert_eq!(reserve(&core, unknown), ReserveOutcome::Unavailable);
+    core.begin_stop(Instant::now());
+    assert_eq!(reserve(&core, request(4, 10)), ReserveOutcome::Unavailable);
+}
