--- a/edge/src/fleet/rows.rs
+++ b/edge/src/fleet/rows.rs
@@ -134,8 +134,8 @@
     Conflict,
 }
 
-/// Writes the daemon's row at each [`WRITE_INTERVAL`], and at once when requests wait for tokens. Without
-/// grants it writes at each [`MEMBER_WRITE_INTERVAL`].
+/// Writes the daemon's row at each [`WRITE_INTERVAL`], and at once when requests wait for tokens. A daemon
+/// without grants writes every few seconds.
 pub async fn write_rows<D, S: Store>(core: Rc<Core<D>>, store: Rc<S>) {
     let mut writer = Writer::default();
     loop {
