Count no time without a read against other daemons

Callers would have met a burst of conflicts and refusals after each outage of the store of more than 20 s: whoever reads first sees rows that nobody could write for that long, takes all others for gone and itself for the only holder, and draws a quarter of each customer's tokens. The tokens of all others counted as orphaned for one read.

A time between two reads of all rows of more than 5 s no longer counts. an_outage_of_the_store_silences_nobody failed before (1 holder in place of 8); a_daemon_that_stops_writing_is_no_holder shows that the rule still finds those that are gone.

--- a/edge/src/prepaid/ledger/mod.rs
+++ b/edge/src/prepaid/ledger/mod.rs
@@ -52,6 +52,10 @@
 /// longest partition that the users state is 9 s.
 const SILENT_AFTER: Duration = Duration::from_secs(20);
 
+/// Longest time between two reads of all rows that is not an outage: more than two of the interval of a
+/// daemon without grants.
+const MAX_READ_GAP: Duration = Duration::from_secs(5);
+
 /// Tokens reserved for one open request.
 #[derive(Clone, Debug)]
 pub struct Reservation {
@@ -119,7 +123,10 @@
     customer_rows: HashMap<String, (u64, CustomerRow)>,
     /// Version and content of the rows of other daemons.
     peer_rows: HashMap<String, (u64, DaemonRow)>,
-    /// Time of the read that first returned the current version of each other daemon's row.
+    /// Time of the newest read of all rows.
+    last_read: Option<Instant>,
+    /// Time of the read that first returned the current version of each other daemon's row, later by the
+    /// times without a read since.
     changed_at: HashMap<String, Instant>,
     audits: BTreeMap<String, Audit>,
     limits: HashMap<String, u64>,
@@ -152,6 +159,7 @@
             accounts: HashMap::new(),
             customer_rows: HashMap::new(),
             peer_rows: HashMap::new(),
+            last_read: None,
             changed_at: HashMap::new(),
             audits: BTreeMap::new(),
             limits: HashMap::new(),
@@ -349,6 +357,7 @@
         self.record_store_time(now, received);
         if whole {
             self.rows_read = true;
+            self.skip_unread_time(asked);
             self.audits = audit(&rows, &self.limits, |name| self.is_silent(name, asked));
         }
         for row in rows.rows {
@@ -385,7 +394,18 @@
         }
     }
 
-    /// Whether the daemon on the VM `name` has not written its row for [`SILENT_AFTER`].
+    /// Lets a time without a read of all rows count for no daemon: it says nothing about their writes, and
+    /// in an outage of the store none of them can write. `asked` is the time of the present read.
+    fn skip_unread_time(&mut self, asked: Instant) {
+        let last = self.last_read.replace(asked);
+        let gap = last.map_or(Duration::ZERO, |at| asked.saturating_duration_since(at));
+        if gap > MAX_READ_GAP {
+            self.changed_at.values_mut().for_each(|at| *at += gap);
+        }
+    }
+
+    /// Whether the daemon on the VM `name` has not written its row for [`SILENT_AFTER`], not counting
+    /// times without a read.
     fn is_silent(&self, name: &str, now: Instant) -> bool {
         let changed_at = self.changed_at.get(name);
         changed_at.is_some_and(|at| now.saturating_duration_since(*at) > SILENT_AFTER)
--- a/edge/tests/holders.rs
+++ b/edge/tests/holders.rs
@@ -130,3 +130,29 @@
     write(&mut store, &mut ledger, later);
     assert_eq!(ledger.held_and_used("c0"), (500, 500));
 }
+
+/// Guards against daemons that all take themselves for the only holder after an outage of the store, because
+/// nobody could write a row meanwhile.
+#[test]
+fn an_outage_of_the_store_silences_nobody() {
+    let (store, mut ledger, now) = started(20, 0);
+    let count = ledger.holder_count();
+    let role = ledger.is_holder();
+    assert_eq!(count, 8);
+    // The first read after the outage comes before the first write of the others.
+    let later = now + Duration::from_secs(40);
+    ledger.apply_rows(store.rows(41_200), true, later, later);
+    assert_eq!((ledger.holder_count(), ledger.is_holder()), (count, role));
+}
+
+/// Guards against holders that are gone but stay chosen while the store answers.
+#[test]
+fn a_daemon_that_stops_writing_is_no_holder() {
+    let (store, mut ledger, now) = started(4, 0);
+    assert_eq!(ledger.holder_count(), 4);
+    for second in 1..30 {
+        let at = now + Duration::from_secs(second);
+        ledger.apply_rows(store.rows(1200 + second * 1000), true, at, at);
+    }
+    assert_eq!(ledger.holder_count(), 1);
+}
