Judge holders, peers and the store by the own link's state too

Callers of a paused or congested daemon without grants could be refused: a late timer, or a time-out while nothing at all was received, marked its holders as down for up to 4 s (a holder's connection always, its reply if this process was late). Time-outs of queries and of the store did not grow with the own link's delay.

One rule, LinkActivity::is_conclusive, now says for runners and daemons whether a time-out tells something about the other machine; local errors mark nobody as down; queries and the store's client extend their time-outs. only_a_punctual_timeout_on_an_active_link_is_conclusive tests the rule; the calls of it were not made to fail before.

--- a/edge/src/fleet/peers.rs
+++ b/edge/src/fleet/peers.rs
@@ -105,7 +105,8 @@
 /// Answers the messages on one connection until it is closed or idle.
 async fn serve_connection<D: 'static>(core: &Rc<Core<D>>, stream: TcpStream) -> io::Result<()> {
     configure_stream(&stream);
-    let socket = timeout(QUERY_TIMEOUT, accept_async(stream))
+    let limit = QUERY_TIMEOUT + core.link.allowance(Instant::now());
+    let socket = timeout(limit, accept_async(stream))
         .await?
         .map_err(io::Error::other)?;
     let (mut sink, mut messages) = socket.split();
@@ -199,7 +200,8 @@
             let core = Rc::clone(&core);
             let store = Rc::clone(&store);
             tasks.push(spawn_local(async move {
-                match timeout(QUERY_TIMEOUT, query_peer(&core, address)).await {
+                let limit = QUERY_TIMEOUT + core.link.allowance(Instant::now());
+                match timeout(limit, query_peer(&core, address)).await {
                     Ok(Ok(reply)) => {
                         replies.set(replies.get() + 1);
                         apply_reply(&core, &*store, reply);
--- a/edge/src/http/link.rs
+++ b/edge/src/http/link.rs
@@ -17,6 +17,9 @@
 /// Time in which a measured round trip loses half of its weight if no other is measured.
 const HALF_LIFE_S: f64 = 2.0;
 
+/// Delay of a timer from which this process counts as stalled.
+const MAX_TIMER_DELAY: Duration = Duration::from_millis(30);
+
 /// Activity and delay of the link of this VM, over all other machines. While all of them are silent or
 /// slow, the cause is more likely this VM or its link than one of them.
 ///
@@ -86,8 +89,10 @@
         now.saturating_duration_since(self.heard.get())
     }
 
-    /// Whether anything has arrived after `time`.
-    pub fn is_active_since(&self, time: Instant) -> bool {
-        self.heard.get() > time
+    /// Whether a timeout of `limit` on another machine, begun at `begun` and over at `now`, tells
+    /// something about that machine: this process ran on time and heard from others meanwhile.
+    pub fn is_conclusive(&self, begun: Instant, limit: Duration, now: Instant) -> bool {
+        let late = now.saturating_duration_since(begun).saturating_sub(limit);
+        late <= MAX_TIMER_DELAY && self.heard.get() > begun
     }
 }
--- a/edge/src/peer/link.rs
+++ b/edge/src/peer/link.rs
@@ -43,6 +43,7 @@
     encode, //
 };
 use crate::http::{
+    ConnectionError,
     LinkActivity,
     configure_stream, //
 };
@@ -67,8 +68,8 @@
 #[derive(Debug)]
 pub struct PeerLink {
     address: SocketAddr,
-    /// Delay of this VM's link.
-    link: Rc<LinkActivity>,
+    /// Activity and delay of this VM's link.
+    activity: Rc<LinkActivity>,
     outgoing: flume::Sender<PeerMessage>,
     /// Reservations without a final reply.
     pending: RefCell<HashMap<u64, flume::Sender<ReserveOutcome>>>,
@@ -82,11 +83,11 @@
 
 impl PeerLink {
     /// Spawns the link to the daemon at `address` on the current `LocalSet`.
-    pub fn spawn(address: SocketAddr, link: Rc<LinkActivity>) -> Rc<PeerLink> {
+    pub fn spawn(address: SocketAddr, activity: Rc<LinkActivity>) -> Rc<PeerLink> {
         let (outgoing, queue) = flume::unbounded();
         let link = Rc::new(PeerLink {
             address,
-            link,
+            activity,
             outgoing,
             pending: RefCell::default(),
             down_until: Cell::new(None),
@@ -161,17 +162,14 @@
     /// Connects to send `message`; `None` if that failed. Only settlements are worth another attempt.
     async fn connect_for(&self, message: &PeerMessage) -> Option<WebSocketStream<TcpStream>> {
         for _ in 0..MAX_DELIVERIES {
-            let limit = CONNECT_TIMEOUT + self.link.allowance(Instant::now());
-            let error = match timeout(limit, self.connect()).await {
-                Ok(Ok(socket)) => return Some(socket),
-                Ok(Err(e)) => e.to_string(),
-                Err(_) => "timeout".to_owned(),
+            let error = match self.open().await {
+                Ok(socket) => return Some(socket),
+                Err(error) => error,
             };
             log::info!(
                 "event=peer_unreachable peer={} error=\"{error}\"",
                 self.address
             );
-            self.mark_down(Instant::now());
             self.pending.borrow_mut().clear();
             if !matches!(message, PeerMessage::Settle { .. }) {
                 return None;
@@ -185,12 +183,32 @@
         None
     }
 
-    /// Opens the connection.
+    /// Opens the connection. Marks the daemon as down if the failure tells something about it.
+    async fn open(&self) -> Result<WebSocketStream<TcpStream>, ConnectionError> {
+        let begun = Instant::now();
+        let limit = CONNECT_TIMEOUT + self.activity.allowance(begun);
+        let opened = timeout(limit, self.connect())
+            .await
+            .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
+            .map_err(ConnectionError::Connect);
+        let now = Instant::now();
+        match &opened {
+            Ok(_) => self.activity.record(now),
+            Err(e) if e.is_local() => {}
+            Err(e) if e.is_timeout() && !self.activity.is_conclusive(begun, limit, now) => {}
+            Err(_) => self.mark_down(now),
+        }
+        opened
+    }
+
+    /// Connects and makes the WebSocket handshake.
     async fn connect(&self) -> io::Result<WebSocketStream<TcpStream>> {
         let stream = TcpStream::connect(self.address).await?;
         configure_stream(&stream);
         let url = format!("ws://{}/", self.address);
-        let (socket, _) = client_async(url, stream).await.map_err(io::Error::other)?;
+        let (socket, _) = client_async(url, stream)
+            .await
+            .map_err(|e| io::Error::new(io::ErrorKind::ConnectionAborted, e))?;
         Ok(socket)
     }
 
--- a/edge/src/serve/holders.rs
+++ b/edge/src/serve/holders.rs
@@ -129,7 +129,8 @@
 }
 
 /// Waits for the final reply of a holder; `None` if it does not reply. Silence does not count against the
-/// holder while nothing else is received either: then this VM or its link may have stalled.
+/// holder if this process was late or nothing else was received either: then this VM or its link may have
+/// stalled.
 async fn await_outcome<D>(
     core: &Core<D>,
     link: &PeerLink,
@@ -145,7 +146,8 @@
             Ok(Ok(ReserveOutcome::Waiting)) => {
                 replied = true;
                 core.link.record_round_trip(Instant::now(), asked.elapsed());
-                limit = end.saturating_duration_since(begun) + REPLY_TIMEOUT;
+                let reply = REPLY_TIMEOUT + core.link.allowance(Instant::now());
+                limit = end.saturating_duration_since(begun) + reply;
             }
             Ok(Ok(outcome)) => {
                 // A later reply has waited for tokens.
@@ -155,7 +157,7 @@
                 return Some(outcome);
             }
             Ok(Err(flume::RecvError::Disconnected)) => return None,
-            Err(_) if begun < end && !core.link.is_active_since(begun) => {}
+            Err(_) if begun < end && !core.link.is_conclusive(begun, limit, Instant::now()) => {}
             Err(_) => {
                 log::info!(
                     "event=holder_silent peer={} waited_ms={}",
--- a/edge/src/serve/send.rs
+++ b/edge/src/serve/send.rs
@@ -116,7 +116,7 @@
             Ok(connection)
         }
         Err(failed) => {
-            if failed.tells == Probe::Unreachable {
+            if failed.probe == Probe::Unreachable {
                 upstream.mark_down(now);
             }
             Err(failed.error.into())
--- a/edge/src/serve/upstream.rs
+++ b/edge/src/serve/upstream.rs
@@ -66,9 +66,6 @@
 /// Time in which the failure rate decays to about a third (1/e), in seconds.
 const FAILURE_DECAY_S: f64 = 4.0;
 
-/// Delay of a timer from which this process counts as stalled.
-const MAX_TIMER_DELAY: Duration = Duration::from_millis(30);
-
 /// Result of a probe of a runner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Probe {
@@ -97,7 +94,7 @@
     /// The error.
     pub error: ConnectionError,
     /// What it tells about the runner.
-    pub tells: Probe,
+    pub probe: Probe,
 }
 
 /// A connection that is kept for reuse.
@@ -303,8 +300,8 @@
                 Ok(connection)
             }
             Err(error) => {
-                let tells = self.classify(&error, begun, limit);
-                Err(OpenError { error, tells })
+                let probe = self.classify(&error, begun, limit);
+                Err(OpenError { error, probe })
             }
         }
     }
@@ -317,9 +314,9 @@
                 return Probe::Reachable;
             };
             if !failed.error.is_timeout() {
-                return failed.tells;
+                return failed.probe;
             }
-            if failed.tells == Probe::Inconclusive {
+            if failed.probe == Probe::Inconclusive {
                 result = Probe::Inconclusive;
             }
         }
@@ -331,11 +328,10 @@
     /// meanwhile; else the VM or its link may have stalled.
     pub fn classify(&self, error: &ConnectionError, begun: Instant, limit: Duration) -> Probe {
         if error.is_timeout() {
-            let late = begun.elapsed().saturating_sub(limit);
-            if late > MAX_TIMER_DELAY || !self.link.is_active_since(begun) {
-                return Probe::Inconclusive;
-            }
-            return Probe::Unreachable;
+            return match self.link.is_conclusive(begun, limit, Instant::now()) {
+                true => Probe::Unreachable,
+                false => Probe::Inconclusive,
+            };
         }
         if error.is_local() {
             log::warn!(
--- a/edge/tests/silence.rs
+++ b/edge/tests/silence.rs
@@ -90,6 +90,18 @@
     assert!(!budget.allows_retry(now, 7, true));
 }
 
+/// Guards against taking a pause of this process, or of its link, for the silence of a holder.
+#[test]
+fn only_a_punctual_timeout_on_an_active_link_is_conclusive() {
+    let ms = Duration::from_millis;
+    let begun = Instant::now();
+    let link = LinkActivity::new(begun);
+    assert!(!link.is_conclusive(begun, LIMIT, begun + LIMIT));
+    link.record(begun + ms(20));
+    assert!(link.is_conclusive(begun, LIMIT, begun + LIMIT));
+    assert!(!link.is_conclusive(begun, LIMIT, begun + LIMIT + ms(100)));
+}
+
 /// Guards against timeouts that a full link of this VM makes too short for every other machine.
 #[test]
 fn a_slow_link_extends_the_timeouts() {
