End reservations that nobody waits for

Callers near the end of a budget could be refused for tokens that nobody used: a holder kept a reservation until its expiry, and then charged it in full, if the connection had ended before its reply; and it waited and drew tokens for a request whose caller had left. A daemon that did not know a customer's newest limit was also passed over for all customers for half a second, as one that stops is.

A reply that was not sent returns the tokens; a settlement ends the wait; only a stopping holder counts as down. a_reply_that_reaches_nobody_reserves_nothing and a_holder_that_cannot_tell_says_so failed before (400 tokens kept); a_settlement_ends_the_wait was not run on the code before.

--- a/edge/src/peer/message.rs
+++ b/edge/src/peer/message.rs
@@ -96,8 +96,10 @@
     Refused,
     /// The customer's remaining tokens do not cover the request.
     Exhausted,
-    /// This daemon can't tell: it is stopping, or does not know the customer or the newest limit.
+    /// This daemon can't tell: it does not know the customer or the newest limit.
     Unavailable,
+    /// This daemon is stopping and reserves nothing more.
+    Stopping,
 }
 
 impl From<Admission> for ReserveOutcome {
@@ -121,7 +123,9 @@
             ReserveOutcome::Release(ms) => Some(Admission::Release(Duration::from_millis(ms))),
             ReserveOutcome::Refused => Some(Admission::Refused),
             ReserveOutcome::Exhausted => Some(Admission::Exhausted),
-            ReserveOutcome::Waiting | ReserveOutcome::Unavailable => None,
+            ReserveOutcome::Waiting | ReserveOutcome::Unavailable | ReserveOutcome::Stopping => {
+                None
+            }
         }
     }
 }
--- a/edge/src/serve/holders.rs
+++ b/edge/src/serve/holders.rs
@@ -118,10 +118,10 @@
         used: 0,
     };
     let outcome = await_outcome(core, link, &replies, now + wait).await?;
-    let Some(admission) = outcome.admission() else {
+    if outcome == ReserveOutcome::Stopping {
         link.mark_down(Instant::now());
-        return None;
-    };
+    }
+    let admission = outcome.admission()?;
     if admission == Admission::Taken {
         return Some((admission, Charge::Remote(remote)));
     }
--- a/edge/src/serve/reservations.rs
+++ b/edge/src/serve/reservations.rs
@@ -11,6 +11,8 @@
     },
 };
 
+use tokio::sync::Notify;
+
 use super::{
     Core,
     tokens::{
@@ -49,12 +51,16 @@
 
 /// Open reservations for other daemons.
 #[derive(Debug, Default)]
-pub(super) struct Reservations(RefCell<HashMap<ReservationId, Entry>>);
+pub(super) struct Reservations {
+    open: RefCell<HashMap<ReservationId, Entry>>,
+    /// Notified when a reservation ends.
+    ended: Notify,
+}
 
 impl<D> Core<D> {
     /// Number of reservations for other daemons that are open or wait for tokens.
     pub fn reservation_count(&self) -> usize {
-        self.reservations.0.borrow().len()
+        self.reservations.open.borrow().len()
     }
 
     /// Reserves tokens for a request of another daemon and sends the outcome to `replies`. Waits for
@@ -77,7 +83,15 @@
             request.number,
             received_at.elapsed().as_millis()
         );
-        send_reply(&replies, request.number, outcome);
+        let delivered = send_reply(&replies, request.number, outcome);
+        if !delivered && outcome == ReserveOutcome::Taken {
+            // The sender does not know of the tokens, so it can't have used any.
+            self.settle_for_peer(&Settlement {
+                process: request.process,
+                number: request.number,
+                used: 0,
+            });
+        }
     }
 
     /// Decides about a reservation and records it if the tokens were taken.
@@ -87,7 +101,10 @@
         received_at: Instant,
         replies: &flume::Sender<ReserveReply>,
     ) -> ReserveOutcome {
-        if !self.can_decide(request) {
+        if self.stopping_for(received_at).is_some() {
+            return ReserveOutcome::Stopping;
+        }
+        if !self.knows_limit(&request.customer) {
             return ReserveOutcome::Unavailable;
         }
         let id = (request.process, request.number);
@@ -95,7 +112,7 @@
             tokens: None,
             expires: received_at + bounded_time(request.expires_ms),
         };
-        self.reservations.0.borrow_mut().insert(id, entry);
+        self.reservations.open.borrow_mut().insert(id, entry);
         let reservation = Reservation {
             customer: Arc::from(&*request.customer),
             cost: request.cost,
@@ -109,7 +126,10 @@
                 received_at,
                 wait,
             };
-            admission = wait_for_tokens(self, &token_request).await;
+            tokio::select! {
+                waited = wait_for_tokens(self, &token_request) => admission = waited,
+                () = self.reservation_gone(id) => return ReserveOutcome::Unavailable,
+            }
         }
         self.record_admission(id, reservation, admission);
         if admission == Admission::Exhausted && !self.knows_config(request.config) {
@@ -118,13 +138,23 @@
         admission.into()
     }
 
-    /// Whether this daemon knows the customer's limit and is not stopping.
-    fn can_decide(&self, request: &ReserveRequest) -> bool {
-        let known = self.config().is_some_and(|config| {
+    /// Whether this daemon knows the limit of `customer`.
+    fn knows_limit(&self, customer: &str) -> bool {
+        self.config().is_some_and(|config| {
             let mut customers = config.customers.iter();
-            customers.any(|c| *c.name == *request.customer && c.prepaid.is_some())
-        });
-        known && self.stopping_for(Instant::now()).is_none()
+            customers.any(|c| *c.name == *customer && c.prepaid.is_some())
+        })
+    }
+
+    /// Returns when the reservation `id` has been ended.
+    async fn reservation_gone(&self, id: ReservationId) {
+        loop {
+            let ended = self.reservations.ended.notified();
+            if !self.reservations.open.borrow().contains_key(&id) {
+                return;
+            }
+            ended.await;
+        }
     }
 
     /// Whether the configuration in force is at least `version`.
@@ -134,7 +164,7 @@
 
     /// Records the tokens taken for a reservation, or returns them if it has been ended meanwhile.
     fn record_admission(&self, id: ReservationId, reservation: Reservation, admission: Admission) {
-        let mut open = self.reservations.0.borrow_mut();
+        let mut open = self.reservations.open.borrow_mut();
         if admission != Admission::Taken {
             open.remove(&id);
             return;
@@ -148,7 +178,8 @@
     /// Ends a reservation of another daemon.
     pub fn settle_for_peer(&self, settlement: &Settlement) {
         let id = (settlement.process, settlement.number);
-        let entry = self.reservations.0.borrow_mut().remove(&id);
+        let entry = self.reservations.open.borrow_mut().remove(&id);
+        self.reservations.ended.notify_waiters();
         if let Some(tokens) = entry.and_then(|e| e.tokens) {
             self.settle_tokens(&tokens, settlement.used.min(tokens.cost));
         }
@@ -157,7 +188,7 @@
     /// Charges the whole cost of reservations whose end was not told in time.
     pub fn expire_reservations(&self, now: Instant) {
         let mut expired = Vec::new();
-        self.reservations.0.borrow_mut().retain(|id, entry| {
+        self.reservations.open.borrow_mut().retain(|id, entry| {
             let keep = now < entry.expires || entry.tokens.is_none();
             if !keep {
                 expired.push((*id, entry.tokens.take()));
@@ -191,9 +222,11 @@
     Duration::from_millis(ms).min(MAX_RESERVATION_TIME)
 }
 
-/// Sends a reply; the connection may have failed meanwhile, and then nobody waits for it.
-fn send_reply(replies: &flume::Sender<ReserveReply>, number: u64, outcome: ReserveOutcome) {
-    if replies.send(ReserveReply { number, outcome }).is_err() {
-        log::debug!("event=reply_dropped number={number}");
+/// Sends a reply. Returns `false` if the connection has ended meanwhile.
+fn send_reply(replies: &flume::Sender<ReserveReply>, number: u64, outcome: ReserveOutcome) -> bool {
+    let delivered = replies.send(ReserveReply { number, outcome }).is_ok();
+    if !delivered {
+        log::info!("event=reply_dropped number={number} outcome={outcome:?}");
     }
+    delivered
 }
--- a/edge/tests/reservations.rs
+++ b/edge/tests/reservations.rs
@@ -21,6 +21,7 @@
     },
     peer::{
         ReserveOutcome,
+        ReserveReply,
         ReserveRequest,
         Settlement, //
     },
@@ -84,14 +85,19 @@
     }
 }
 
-/// Final outcome of `request`.
-fn reserve(core: &Rc<Core<()>>, request: ReserveRequest) -> ReserveOutcome {
-    let runtime = tokio::runtime::Builder::new_current_thread()
+/// Runs `future` to its end.
+fn run(future: impl Future<Output = ()>) {
+    tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
-        .unwrap();
+        .unwrap()
+        .block_on(future);
+}
+
+/// Final outcome of `request`.
+fn reserve(core: &Rc<Core<()>>, request: ReserveRequest) -> ReserveOutcome {
     let (sender, replies) = flume::unbounded();
-    runtime.block_on(core.reserve_for_peer(request, sender));
+    run(core.reserve_for_peer(request, sender));
     replies.drain().last().unwrap().outcome
 }
 
@@ -129,6 +135,46 @@
     assert_eq!(core.reservation_count(), 0);
 }
 
+/// Guards against tokens that stay reserved for a daemon whose connection ended before the reply.
+#[test]
+fn a_reply_that_reaches_nobody_reserves_nothing() {
+    let core = holder();
+    let (sender, replies) = flume::unbounded();
+    drop(replies);
+    run(core.reserve_for_peer(request(1, 400), sender));
+    assert_eq!((used(&core), core.reservation_count()), (0, 0));
+}
+
+/// Guards against a holder that waits, and draws tokens, for a request whose caller has left.
+#[test]
+fn a_settlement_ends_the_wait() {
+    let core = holder();
+    let waiting = ReserveRequest {
+        wait_ms: 10_000,
+        ..request(1, 999)
+    };
+    // The limit covers the request, what the daemon holds does not, so that it has to wait.
+    assert_eq!(reserve(&core, request(2, 998)), ReserveOutcome::Taken);
+    let limits = [("ann".to_owned(), 3 * LIMIT)].into();
+    core.ledger.borrow_mut().set_limits(limits);
+    let start = Instant::now();
+    run(async {
+        let (sender, replies) = flume::unbounded::<ReserveReply>();
+        let ends = async {
+            let reply = replies.recv_async().await.unwrap();
+            assert_eq!(reply.outcome, ReserveOutcome::Waiting);
+            core.settle_for_peer(&Settlement {
+                process: 2,
+                number: 1,
+                used: 0,
+            });
+        };
+        tokio::join!(core.reserve_for_peer(waiting, sender), ends);
+    });
+    assert!(start.elapsed() < Duration::from_millis(500));
+    assert!(!core.ledger.borrow().has_waiting());
+}
+
 /// Guards against spending again what a daemon may have used whose settlement never came.
 #[test]
 fn an_unsettled_reservation_is_charged_in_full() {
@@ -157,5 +203,5 @@
     };
     assert_eq!(reserve(&core, unknown), ReserveOutcome::Unavailable);
     core.begin_stop(Instant::now());
-    assert_eq!(reserve(&core, request(4, 10)), ReserveOutcome::Unavailable);
+    assert_eq!(reserve(&core, request(4, 10)), ReserveOutcome::Stopping);
 }
