Share the pacing of reads and writes with the simulation, and never delay the own row

The rule when a daemon writes and which rows stood twice, in the daemon and in the simulated fleet, so the runs tested a copy. It is now one pure type, prepaid::Pacing, that both use; a failed read of the rows shows as feed_lost feed=rows, where it was only a debug line.

Reading it again showed one more write that waits for others: after a conflict the own row came only after the random pause, up to 0.4 s with 42 holders, so that holders counted as detached. It now follows at once.

--- a/edge/src/fleet/feeds.rs
+++ b/edge/src/fleet/feeds.rs
@@ -34,19 +34,19 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
 /// Whether a feed is reachable; logs each change once.
-struct FeedStatus {
+pub(super) struct FeedStatus {
     name: &'static str,
     /// Time of the first failed call; `None` while the feed is reachable.
     lost: Option<Instant>,
 }
 
 impl FeedStatus {
-    fn new(name: &'static str) -> FeedStatus {
+    pub(super) fn new(name: &'static str) -> FeedStatus {
         FeedStatus { name, lost: None }
     }
 
     /// Records a failed call.
-    fn failed(&mut self, fault: &StoreError) {
+    pub(super) fn failed(&mut self, fault: &StoreError) {
         if self.lost.is_none() {
             self.lost = Some(Instant::now());
             log::warn!("event=feed_lost feed={} error=\"{fault}\"", self.name);
@@ -54,7 +54,7 @@
     }
 
     /// Records a successful call. Returns whether the feed was lost before.
-    fn succeeded(&mut self) -> bool {
+    pub(super) fn succeeded(&mut self) -> bool {
         let Some(at) = self.lost.take() else {
             return false;
         };
--- a/edge/src/fleet/rows.rs
+++ b/edge/src/fleet/rows.rs
@@ -14,7 +14,10 @@
     timeout, //
 };
 
-use super::feeds::count_store_call;
+use super::feeds::{
+    FeedStatus,
+    count_store_call, //
+};
 use crate::{
     adapter::{
         Store,
@@ -25,34 +28,14 @@
         Batch,
         CommitOutcome,
         Ledger,
-        WRITE_INTERVAL,
+        Pacing,
         WritePlan,
-        WriteScope, //
+        read_interval,
+        write_interval, //
     },
     serve::Core,
 };
 
-/// Interval between two reads of all rows by a daemon that holds grants.
-const READ_INTERVAL: Duration = Duration::from_millis(1000);
-
-/// Longest interval between two reads of all rows by any other daemon, which needs them only for the members
-/// and their strikes. These must be known to all daemons within 3 s.
-const MEMBER_READ_INTERVAL: Duration = Duration::from_millis(2000);
-
-/// Mean interval between two writes of a daemon without grants, of which only its presence matters. Each is
-/// drawn from half to three halves of it, so that daemons that started together do not write together.
-const MEMBER_WRITE_INTERVAL: Duration = Duration::from_secs(5);
-
-/// Part of the store's rate of transactions that all holders together use for waiting requests. One write
-/// brings the tokens for many of them.
-const HOLDER_WRITE_FRACTION: f64 = 0.5;
-
-/// Customers' rows in a write after one conflict, and after more.
-const ROWS_AFTER_CONFLICTS: [usize; 2] = [4, 1];
-
-/// Longest random pause after a conflict, in units of the spacing of writes.
-const CONFLICT_PAUSE_SPACINGS: f64 = 1.5;
-
 /// Response time of the store from which a commit is logged as slow.
 const SLOW_COMMIT: Duration = Duration::from_millis(100);
 
@@ -61,10 +44,12 @@
 
 /// Reads the rows of all daemons at a fixed interval until the process ends.
 pub async fn poll_rows<D, S: Store>(core: Rc<Core<D>>, store: Rc<S>) {
+    let mut status = FeedStatus::new("rows");
     loop {
         let asked = Instant::now();
         match store.fetch_rows().await {
             Ok(rows) => {
+                status.succeeded();
                 count_store_call(&core, "rows", "ok");
                 log::info!(
                     "event=rows_read count={} ms={}",
@@ -82,7 +67,7 @@
             }
             Err(fault) => {
                 count_store_call(&core, "rows", "failed");
-                log::debug!("event=rows_unread error=\"{fault}\"");
+                status.failed(&fault);
                 sleep(RETRY_PAUSE).await;
             }
         }
@@ -95,11 +80,7 @@
     if ledger.is_holder() || ledger.has_waiting() {
         core.writer_wake.notify_one();
     }
-    if ledger.is_holder() || !ledger.knows_holders() {
-        READ_INTERVAL
-    } else {
-        MEMBER_READ_INTERVAL.mul_f64(rand::random_range(0.7..1.0))
-    }
+    read_interval(&ledger, rand::random())
 }
 
 /// Merges the strikes in the rows of the other daemons.
@@ -119,10 +100,7 @@
 struct Writer {
     /// Time of the first failed write; `None` while the store accepts writes.
     lost: Option<Instant>,
-    /// Conflicts since the last accepted write.
-    conflicts: u32,
-    /// Time of the last write.
-    last: Option<Instant>,
+    pacing: Pacing,
 }
 
 /// Outcome of one write.
@@ -130,28 +108,25 @@
 enum WriteResult {
     /// It was accepted, failed, or there was nothing to write.
     Ended,
-    /// Another daemon has changed one of the rows.
-    Conflict,
+    /// Rows of customers are still to be written: another daemon has changed one of them.
+    Unfinished,
 }
 
-/// Writes the daemon's row at each [`WRITE_INTERVAL`], and at once when requests wait for tokens. A daemon
-/// without grants writes every few seconds.
+/// Writes the daemon's row at the intervals of [`write_interval`], and at once when requests wait for tokens.
 pub async fn write_rows<D, S: Store>(core: Rc<Core<D>>, store: Rc<S>) {
     let mut writer = Writer::default();
     loop {
-        let _ = timeout(writer.pause(&core), core.writer_wake.notified()).await;
-        if writer.conflicts == 0 {
-            sleep(writer.spacing(&core)).await;
-        }
+        let _ = timeout(writer.interval(&core), core.writer_wake.notified()).await;
+        sleep(writer.spacing(&core)).await;
         core.expire_reservations(Instant::now());
         let result = writer.write_once(&core, &*store).await;
         core.tokens_freed.notify_waiters();
-        if result == WriteResult::Conflict {
-            writer.conflicts += 1;
-            sleep(conflict_pause(&core)).await;
+        if result == WriteResult::Unfinished {
+            writer.pacing.record_conflict();
+            sleep(writer.conflict_pause(&core)).await;
             core.writer_wake.notify_one();
         } else {
-            writer.conflicts = 0;
+            writer.pacing.record_success();
         }
     }
 }
@@ -205,56 +180,35 @@
     );
 }
 
-/// Time between two writes of a holder at which all of them together stay within their part of the store's
-/// rate.
-fn write_spacing<D>(core: &Core<D>) -> Duration {
-    let holders = core.ledger.borrow().holder_count() as f64;
-    let rate = core.bounds.get().store_writes.max(1.0) * HOLDER_WRITE_FRACTION;
-    Duration::from_secs_f64(holders / rate).min(WRITE_INTERVAL)
-}
-
-/// Random pause after a conflict, so that daemons that conflicted do not meet again.
-fn conflict_pause<D>(core: &Core<D>) -> Duration {
-    write_spacing(core).mul_f64(rand::random_range(0.0..CONFLICT_PAUSE_SPACINGS))
-}
-
 impl Writer {
-    /// Longest pause before the next write.
-    fn pause<D>(&self, core: &Core<D>) -> Duration {
+    /// Longest time until the next write.
+    fn interval<D>(&self, core: &Core<D>) -> Duration {
         if self.lost.is_some() {
             return RETRY_PAUSE;
         }
-        let ledger = core.ledger.borrow();
-        if !ledger.is_owned() || ledger.is_holder() || ledger.holds_tokens() {
-            return WRITE_INTERVAL;
-        }
-        MEMBER_WRITE_INTERVAL.mul_f64(rand::random_range(0.5..1.5))
+        write_interval(&core.ledger.borrow(), rand::random())
     }
 
     /// Time until the next write may be sent.
     fn spacing<D>(&self, core: &Core<D>) -> Duration {
-        self.last.map_or(Duration::ZERO, |at| {
-            write_spacing(core).saturating_sub(at.elapsed())
-        })
+        let rate = core.bounds.get().store_writes;
+        let ledger = core.ledger.borrow();
+        self.pacing.spacing(&ledger, rate, Instant::now())
     }
 
-    /// Rows of the next write. After a conflict, every other write has the own row alone, so that rows
-    /// that others write do not delay it.
-    fn scope(&self) -> WriteScope {
-        match self.conflicts {
-            0 => WriteScope::Customers(usize::MAX),
-            n if !n.is_multiple_of(2) => WriteScope::OwnRow,
-            2 => WriteScope::Customers(ROWS_AFTER_CONFLICTS[0]),
-            _ => WriteScope::Customers(ROWS_AFTER_CONFLICTS[1]),
-        }
+    /// Pause after a conflict.
+    fn conflict_pause<D>(&self, core: &Core<D>) -> Duration {
+        let rate = core.bounds.get().store_writes;
+        let ledger = core.ledger.borrow();
+        self.pacing.conflict_pause(&ledger, rate, rand::random())
     }
 
     /// Writes the row once.
     async fn write_once<D, S: Store>(&mut self, core: &Core<D>, store: &S) -> WriteResult {
         let now = Instant::now();
         let strikes = core.strikes.borrow().local_strikes(now);
-        let scope = self.scope();
-        self.last = Some(now);
+        let scope = self.pacing.scope();
+        self.pacing.record_write(now);
         let plan = core.ledger.borrow_mut().plan_scoped(now, strikes, scope);
         let Some(plan) = plan else {
             return WriteResult::Ended;
@@ -291,11 +245,8 @@
             log::error!("event=row_lost cause=\"another process has taken it over\"");
             return WriteResult::Ended;
         }
-        // After the own row alone, the customers' rows are still to be written.
-        if conflict
-            || (self.conflicts > 0 && plan.batch.customers.is_empty() && ledger.has_waiting())
-        {
-            return WriteResult::Conflict;
+        if conflict || self.pacing.leaves_rows(&ledger) {
+            return WriteResult::Unfinished;
         }
         WriteResult::Ended
     }
--- a/edge/src/prepaid/mod.rs
+++ b/edge/src/prepaid/mod.rs
@@ -11,6 +11,7 @@
 mod grant;
 mod holders;
 mod ledger;
+mod pacing;
 mod rate;
 mod row;
 
@@ -36,6 +37,11 @@
     WritePlan,
     WriteScope, //
 };
+pub use pacing::{
+    Pacing,
+    read_interval,
+    write_interval, //
+};
 pub use rate::DemandRate;
 pub use row::{
     Batch,
--- /dev/null
+++ b/edge/src/prepaid/pacing.rs
@@ -0,0 +1,135 @@
+//! When a daemon reads and writes the rows, and which rows a write contains.
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use super::{
+    Ledger,
+    WRITE_INTERVAL,
+    WriteScope, //
+};
+
+/// Interval between two reads of all rows by a daemon that holds grants.
+const READ_INTERVAL: Duration = Duration::from_millis(1000);
+
+/// Longest interval between two reads of all rows by any other daemon, which needs them only for the members
+/// and their strikes. These must be known to all daemons within 3 s.
+const MEMBER_READ_INTERVAL: Duration = Duration::from_millis(2000);
+
+/// Longest part of [`MEMBER_READ_INTERVAL`] by which a read comes early.
+const MEMBER_READ_SPREAD: f64 = 0.3;
+
+/// Longest interval between two writes of a daemon without grants, of which only its presence matters. Each
+/// is a random part of it, from a third up, so that daemons that started together do not write together.
+const MEMBER_WRITE_INTERVAL: Duration = Duration::from_millis(7500);
+
+/// Part of the store's rate of transactions that all holders together use for waiting requests. One write
+/// brings the tokens for many of them.
+const HOLDER_WRITE_FRACTION: f64 = 0.5;
+
+/// Customers' rows in a write after one conflict, and after more.
+const ROWS_AFTER_CONFLICTS: [usize; 2] = [4, 1];
+
+/// Longest random pause after a conflict, in units of the spacing of writes.
+const CONFLICT_PAUSE_SPACINGS: f64 = 1.5;
+
+/// Decides when the rows are read and written. Randomness is passed in, as numbers from 0 to 1.
+///
+/// # Examples
+///
+/// ```
+/// use cuminloom_edge::prepaid::{Pacing, WriteScope};
+///
+/// let mut pacing = Pacing::default();
+/// assert_eq!(pacing.scope(), WriteScope::Customers(usize::MAX));
+/// pacing.record_conflict();
+/// assert_eq!(pacing.scope(), WriteScope::OwnRow);
+/// pacing.record_success();
+/// assert_eq!(pacing.scope(), WriteScope::Customers(usize::MAX));
+/// ```
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Pacing {
+    /// Writes in a row that conflicted, or that left the customers' rows to the next one after that.
+    conflicts: u32,
+    /// Time of the last write.
+    last: Option<Instant>,
+}
+
+impl Pacing {
+    /// Rows of the next write. After a conflict, every other write has the own row alone, so that rows
+    /// that others write do not delay it.
+    pub fn scope(&self) -> WriteScope {
+        match self.conflicts {
+            0 => WriteScope::Customers(usize::MAX),
+            n if !n.is_multiple_of(2) => WriteScope::OwnRow,
+            2 => WriteScope::Customers(ROWS_AFTER_CONFLICTS[0]),
+            _ => WriteScope::Customers(ROWS_AFTER_CONFLICTS[1]),
+        }
+    }
+
+    /// Records that a write was sent.
+    pub fn record_write(&mut self, now: Instant) {
+        self.last = Some(now);
+    }
+
+    /// Records that the last write conflicted.
+    pub fn record_conflict(&mut self) {
+        self.conflicts += 1;
+    }
+
+    /// Records that the last write was accepted or failed otherwise.
+    pub fn record_success(&mut self) {
+        self.conflicts = 0;
+    }
+
+    /// Whether a write of the own row alone has left rows of customers to the next one.
+    pub fn leaves_rows(&self, ledger: &Ledger) -> bool {
+        self.scope() == WriteScope::OwnRow && ledger.has_waiting()
+    }
+
+    /// Time until the next write may be sent, for all holders together to stay within their part of
+    /// `rate` transactions per second.
+    pub fn spacing(&self, ledger: &Ledger, rate: f64, now: Instant) -> Duration {
+        let Some(last) = self.last.filter(|_| self.conflicts == 0) else {
+            return Duration::ZERO;
+        };
+        let passed = now.saturating_duration_since(last);
+        spacing(ledger, rate).saturating_sub(passed)
+    }
+
+    /// Pause after a conflict: none before the own row, which can't conflict, and else a random one, so
+    /// that daemons that conflicted do not meet again.
+    pub fn conflict_pause(&self, ledger: &Ledger, rate: f64, random: f64) -> Duration {
+        match self.scope() {
+            WriteScope::OwnRow => Duration::ZERO,
+            WriteScope::Customers(_) => {
+                spacing(ledger, rate).mul_f64(random * CONFLICT_PAUSE_SPACINGS)
+            }
+        }
+    }
+}
+
+/// Time between two writes of each holder at which all of them together stay within their part of `rate`.
+fn spacing(ledger: &Ledger, rate: f64) -> Duration {
+    let holders = ledger.holder_count() as f64;
+    let rate = rate.max(1.0) * HOLDER_WRITE_FRACTION;
+    Duration::from_secs_f64(holders / rate).min(WRITE_INTERVAL)
+}
+
+/// Interval until the next regular write of the own row.
+pub fn write_interval(ledger: &Ledger, random: f64) -> Duration {
+    if !ledger.is_owned() || ledger.is_holder() || ledger.holds_tokens() {
+        return WRITE_INTERVAL;
+    }
+    MEMBER_WRITE_INTERVAL.mul_f64((1.0 + 2.0 * random) / 3.0)
+}
+
+/// Interval until the next read of all rows.
+pub fn read_interval(ledger: &Ledger, random: f64) -> Duration {
+    if ledger.is_holder() || !ledger.knows_holders() {
+        return READ_INTERVAL;
+    }
+    MEMBER_READ_INTERVAL.mul_f64(1.0 - MEMBER_READ_SPREAD * random)
+}
--- a/edge/tests/holder_world/mod.rs
+++ b/edge/tests/holder_world/mod.rs
@@ -21,6 +21,7 @@
 use cuminloom_edge::prepaid::{
     CommitOutcome,
     Ledger,
+    Pacing,
     Reservation,
     WritePlan, //
 };
@@ -52,20 +53,6 @@
 /// Response time of the store without a queue.
 const STORE_MS: f64 = 4.0;
 
-/// Interval between two writes and between two reads of a holder, as in the daemon.
-const WRITE_MS: u64 = 400;
-const READ_MS: u64 = 1000;
-
-/// Part of the rate of the store that the holders use for waiting requests, as in the daemon.
-const HOLDER_FRACTION: f64 = 0.5;
-
-/// Intervals of the other daemons.
-const MEMBER_WRITE_MS: u64 = 5000;
-const MEMBER_READ_MS: u64 = 2000;
-
-/// Longest pause after a conflict, in units of the spacing of writes.
-const CONFLICT_PAUSE: f64 = 1.5;
-
 /// Longest wait of a request for tokens.
 const MAX_WAIT_MS: u64 = 1200;
 
@@ -78,12 +65,6 @@
 /// Time after which a daemon gives up a write whose answer was lost.
 const ANSWER_TIMEOUT_MS: u64 = 1200;
 
-/// Time between two writes of a holder, as in the daemon.
-fn write_spacing(ledger: &Ledger) -> u64 {
-    let spacing = ledger.holder_count() as f64 * 1000.0 / (PART_RATE * HOLDER_FRACTION);
-    (spacing as u64).min(WRITE_MS)
-}
-
 /// Number of data centres of a fleet, as on the users' sites and at the target size.
 fn zones(daemons: usize) -> usize {
     if daemons > 100 { 21 } else { 4 }
@@ -118,9 +99,10 @@
     /// Monotonic clock.
     clock: u64,
     next_write: u64,
-    last_write: u64,
     next_read: u64,
-    conflicts: u32,
+    pacing: Pacing,
+    /// Whether rows of customers are left to the next write, which waits for its time.
+    unfinished: bool,
     in_flight: Option<InFlight>,
     waiting: Vec<Waiting>,
     /// Reservations by number, with the daemon that made them and the time at which they expire.
@@ -189,9 +171,9 @@
                 frozen_until: 0,
                 clock: 0,
                 next_write: 0,
-                last_write: 0,
                 next_read: 0,
-                conflicts: 0,
+                pacing: Pacing::default(),
+                unfinished: false,
                 in_flight: None,
                 waiting: Vec::new(),
                 open: BTreeMap::new(),
@@ -344,7 +326,9 @@
         ledger.mark_exclusive(instant);
         ledger.set_limits(self.limits.clone());
         node.ledger = Some(ledger);
-        (node.next_write, node.next_read, node.conflicts) = (self.now, self.now, 0);
+        (node.next_write, node.next_read) = (self.now, self.now);
+        node.pacing = Pacing::default();
+        node.unfinished = false;
     }
 
     /// Charges the reservations that have expired in full.
