Keep writing while requests wait for tokens

Cause: a waiting request wakes the writer once. The wake-up was used by the write that takes over the row of the previous process, which brings no tokens. The next write was due after WRITE_INTERVAL, or after 2.5 to 7.5 s if the previous process had held nothing.

--- a/edge/src/prepaid/pacing.rs
+++ b/edge/src/prepaid/pacing.rs
@@ -32,6 +32,10 @@
 /// Customers' rows in a write after one conflict, and after more.
 const ROWS_AFTER_CONFLICTS: [usize; 2] = [4, 1];
 
+/// Interval between writes while requests wait for tokens that the last write did not bring: others may
+/// have returned some.
+const WAITING_WRITE_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Longest random pause after a conflict, in units of the spacing of writes.
 const CONFLICT_PAUSE_SPACINGS: f64 = 1.5;
 
@@ -120,6 +124,9 @@
 
 /// Interval until the next regular write of the own row.
 pub fn write_interval(ledger: &Ledger, random: f64) -> Duration {
+    if ledger.has_waiting() {
+        return WAITING_WRITE_INTERVAL;
+    }
     if !ledger.is_owned() || ledger.is_holder() || ledger.holds_tokens() {
         return WRITE_INTERVAL;
     }
--- /dev/null
+++ b/edge/tests/row_writer.rs
@@ -0,0 +1,215 @@
+//! The tasks that read and write a daemon's rows, on an in-memory store.
+
+#[allow(dead_code, reason = "the runs of the ledger use the rest")]
+#[path = "budget_world/store.rs"]
+mod fake_store;
+
+use std::{
+    cell::RefCell,
+    collections::BTreeMap,
+    future,
+    rc::Rc,
+    sync::Arc,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use cuminloom_edge::{
+    adapter::{
+        ConfigVersion,
+        FeedUpdate,
+        Store,
+        StoreError, //
+    },
+    catalog::{
+        Config,
+        Customer,
+        RunnerChange, //
+    },
+    fleet::{
+        poll_rows,
+        write_rows, //
+    },
+    peer::{
+        ReserveOutcome,
+        ReserveRequest, //
+    },
+    prepaid::{
+        Batch,
+        CommitOutcome,
+        CustomerRow,
+        DaemonRow,
+        Grant,
+        Ledger,
+        Rows, //
+    },
+    serve::{
+        Bounds,
+        Core, //
+    },
+    telemetry::Metrics,
+};
+use fake_store::FakeStore;
+use tokio::{
+    task::{
+        LocalSet,
+        spawn_local, //
+    },
+    time::sleep,
+};
+
+/// Tokens of the customer `ann`.
+const LIMIT: u64 = 1_000_000;
+
+/// Tokens that the previous process has spent; it held no others.
+const SPENT: u64 = 150;
+
+/// Response time of the store.
+const STORE_TIME: Duration = Duration::from_millis(4);
+
+/// Store that answers after [`STORE_TIME`].
+struct SlowStore {
+    rows: RefCell<FakeStore>,
+    start: Instant,
+}
+
+impl SlowStore {
+    /// Store with the row that a process on `vm-1` left after it had spent all that it held.
+    fn after_a_kill() -> SlowStore {
+        let grant = Grant {
+            cap: SPENT,
+            issued: SPENT,
+            spent: SPENT,
+            ..Grant::default()
+        };
+        let row = DaemonRow {
+            process: 1,
+            number: 1,
+            seen: 0,
+            peer: None,
+            zone: "z-1".to_owned(),
+            capacity: 0,
+            leaving: false,
+            grants: BTreeMap::from([("ann".to_owned(), grant)]),
+            strikes: Vec::new(),
+        };
+        let batch = Batch {
+            daemon: Some(("vm-1".to_owned(), row)),
+            customers: vec![("ann".to_owned(), CustomerRow { committed: SPENT })],
+            ..Batch::default()
+        };
+        let mut rows = FakeStore::default();
+        rows.apply(&batch, 0);
+        SlowStore {
+            rows: RefCell::new(rows),
+            start: Instant::now(),
+        }
+    }
+
+    fn now_ms(&self) -> u64 {
+        self.start.elapsed().as_millis() as u64
+    }
+}
+
+impl Store for SlowStore {
+    async fn watch_configs(
+        &self,
+        _: Option<u64>,
+        _: Duration,
+    ) -> Result<FeedUpdate<ConfigVersion>, StoreError> {
+        future::pending().await
+    }
+
+    async fn watch_runners(
+        &self,
+        _: Option<u64>,
+        _: Duration,
+    ) -> Result<FeedUpdate<RunnerChange>, StoreError> {
+        future::pending().await
+    }
+
+    async fn fetch_rows(&self) -> Result<Rows, StoreError> {
+        sleep(STORE_TIME).await;
+        Ok(self.rows.borrow().rows(self.now_ms()))
+    }
+
+    async fn commit(&self, batch: &Batch) -> Result<CommitOutcome, StoreError> {
+        sleep(STORE_TIME).await;
+        Ok(self.rows.borrow_mut().apply(batch, self.now_ms()))
+    }
+
+    fn decode_config(&self, _: &[u8]) -> Result<Config, StoreError> {
+        Err(StoreError::Unreadable("not used".to_owned()))
+    }
+}
+
+/// State of a process that has just started on `vm-1`.
+fn started() -> Rc<Core<()>> {
+    let mut ledger = Ledger::new("vm-1", 2, None).with_place("z-1", 0);
+    ledger.mark_exclusive(Instant::now());
+    let metrics = Metrics::new().unwrap();
+    let core: Rc<Core<()>> = Core::new("vm-1", "z-1", Bounds::default(), ledger, metrics);
+    let customer = Customer {
+        name: "ann".into(),
+        rank: None,
+        prepaid: Some(LIMIT),
+    };
+    let config = Config {
+        version: 1,
+        customers: vec![Arc::new(customer)],
+        ..Config::default()
+    };
+    let version = ConfigVersion {
+        config: Arc::new(config),
+        bytes: Arc::from(&b""[..]),
+    };
+    assert!(core.apply_config(version, "test"));
+    core
+}
+
+/// Outcome of a request for tokens `delay` after the start of the tasks, and how long it waited.
+async fn reserve_after(delay: Duration) -> (ReserveOutcome, Duration) {
+    let core = started();
+    let store = Rc::new(SlowStore::after_a_kill());
+    let reader = spawn_local(poll_rows(Rc::clone(&core), Rc::clone(&store)));
+    let writer = spawn_local(write_rows(Rc::clone(&core), store));
+    sleep(delay).await;
+    let asked = Instant::now();
+    let (sender, replies) = flume::unbounded();
+    let request = ReserveRequest {
+        process: 3,
+        number: 1,
+        request: "r-1".to_owned(),
+        customer: "ann".to_owned(),
+        cost: 150,
+        config: 1,
+        wait_ms: 5000,
+        expires_ms: 5000,
+    };
+    core.reserve_for_peer(request, sender).await;
+    let waited = asked.elapsed();
+    reader.abort();
+    writer.abort();
+    (replies.drain().last().unwrap().outcome, waited)
+}
+
+/// Guards against refusals in the second after a restart: the write that takes the row over was also the one
+/// that a waiting request had asked for.
+#[test]
+fn a_request_at_the_start_of_a_process_gets_tokens() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    for delay_ms in [0, 2, 5, 8, 12, 50] {
+        let delay = Duration::from_millis(delay_ms);
+        let (outcome, waited) = LocalSet::new().block_on(&runtime, reserve_after(delay));
+        assert_eq!(outcome, ReserveOutcome::Taken, "asked after {delay:?}");
+        assert!(
+            waited < Duration::from_millis(700),
+            "asked after {delay:?}: {waited:?}"
+        );
+    }
+}
