Count a new holder as attached until its first write is due

Callers of a daemon that had just become a holder could get 503 no_grant with the longest retry delay while the store answered. A holder is attached if its last accepted write is younger than 0.9 s. A daemon without grants writes every 2.5 to 7.5 s, so at the read that made it a holder its last write was too old, and that same read woke the requests that waited: they were refused before the write that it also asked for.

The age counts from the time at which the daemon became a holder. a_new_holder_is_attached_before_its_next_write failed before (Refused).

--- a/edge/src/prepaid/ledger/membership.rs
+++ b/edge/src/prepaid/ledger/membership.rs
@@ -53,8 +53,8 @@
             .any(|a| a.confirmed.cap > a.spent || !a.uncertain.is_empty())
     }
 
-    /// Chooses the holders among the daemons whose rows were read at `asked`.
-    pub(super) fn update_holders(&mut self, asked: Instant) {
+    /// Chooses the holders among the daemons whose rows were requested at `asked` and received at `received`.
+    pub(super) fn update_holders(&mut self, asked: Instant, received: Instant) {
         if !self.owned {
             return;
         }
@@ -78,6 +78,7 @@
         let before = self.knows_holders().then_some(self.is_holder());
         self.holders = choose_holders(&members);
         let after = self.is_holder();
+        self.holder_since = after.then(|| self.holder_since.unwrap_or(received));
         if before != Some(after) {
             log::info!(
                 "event=holder_role holds={after} holders={} members={}",
--- a/edge/src/prepaid/ledger/mod.rs
+++ b/edge/src/prepaid/ledger/mod.rs
@@ -105,6 +105,8 @@
     capacity: u32,
     /// Daemons that hold grants, as of the newest read of all rows.
     holders: Vec<Member>,
+    /// Time since which this daemon is a holder and so writes often.
+    holder_since: Option<Instant>,
     /// Whether this process has replaced the row of the previous one.
     owned: bool,
     /// Whether another process has replaced the row of this one.
@@ -151,6 +153,7 @@
             zone: String::new(),
             capacity: 0,
             holders: Vec::new(),
+            holder_since: None,
             owned: false,
             fenced: false,
             leaving: false,
@@ -205,12 +208,16 @@
     }
 
     /// Whether the store has answered recently, so that the next write is likely to bring tokens. A
-    /// holder writes often, so for it only accepted writes count; the others write seldom.
+    /// holder writes often, so for it only accepted writes count, from the time at which it became one;
+    /// the others write seldom.
     pub fn is_attached(&self, now: Instant) -> bool {
         let recent = |at: Option<Instant>, limit| {
             at.is_some_and(|at| now.saturating_duration_since(at) < limit)
         };
-        recent(self.contact, MAX_CONTACT_AGE)
+        let expected_since = self
+            .contact
+            .map(|at| at.max(self.holder_since.unwrap_or(at)));
+        recent(expected_since, MAX_CONTACT_AGE)
             || (!self.is_holder() && recent(self.store_time.1, MAX_ANSWER_AGE))
     }
 
@@ -401,7 +408,7 @@
             self.inherited = Some(DaemonRow::default());
         }
         if whole {
-            self.update_holders(asked);
+            self.update_holders(asked, received);
         }
     }
 
--- a/edge/tests/holders.rs
+++ b/edge/tests/holders.rs
@@ -210,3 +210,20 @@
         assert_eq!(ledger.admit(name, 100, now), Admission::Taken, "{name}");
     }
 }
+
+/// Guards against refusals at a daemon that has just become a holder: its last write is old because daemons
+/// without grants write seldom, not because the store is away.
+#[test]
+fn a_new_holder_is_attached_before_its_next_write() {
+    let own = (0..20)
+        .find(|i| !started(20, *i).1.is_holder())
+        .expect("twelve of twenty daemons are no holders");
+    let (mut store, mut ledger, now) = started(20, own);
+    for (_, row) in store.daemons.values_mut() {
+        row.leaving = true;
+    }
+    let later = now + Duration::from_secs(3);
+    ledger.apply_rows(store.rows(4200), true, later, later);
+    assert!(ledger.is_holder());
+    assert_eq!(ledger.admit("c0", 2_000, later), Admission::Grant);
+}
