Let daemons without grants write less often than holders

Callers could still be refused after many daemons had drawn tokens themselves: each of them wrote its row every 0.4 s, with a customer's row whenever a request ended, until all was returned, and while requests waited as often as if it were the only writer. 73 such daemons alone ask more of the store's one part than it performs.

They return tokens every 2 s, and space writes for waiting requests by the number of all daemons, as all may be in the same position; a holder's writes are spaced by the number of holders, as before.

--- a/edge/src/prepaid/ledger/mod.rs
+++ b/edge/src/prepaid/ledger/mod.rs
@@ -197,6 +197,11 @@
         self.leaving = true;
     }
 
+    /// Whether the daemon is stopping.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
     /// Whether another process has replaced the row, so that this one may spend nothing more.
     pub fn is_fenced(&self) -> bool {
         self.fenced
--- a/edge/src/prepaid/pacing.rs
+++ b/edge/src/prepaid/pacing.rs
@@ -32,6 +32,10 @@
 /// Customers' rows in a write after one conflict, and after more.
 const ROWS_AFTER_CONFLICTS: [usize; 2] = [4, 1];
 
+/// Interval between writes of a daemon without grants that returns tokens it drew. Holders come first: many
+/// daemons may have drawn some at the same moment.
+const RETURN_INTERVAL: Duration = Duration::from_millis(2000);
+
 /// Interval between writes while requests wait for tokens that the last write did not bring: others may
 /// have returned some.
 const WAITING_WRITE_INTERVAL: Duration = Duration::from_millis(50);
@@ -115,11 +119,16 @@
     }
 }
 
-/// Time between two writes of each holder at which all of them together stay within their part of `rate`.
+/// Time between two writes of this daemon at which all that may write as often as it does stay within their
+/// part of `rate`: the holders, or all daemons if those without grants draw tokens themselves.
 fn spacing(ledger: &Ledger, rate: f64) -> Duration {
-    let holders = ledger.holder_count() as f64;
+    let writers = if ledger.is_holder() {
+        ledger.holder_count() as f64
+    } else {
+        f64::from(ledger.members())
+    };
     let rate = rate.max(1.0) * HOLDER_WRITE_FRACTION;
-    Duration::from_secs_f64(holders / rate).min(WRITE_INTERVAL)
+    Duration::from_secs_f64(writers / rate).min(WRITE_INTERVAL)
 }
 
 /// Interval until the next regular write of the own row.
@@ -127,9 +136,12 @@
     if ledger.has_waiting() {
         return WAITING_WRITE_INTERVAL;
     }
-    if !ledger.is_owned() || ledger.is_holder() || ledger.holds_tokens() {
+    if !ledger.is_owned() || ledger.is_holder() || ledger.is_leaving() {
         return WRITE_INTERVAL;
     }
+    if ledger.holds_tokens() {
+        return RETURN_INTERVAL;
+    }
     MEMBER_WRITE_INTERVAL.mul_f64((1.0 + 2.0 * random) / 3.0)
 }
 
--- a/edge/tests/holders.rs
+++ b/edge/tests/holders.rs
@@ -13,10 +13,12 @@
     Admission,
     Ledger,
     Member,
+    Pacing,
     Precondition,
     Reservation,
     choose_holders,
-    rank_holders, //
+    rank_holders,
+    write_interval, //
 };
 use quickcheck::{
     Gen,
@@ -242,3 +244,31 @@
     first.apply_rows(store.rows(2400), true, now, now);
     assert!(!first.knows_holders());
 }
+
+/// Guards against daemons without grants that keep the holders from writing when all of them draw tokens.
+#[test]
+fn daemons_without_grants_write_less_often_than_holders() {
+    const RATE: f64 = 300.0;
+    let mut pacing = Pacing::default();
+    let spacings = [true, false].map(|holds| {
+        let (mut store, mut ledger, now) = (0..20)
+            .map(|i| started(20, i))
+            .find(|(_, ledger, _)| ledger.is_holder() == holds)
+            .expect("eight of twenty daemons are holders");
+        pacing.record_write(now);
+        ledger.adjust_waiting("c0", 2_000, true);
+        write(&mut store, &mut ledger, now);
+        let waiting = write_interval(&ledger, 0.0);
+        ledger.adjust_waiting("c0", 2_000, false);
+        assert!(ledger.holds_tokens());
+        assert!(waiting < write_interval(&ledger, 0.0));
+        (
+            pacing.spacing(&ledger, RATE, now),
+            write_interval(&ledger, 0.0),
+        )
+    });
+    assert!(
+        spacings[0].0 < spacings[1].0 && spacings[0].1 < spacings[1].1,
+        "{spacings:?}"
+    );
+}
