Make no small changes of a customer's row while its reserves are reclaimed

The trace shows why: the holders that were asked to return their reserves go on to change the customer's row with each write, by 37 tokens here and 38 there, whenever a small request begins or ends.

While reclaimed, a holder changes the row only if requests wait at it or a fortieth of what remains is at stake, over all holders: less than the 3% that the users' rules leave.

--- a/edge/src/prepaid/ledger/sizing.rs
+++ b/edge/src/prepaid/ledger/sizing.rs
@@ -53,6 +53,9 @@
 /// Divisor that limits the slack of all daemons together to a sixteenth of the remaining tokens.
 const SLACK_DIVISOR: u64 = 16;
 
+/// As [`SLACK_DIVISOR`], while another daemon needs the tokens.
+const RECLAIMED_SLACK_DIVISOR: u64 = 40;
+
 impl Ledger {
     /// Computes the grant that the next write contains for the customer `name`.
     pub(super) fn next_grant(&self, name: &str, now: Instant) -> Grant {
@@ -84,7 +87,8 @@
         };
         let ahead = (rate * ISSUE_S).min(spare * share * ISSUE_FRACTION);
         let idle = spare * IDLE_FRACTION / members as f64;
-        let holds_reserve = self.is_holder() && !account.is_reclaimed(now);
+        let reclaimed = account.is_reclaimed(now);
+        let holds_reserve = self.is_holder() && !reclaimed;
         let reserve = if holds_reserve {
             (rate * RESERVE_S)
                 .min(spare * share * RESERVE_FRACTION)
@@ -98,12 +102,20 @@
             MIN_SLACK_TOKENS
                 .max(reserve / RESERVE_SLACK_DIVISOR)
                 .min(remaining / (SLACK_DIVISOR * members))
+        } else if reclaimed {
+            MIN_SLACK_TOKENS.min(remaining / (RECLAIMED_SLACK_DIVISOR * members))
         } else {
             0
         };
+        // A small change of the customer's row would only delay the daemon that needs the tokens.
+        let needed = if reclaimed {
+            used + account.waiting_tokens
+        } else {
+            issue
+        };
         grant.cap = if wanted > old.cap {
             let shortfall = wanted - old.cap;
-            let worth_write = issue > old.cap || shortfall > slack;
+            let worth_write = needed > old.cap || shortfall > slack;
             if worth_write {
                 old.cap + shortfall.min(self.free(name))
             } else {
--- a/edge/tests/holders.rs
+++ b/edge/tests/holders.rs
@@ -175,6 +175,29 @@
     assert!(ledger.held_and_used("c0").0 > 0);
 }
 
+/// Guards against a daemon whose writes for a large prompt all conflict, because the others return a few tokens
+/// with every write.
+#[test]
+fn a_reclaimed_holder_makes_no_small_changes() {
+    let (mut store, mut ledger, now) = started(4, 0);
+    ledger.adjust_waiting("c0", 4_000, true);
+    write(&mut store, &mut ledger, now);
+    ledger.adjust_waiting("c0", 4_000, false);
+    let costs = [2_000, 2_000];
+    for cost in costs {
+        assert_eq!(ledger.admit("c0", cost, now), Admission::Taken);
+    }
+    ledger.reclaim("c0", now);
+    write(&mut store, &mut ledger, now);
+    let reservation = Reservation {
+        customer: "c0".into(),
+        cost: costs[0],
+    };
+    ledger.settle(&reservation, 1_960, now);
+    let plan = ledger.plan_write(now, Vec::new()).unwrap();
+    assert!(plan.batch.customers.is_empty(), "{:?}", plan.batch);
+}
+
 /// Guards against a daemon that never learns of returned tokens: with requests that wait, its write has to
 /// conflict when the customer's row has changed.
 #[test]
