--- a/edge/tests/reservations.rs
+++ b/edge/tests/reservations.rs
@@ -3,10 +3,10 @@
 #[allow(dead_code, reason = "the runs of the ledger use the rest")]
 #[path = "budget_world/store.rs"]
 mod store;
+mod test_core;
 
 use std::{
     rc::Rc,
-    sync::Arc,
     time::{
         Duration,
         Instant, //
@@ -14,11 +14,6 @@
 };
 
 use cuminloom_edge::{
-    adapter::ConfigVersion,
-    catalog::{
-        Config,
-        Customer, //
-    },
     peer::{
         ReserveOutcome,
         ReserveReply,
@@ -26,13 +21,13 @@
         Settlement, //
     },
     prepaid::Ledger,
-    serve::{
-        Bounds,
-        Core, //
-    },
-    telemetry::Metrics,
+    serve::Core,
 };
 use store::FakeStore;
+use test_core::{
+    CONFIG_VERSION,
+    start_core, //
+};
 
 /// Tokens of the customer `ann`.
 const LIMIT: u64 = 1000;
@@ -51,24 +46,7 @@
         ledger.apply_outcome(&plan, commit, now);
     }
     ledger.adjust_waiting("ann", LIMIT, false);
-    let metrics = Metrics::new().unwrap();
-    let core: Rc<Core<()>> = Core::new("vm-1", "z-1", Bounds::default(), ledger, metrics);
-    let customer = Customer {
-        name: "ann".into(),
-        rank: None,
-        prepaid: Some(LIMIT),
-    };
-    let config = Config {
-        version: 3,
-        customers: vec![Arc::new(customer)],
-        ..Config::default()
-    };
-    let version = ConfigVersion {
-        config: Arc::new(config),
-        bytes: Arc::from(&b""[..]),
-    };
-    assert!(core.apply_config(version, "test"));
-    core
+    start_core(ledger, LIMIT)
 }
 
 /// Reservation of `cost` tokens.
@@ -79,7 +57,7 @@
         request: format!("r-{number}"),
         customer: "ann".to_owned(),
         cost,
-        config: 3,
+        config: CONFIG_VERSION,
         wait_ms: 0,
         expires_ms: 1000,
     }
@@ -193,7 +171,7 @@
     let core = holder();
     assert_eq!(reserve(&core, request(1, 2000)), ReserveOutcome::Exhausted);
     let newer = ReserveRequest {
-        config: 4,
+        config: CONFIG_VERSION + 1,
         ..request(2, 2000)
     };
     assert_eq!(reserve(&core, newer), ReserveOutcome::Unavailable);
--- a/edge/tests/row_writer.rs
+++ b/edge/tests/row_writer.rs
@@ -3,13 +3,13 @@
 #[allow(dead_code, reason = "the runs of the ledger use the rest")]
 #[path = "budget_world/store.rs"]
 mod fake_store;
+mod test_core;
 
 use std::{
     cell::RefCell,
     collections::BTreeMap,
     future,
     rc::Rc,
-    sync::Arc,
     time::{
         Duration,
         Instant, //
@@ -25,7 +25,6 @@
     },
     catalog::{
         Config,
-        Customer,
         RunnerChange, //
     },
     fleet::{
@@ -45,13 +44,13 @@
         Ledger,
         Rows, //
     },
-    serve::{
-        Bounds,
-        Core, //
-    },
-    telemetry::Metrics,
+    serve::Core,
 };
 use fake_store::FakeStore;
+use test_core::{
+    CONFIG_VERSION,
+    start_core, //
+};
 use tokio::{
     task::{
         LocalSet,
@@ -149,24 +148,7 @@
 fn started() -> Rc<Core<()>> {
     let mut ledger = Ledger::new("vm-1", 2, None).with_place("z-1", 0);
     ledger.mark_exclusive(Instant::now());
-    let metrics = Metrics::new().unwrap();
-    let core: Rc<Core<()>> = Core::new("vm-1", "z-1", Bounds::default(), ledger, metrics);
-    let customer = Customer {
-        name: "ann".into(),
-        rank: None,
-        prepaid: Some(LIMIT),
-    };
-    let config = Config {
-        version: 1,
-        customers: vec![Arc::new(customer)],
-        ..Config::default()
-    };
-    let version = ConfigVersion {
-        config: Arc::new(config),
-        bytes: Arc::from(&b""[..]),
-    };
-    assert!(core.apply_config(version, "test"));
-    core
+    start_core(ledger, LIMIT)
 }
 
 /// Outcome of a request for tokens `delay` after the start of the tasks, and how long it waited.
@@ -184,7 +166,7 @@
         request: "r-1".to_owned(),
         customer: "ann".to_owned(),
         cost: 150,
-        config: 1,
+        config: CONFIG_VERSION,
         wait_ms: 5000,
         expires_ms: 5000,
     };
--- a/src/budget/mod.rs
+++ b/src/budget/mod.rs
@@ -12,6 +12,7 @@
 mod row;
 mod row_ops;
 mod selection;
+mod share_events;
 mod share_manager;
 mod share_work;
 mod transfer;
