Log when a process owns its row

The trace of a_killed_daemon_serves_again had to infer from missing lines when the row was taken over; until then a daemon takes no tokens. One line a process.

--- a/edge/src/prepaid/ledger/writes.rs
+++ b/edge/src/prepaid/ledger/writes.rs
@@ -222,6 +222,9 @@
         grants: &BTreeMap<String, Grant>,
     ) {
         let first = !self.owned;
+        if first {
+            log::info!("event=row_owned process={} version={version}", self.process);
+        }
         self.owned = true;
         self.version = version;
         self.number = self.number.max(number);
