--- a/edge/src/prepaid/ledger/mod.rs
+++ b/edge/src/prepaid/ledger/mod.rs
@@ -342,7 +342,7 @@
         };
     }
 
-    /// Returns the reserve of `customer` with the next writes, and holds none for [`RECLAIM_TIME`]: a
+    /// Returns the reserve of `customer` with the next writes, and holds none for a while: a
     /// request at another daemon needs more tokens than the store has left.
     pub fn reclaim(&mut self, customer: &str, now: Instant) {
         if let Some(account) = self.accounts.get_mut(customer) {
