Log the prompt parts and the progress of a request whose runner ended

The line now has begun= and parts= (all but the last, which belongs to the request alone). No change of behaviour; the number of events of an attempt is reset when the attempt starts, not when its relay does.

--- a/edge/src/serve/attempts.rs
+++ b/edge/src/serve/attempts.rs
@@ -140,6 +140,7 @@
             started: history.started,
             rejected: history.rejected,
         };
+        relay.start_attempt();
         let sent = send_once(&attempt, &charge, relay, out).await;
         if let Some(span) = &mut span {
             span.add_field("runner", &runner);
@@ -161,7 +162,7 @@
             .with_label_values(&[error.failure.as_str()])
             .inc();
         history.count_failure(error.failure);
-        record_failure(core, call, &upstream, &error).await;
+        record_failure(core, call, &upstream, &error, relay.has_begun()).await;
         check_retry(core, call, history, &service, &error).map_err(ServeError::Refused)?;
     }
 }
@@ -222,12 +223,14 @@
     Refusal::not_run(code, retry_after(RUNNER_RETRY_AFTER, left))
 }
 
-/// Records a failed send for the runner, and a strike against the request if the runner has crashed.
+/// Records a failed send for the runner, and a strike against the request if the runner has crashed;
+/// `begun` says that the runner had sent an event.
 async fn record_failure<D: Dialect>(
     core: &Rc<Core<D>>,
     call: &Call,
     upstream: &Rc<Upstream>,
     error: &SendError,
+    begun: bool,
 ) {
     let now = Instant::now();
     match error.failure {
@@ -240,11 +243,17 @@
                 core.strikes.borrow_mut().add_strike(call.fingerprint, now);
                 core.writer_wake.notify_one();
                 core.state_changed.notify_waiters();
+                let parts: Vec<String> = call
+                    .shared_parts()
+                    .iter()
+                    .map(|p| format!("{:x}", p.id))
+                    .collect();
                 log::info!(
-                    "event=runner_crashed runner={} id={} fingerprint={:016x}",
+                    "event=runner_crashed runner={} id={} fingerprint={:016x} begun={begun} parts={}",
                     upstream.runner.borrow().id,
                     call.meta.id,
-                    call.fingerprint
+                    call.fingerprint,
+                    parts.join(",")
                 );
             }
         }
--- a/edge/src/serve/call.rs
+++ b/edge/src/serve/call.rs
@@ -34,6 +34,7 @@
         FailedAttempt,
         Failure,
         Fingerprint,
+        PromptPart,
         fingerprint,
         retry_after, //
     },
@@ -105,6 +106,15 @@
         self.meta.tokens.map_or(0, |t| t.prompt)
     }
 
+    /// Parts of the prompt that other requests may share: all but the last, which belongs to the request or
+    /// its session.
+    pub(super) fn shared_parts(&self) -> &[PromptPart] {
+        self.meta
+            .parts
+            .split_last()
+            .map_or(&[], |(_, shared)| shared)
+    }
+
     /// Most events of a response with one token each, with those that the caller already has.
     pub(super) fn max_events(&self) -> u64 {
         let output = self.meta.tokens.map_or(u64::MAX, |t| t.output);
--- a/edge/src/serve/choose.rs
+++ b/edge/src/serve/choose.rs
@@ -79,8 +79,8 @@
 ) -> Option<Rc<Upstream>> {
     let now = Instant::now();
     let parts = &call.meta.parts;
-    let shared_parts = parts.len().saturating_sub(1);
-    let key = parts[..shared_parts].last().map(|p| p.id);
+    let shared_parts = call.shared_parts();
+    let key = shared_parts.last().map(|p| p.id);
     let members = core.ledger.borrow().members().max(1);
     let max_connections = call
         .config
@@ -116,10 +116,7 @@
     }
     let needs = RequestNeeds {
         prompt_tokens: call.prompt_tokens(),
-        shared_tokens: parts[..shared_parts]
-            .iter()
-            .map(|p| u64::from(p.tokens))
-            .sum(),
+        shared_tokens: shared_parts.iter().map(|p| u64::from(p.tokens)).sum(),
         objective_ms: call.route.objective.as_secs_f64() * 1000.0,
     };
     let salt = fingerprint("", &call.meta.id, &[]);
--- a/edge/src/serve/relay.rs
+++ b/edge/src/serve/relay.rs
@@ -62,6 +62,16 @@
 }
 
 impl Relay {
+    /// Starts an attempt at another runner.
+    pub(super) fn start_attempt(&mut self) {
+        self.received = 0;
+    }
+
+    /// Whether the present runner has sent an event.
+    pub(super) fn has_begun(&self) -> bool {
+        self.received > 0
+    }
+
     /// Relays events until the end of the stream. After success the connection to the runner may be
     /// reused.
     pub(super) async fn run<D>(
@@ -71,7 +81,6 @@
         out: &TcpStream,
     ) -> Result<(), RelayError> {
         let (call, upstream) = (attempt.call, attempt.upstream);
-        self.received = 0;
         let mut events = EventBuffer::default();
         let mut bytes = Vec::new();
         loop {
