Block prompt parts that crash runners, by the evidence of all daemons

Nothing was ever blocked but a few sound streams that had begun twice at runners that ended.

Cause: a crash was held against the hash of customer, path and body. The new requests have no hash in common (201 in 217 lines of the record). The same state also blamed requests whose answers had begun, was asked only once per request, was forgotten by the process after a restart although its row had it, and expired while the requests still came. Class: blame by an identity that the fault does not have, without counter-evidence.

Now each end of a runner makes the request and its shared parts suspect, unless the answer had begun or the runner was leaving; an answer clears them; three ends at different moments without an answer block a part, two a request. Ends are identified by the runner, so all daemons add up what each has seen, through their rows or, without the store, through queries. Ends that another blocked part explains do not count. Checked on arrival and before each send. Inherited from the row of the process before. One daemon tries a blocked suspect again.

A crash is now a refused port; a probe that timed out counted as one before, so a cut could strike requests. silence.rs expects the new result of a probe. The two tests of strikes in decisions.rs moved to crash_evidence.rs and check the same with the new state; expiry is now ten minutes in place of one, because a block that ends while the requests come lets them crash runners anew.

--- a/edge/src/decide/mod.rs
+++ b/edge/src/decide/mod.rs
@@ -3,11 +3,26 @@
 //! Each module names the load pattern that it handles; its test in `tests/decisions.rs` replays
 //! that load.
 
+mod crash_evidence;
+mod fingerprint;
 mod placement;
 mod retry;
 mod retry_budget;
-mod strikes;
 
+pub use crash_evidence::{
+    Blame,
+    BlockChange,
+    CrashEvidence,
+    FleetTime,
+    RunnerKey,
+    Suspect,
+    SuspectReport,
+    suspects, //
+};
+pub use fingerprint::{
+    Fingerprint,
+    fingerprint, //
+};
 pub use placement::{
     Candidate,
     PromptPart,
@@ -24,8 +39,3 @@
     retry_after, //
 };
 pub use retry_budget::RetryBudget;
-pub use strikes::{
-    Fingerprint,
-    Strikes,
-    fingerprint, //
-};
--- a/edge/src/fleet/peers.rs
+++ b/edge/src/fleet/peers.rs
@@ -1,7 +1,7 @@
 //! Messages between daemons.
 //!
 //! A daemon that has lost its feeds queries some of the others for a newer configuration, the
-//! runners and the strikes against requests. Daemons without grants reserve tokens at the holders.
+//! runners and what crashes runners. Daemons without grants reserve tokens at the holders.
 
 use std::{
     cell::Cell,
@@ -176,7 +176,8 @@
                 .map(|r| (&**r).into())
                 .collect()
         }),
-        strikes: core.strikes.borrow().local_strikes(now),
+        strikes: Vec::new(),
+        suspects: core.reported_suspects(now),
     }
 }
 
@@ -280,7 +281,7 @@
     Err(io::ErrorKind::UnexpectedEof.into())
 }
 
-/// Applies a reply: configuration, its confirmation, strikes and runners.
+/// Applies a reply: configuration, its confirmation, suspects and runners.
 fn apply_reply<D, S: Store>(core: &Core<D>, store: &S, reply: PeerReply) {
     let now = Instant::now();
     core.link.record(now);
@@ -309,11 +310,7 @@
     {
         core.confirm_config(at);
     }
-    if !reply.strikes.is_empty() {
-        core.strikes
-            .borrow_mut()
-            .set_peer_strikes(&reply.node, &reply.strikes, now);
-    }
+    core.merge_suspects(&reply.node, &reply.suspects, now);
     if let Some(runners) = reply.runners
         && !core.runners_fresh(now)
     {
--- a/edge/src/fleet/rows.rs
+++ b/edge/src/fleet/rows.rs
@@ -61,7 +61,7 @@
                     .borrow_mut()
                     .apply_rows(rows, true, asked, Instant::now());
                 export_audits(&core, &core.ledger.borrow(), &old);
-                merge_strikes(&core);
+                merge_suspects(&core);
                 core.tokens_freed.notify_waiters();
                 sleep(after_read(&core)).await;
             }
@@ -83,15 +83,14 @@
     read_interval(&ledger, rand::random())
 }
 
-/// Merges the strikes in the rows of the other daemons.
-fn merge_strikes<D>(core: &Core<D>) {
+/// Merges what the other daemons report of requests that crash runners, and takes over what the previous
+/// process on this VM has reported.
+fn merge_suspects<D>(core: &Core<D>) {
     let now = Instant::now();
+    core.restore_suspects(now);
     let ledger = core.ledger.borrow();
-    let mut strikes = core.strikes.borrow_mut();
     for (name, row) in ledger.peer_rows() {
-        if !row.strikes.is_empty() {
-            strikes.set_peer_strikes(name, &row.strikes, now);
-        }
+        core.merge_suspects(name, &row.suspects, now);
     }
 }
 
@@ -206,10 +205,10 @@
     /// Writes the row once.
     async fn write_once<D, S: Store>(&mut self, core: &Core<D>, store: &S) -> WriteResult {
         let now = Instant::now();
-        let strikes = core.strikes.borrow().local_strikes(now);
+        let suspects = core.own_suspects(now);
         let scope = self.pacing.scope();
         self.pacing.record_write(now);
-        let plan = core.ledger.borrow_mut().plan_scoped(now, strikes, scope);
+        let plan = core.ledger.borrow_mut().plan_scoped(now, suspects, scope);
         let Some(plan) = plan else {
             return WriteResult::Ended;
         };
@@ -241,7 +240,9 @@
         }
         let mut ledger = core.ledger.borrow_mut();
         ledger.apply_outcome(plan, commit, Instant::now());
-        if ledger.is_fenced() {
+        drop(ledger);
+        core.restore_suspects(Instant::now());
+        if core.ledger.borrow().is_fenced() {
             log::error!("event=row_lost cause=\"another process has taken it over\"");
             return WriteResult::Ended;
         }
--- a/edge/src/http/connection.rs
+++ b/edge/src/http/connection.rs
@@ -67,6 +67,11 @@
         matches!(self, ConnectionError::Connect(e) if e.kind() == io::ErrorKind::TimedOut)
     }
 
+    /// Whether the other machine answered that nothing listens at the address.
+    pub fn is_refused(&self) -> bool {
+        matches!(self, ConnectionError::Connect(e) if e.kind() == io::ErrorKind::ConnectionRefused)
+    }
+
     /// Whether the connection could not be opened for a reason on this VM, such as a lack of file
     /// descriptors or local ports.
     pub fn is_local(&self) -> bool {
--- a/edge/src/peer/message.rs
+++ b/edge/src/peer/message.rs
@@ -18,6 +18,7 @@
         Runner,
         RunnerState, //
     },
+    decide::SuspectReport,
     prepaid::Admission,
 };
 
@@ -155,8 +156,12 @@
     pub age_ms: u64,
     /// The runners, if the daemon currently receives them from the store.
     pub runners: Option<Vec<PeerRunner>>,
-    /// Fingerprints of requests that crashed runners, with the number of strikes.
+    /// Always empty; daemons of the earlier version require it.
+    #[serde(default)]
     pub strikes: Vec<(u64, u32)>,
+    /// What the daemon knows of requests and prompt parts that crash runners.
+    #[serde(default)]
+    pub suspects: Vec<SuspectReport>,
 }
 
 /// A runner as encoded in a reply.
--- a/edge/src/prepaid/ledger/membership.rs
+++ b/edge/src/prepaid/ledger/membership.rs
@@ -13,6 +13,7 @@
     },
     Ledger,
 };
+use crate::decide::rendezvous_weight;
 
 impl Ledger {
     /// Sets the data centre of this VM and its processor share, in thousandths of a core.
@@ -34,6 +35,17 @@
         !self.holders.is_empty()
     }
 
+    /// Whether this daemon is the one that all choose for `key`, among those that are known to run.
+    pub fn is_chosen(&self, key: u64, now: Instant) -> bool {
+        let own = rendezvous_weight(key, &self.node);
+        !self.leaving
+            && self
+                .peer_rows
+                .iter()
+                .filter(|(name, (_, row))| !row.leaving && !self.is_silent(name, now))
+                .all(|(name, _)| rendezvous_weight(key, name) <= own)
+    }
+
     /// Number of daemons that hold grants.
     pub fn holder_count(&self) -> usize {
         self.holders.len().max(1)
--- a/edge/src/prepaid/ledger/mod.rs
+++ b/edge/src/prepaid/ledger/mod.rs
@@ -226,6 +226,13 @@
             || (!self.is_holder() && recent(self.store_time.1, MAX_ANSWER_AGE))
     }
 
+    /// Estimate of the store's clock at `now`, in milliseconds; `None` before the first response.
+    pub fn store_now(&self, now: Instant) -> Option<u64> {
+        let (time, received) = self.store_time;
+        let passed = now.saturating_duration_since(received?);
+        Some(time + passed.as_millis() as u64)
+    }
+
     /// Number of writes that the store has accepted.
     pub fn accepted_writes(&self) -> u64 {
         self.accepted_writes
--- a/edge/src/prepaid/ledger/takeover.rs
+++ b/edge/src/prepaid/ledger/takeover.rs
@@ -12,11 +12,19 @@
     super::DaemonRow,
     Ledger, //
 };
+use crate::decide::SuspectReport;
 
 /// Factor on the age of a row that allows for the drift between the two monotonic clocks.
 const CLOCK_DRIFT: f64 = 1.02;
 
 impl Ledger {
+    /// Takes what the previous process on this VM has reported of requests that crash runners.
+    pub fn take_inherited_suspects(&mut self) -> Vec<SuspectReport> {
+        let row = self.inherited.as_mut();
+        row.map(|row| std::mem::take(&mut row.suspects))
+            .unwrap_or_default()
+    }
+
     /// Applies the row of this VM: a write of this process, or the row that the previous process
     /// left. The store read it during `call`, at the store time `now`.
     pub(super) fn apply_own_row(
--- a/edge/src/prepaid/ledger/writes.rs
+++ b/edge/src/prepaid/ledger/writes.rs
@@ -18,7 +18,7 @@
     },
     Ledger,
 };
-use crate::decide::Fingerprint;
+use crate::decide::SuspectReport;
 
 /// Which rows a write contains.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -59,26 +59,22 @@
 impl Ledger {
     /// Plans the next write; `None` if the rows have not been read yet or another process has
     /// replaced the own row.
-    pub fn plan_write(
-        &mut self,
-        now: Instant,
-        strikes: Vec<(Fingerprint, u32)>,
-    ) -> Option<WritePlan> {
-        self.plan_scoped(now, strikes, WriteScope::Customers(usize::MAX))
+    pub fn plan_write(&mut self, now: Instant, suspects: Vec<SuspectReport>) -> Option<WritePlan> {
+        self.plan_scoped(now, suspects, WriteScope::Customers(usize::MAX))
     }
 
     /// Plans the next write with the rows of `scope`, as [`Ledger::plan_write`] does.
     pub fn plan_scoped(
         &mut self,
         now: Instant,
-        strikes: Vec<(Fingerprint, u32)>,
+        suspects: Vec<SuspectReport>,
         scope: WriteScope,
     ) -> Option<WritePlan> {
         if self.fenced || !self.rows_read {
             return None;
         }
         if !self.owned {
-            return self.plan_first(now, strikes);
+            return self.plan_first(now, suspects);
         }
         let mut batch = Batch {
             preconditions: vec![Precondition::Daemon(self.node.clone(), self.version)],
@@ -98,7 +94,7 @@
         for change in changes {
             self.add_change(&mut batch, change);
         }
-        Some(self.finish_plan(batch, grants, strikes, now))
+        Some(self.finish_plan(batch, grants, suspects, now))
     }
 
     /// The grants of all customers that the next write would contain at best, and which of them concern
@@ -159,23 +155,23 @@
     }
 
     /// Plans the write that replaces the row of the previous process.
-    fn plan_first(&mut self, now: Instant, strikes: Vec<(Fingerprint, u32)>) -> Option<WritePlan> {
+    fn plan_first(&mut self, now: Instant, suspects: Vec<SuspectReport>) -> Option<WritePlan> {
         let row = self.inherited.clone()?;
         let batch = Batch {
             preconditions: vec![Precondition::Daemon(self.node.clone(), self.version)],
             ..Batch::default()
         };
-        Some(self.finish_plan(batch, row.grants, strikes, now))
+        Some(self.finish_plan(batch, row.grants, suspects, now))
     }
 
-    /// Adds this daemon's row with `grants` and `strikes` to `batch`, and returns the plan of the
+    /// Adds this daemon's row with `grants` and `suspects` to `batch`, and returns the plan of the
     /// write. The grants count as uncertain from then on, until the outcome of the write is known.
-    /// `strikes` are the strike counts by request fingerprint; `sent` is the time of planning.
+    /// `suspects` is what this daemon reports of crashed runners; `sent` is the time of planning.
     fn finish_plan(
         &mut self,
         mut batch: Batch,
         grants: BTreeMap<String, Grant>,
-        strikes: Vec<(Fingerprint, u32)>,
+        suspects: Vec<SuspectReport>,
         sent: Instant,
     ) -> WritePlan {
         self.number += 1;
@@ -194,7 +190,8 @@
                     .filter(|(_, grant)| !grant.is_empty())
                     .map(|(name, grant)| (name.clone(), *grant))
                     .collect(),
-                strikes,
+                strikes: Vec::new(),
+                suspects,
             },
         ));
         if self.owned {
--- a/edge/src/prepaid/pacing.rs
+++ b/edge/src/prepaid/pacing.rs
@@ -15,7 +15,7 @@
 const READ_INTERVAL: Duration = Duration::from_millis(1000);
 
 /// Longest interval between two reads of all rows by any other daemon, which needs them only for the members
-/// and their strikes. These must be known to all daemons within 3 s.
+/// and what crashes runners. These must be known to all daemons within 3 s.
 const MEMBER_READ_INTERVAL: Duration = Duration::from_millis(2000);
 
 /// Longest part of [`MEMBER_READ_INTERVAL`] by which a read comes early.
--- a/edge/src/prepaid/row.rs
+++ b/edge/src/prepaid/row.rs
@@ -11,6 +11,7 @@
 };
 
 use super::Grant;
+use crate::decide::SuspectReport;
 
 /// Row of one daemon; its key is the name of the VM.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
@@ -34,9 +35,12 @@
     pub leaving: bool,
     /// Grants by customer.
     pub grants: BTreeMap<String, Grant>,
-    /// Fingerprints of requests that crashed runners, with the number of strikes.
+    /// Always empty; daemons of the earlier version read it.
     #[serde(default)]
     pub strikes: Vec<(u64, u32)>,
+    /// What the daemon has seen of requests and prompt parts that crash runners.
+    #[serde(default)]
+    pub suspects: Vec<SuspectReport>,
 }
 
 /// Row of one customer; its key is the name of the customer.
--- a/edge/src/serve/attempts.rs
+++ b/edge/src/serve/attempts.rs
@@ -12,6 +12,7 @@
 use super::{
     Core, Upstream,
     call::{
+        CRASH_CODE,
         Call,
         RUNNER_RETRY_AFTER, //
     },
@@ -129,6 +130,12 @@
         };
         drop(span);
         let since = Instant::now();
+        // Others may have been crashed by such requests while this one waited.
+        if core.is_suspect(call, since) {
+            return Err(ServeError::Refused(final_refusal(
+                call, history, CRASH_CODE,
+            )));
+        }
         let runner = Arc::clone(&upstream.runner.borrow().id);
         history.tried.push(Arc::clone(&runner));
         let mut span = call.start_span("send");
@@ -162,7 +169,14 @@
             .with_label_values(&[error.failure.as_str()])
             .inc();
         history.count_failure(error.failure);
-        record_failure(core, call, &upstream, &error, relay.has_begun()).await;
+        record_failure(
+            core,
+            call,
+            &upstream,
+            &error,
+            relay.has_begun(Instant::now()),
+        )
+        .await;
         check_retry(core, call, history, &service, &error).map_err(ServeError::Refused)?;
     }
 }
@@ -219,12 +233,15 @@
     if history.verdict.is_some() {
         return Refusal::may_have_run(502, code);
     }
-    let left = call.time_left(Instant::now());
-    Refusal::not_run(code, retry_after(RUNNER_RETRY_AFTER, left))
+    let now = Instant::now();
+    if code == CRASH_CODE {
+        return call.crash_refusal(now);
+    }
+    Refusal::not_run(code, retry_after(RUNNER_RETRY_AFTER, call.time_left(now)))
 }
 
-/// Records a failed send for the runner, and a strike against the request if the runner has crashed;
-/// `begun` says that the runner had sent an event.
+/// Records a failed send for the runner, and what it had when it crashed; `begun` says that the answer had
+/// begun.
 async fn record_failure<D: Dialect>(
     core: &Rc<Core<D>>,
     call: &Call,
@@ -238,23 +255,13 @@
         Failure::Failed | Failure::Silent => upstream.record_outcome(now, true),
         Failure::Broken => {
             upstream.record_outcome(now, true);
-            if upstream.probe().await == Probe::Unreachable {
+            let probe = upstream.probe().await;
+            if probe.is_down() {
                 upstream.mark_down(Instant::now());
-                core.strikes.borrow_mut().add_strike(call.fingerprint, now);
-                core.writer_wake.notify_one();
-                core.state_changed.notify_waiters();
-                let parts: Vec<String> = call
-                    .shared_parts()
-                    .iter()
-                    .map(|p| format!("{:x}", p.id))
-                    .collect();
-                log::info!(
-                    "event=runner_crashed runner={} id={} fingerprint={:016x} begun={begun} parts={}",
-                    upstream.runner.borrow().id,
-                    call.meta.id,
-                    call.fingerprint,
-                    parts.join(",")
-                );
+            }
+            // Only a closed port shows that the process has ended: a cut ends connections too.
+            if probe == Probe::Refused {
+                core.record_crash(call, upstream, begun, now);
             }
         }
     }
@@ -334,6 +341,7 @@
         return Err(RelayError::Runner(SendError::new(Failure::Failed, detail)));
     }
     upstream.record_outcome(Instant::now(), status >= 500);
+    attempt.core.record_answer(call, Instant::now());
     let mut bytes = encode_head(status, &reply.head.fields, call.keep_alive);
     bytes.extend_from_slice(format!("Content-Length: {}\r\n\r\n", body.len()).as_bytes());
     bytes.extend_from_slice(&body);
--- a/edge/src/serve/call.rs
+++ b/edge/src/serve/call.rs
@@ -35,8 +35,10 @@
         Failure,
         Fingerprint,
         PromptPart,
+        Suspect,
         fingerprint,
-        retry_after, //
+        retry_after,
+        suspects, //
     },
     http::RequestHead,
     telemetry::{
@@ -55,6 +57,9 @@
 /// counts as fresh and part of a network partition.
 const CONFIG_RETRY_AFTER: Duration = Duration::from_millis(1500);
 
+/// Code of requests that are refused because they crash runners.
+pub(super) const CRASH_CODE: &str = "crashes_runners";
+
 /// `Retry-After` when no runner is reachable.
 pub(super) const RUNNER_RETRY_AFTER: Duration = Duration::from_millis(400);
 
@@ -80,8 +85,12 @@
     pub deadline: Instant,
     /// Whether the caller's connection stays open after the response.
     pub keep_alive: bool,
-    /// Hash of customer, target and body, by which requests that crash runners are recognized.
+    /// Hash of customer, target and body.
     pub fingerprint: Fingerprint,
+    /// What may crash a runner: the request, and the parts of its prompt that others share.
+    pub suspects: Vec<Suspect>,
+    /// Whether the next send is a trial: it is made although such requests crash runners.
+    pub trial: Cell<bool>,
     /// Time at which a byte may have been sent to a runner first.
     pub sent_at: Cell<Option<Instant>>,
     /// Span of the whole request, if the caller asked for a trace.
@@ -106,13 +115,15 @@
         self.meta.tokens.map_or(0, |t| t.prompt)
     }
 
-    /// Parts of the prompt that other requests may share: all but the last, which belongs to the request or
-    /// its session.
+    /// Parts of the prompt that other requests may share.
     pub(super) fn shared_parts(&self) -> &[PromptPart] {
-        self.meta
-            .parts
-            .split_last()
-            .map_or(&[], |(_, shared)| shared)
+        shared_parts(&self.meta.parts)
+    }
+
+    /// The response to a request that has not run and would crash a runner: the latest Retry-After, as a
+    /// new attempt hardly has a better chance.
+    pub(super) fn crash_refusal(&self, now: Instant) -> Refusal {
+        Refusal::not_run(CRASH_CODE, self.time_left(now) / 3)
     }
 
     /// Most events of a response with one token each, with those that the caller already has.
@@ -205,14 +216,12 @@
     };
     let name = customer.as_ref().map_or("", |c| &*c.name);
     let fingerprint = fingerprint(name, &head.target, &body);
-    if core.strikes.borrow().is_refused(fingerprint, received_at) {
-        return Err(refuse(Refusal::not_run("crashes_runners", timeout / 3)));
-    }
     let rank = customer.as_ref().and_then(|c| c.rank).unwrap_or(route.rank);
     let deadline = received_at + timeout.min(route.timeout);
     let traceparent = head.fields.get("traceparent");
-    let trace = traceparent.and_then(|value| Trace::from_header(id, value));
-    Ok(Call {
+    let trace = traceparent.and_then(|value| Trace::from_header(Arc::clone(&id), value));
+    let suspects = suspects(fingerprint, shared_parts(&meta.parts));
+    let call = Call {
         span: trace.map(|trace| RefCell::new(trace.start_span("request"))),
         head,
         body,
@@ -225,6 +234,18 @@
         deadline,
         keep_alive,
         fingerprint,
+        suspects,
+        trial: Cell::new(false),
         sent_at: Cell::new(None),
-    })
+    };
+    if !core.try_suspect(&call, received_at) && core.is_suspect(&call, received_at) {
+        return Err((call.crash_refusal(received_at), Some(id)));
+    }
+    Ok(call)
+}
+
+/// Parts of a prompt that other requests may share: all but the last, which belongs to the request or its
+/// session.
+fn shared_parts(parts: &[PromptPart]) -> &[PromptPart] {
+    parts.split_last().map_or(&[], |(_, shared)| shared)
 }
--- a/edge/src/serve/core.rs
+++ b/edge/src/serve/core.rs
@@ -33,8 +33,8 @@
         ServiceId, //
     },
     decide::{
-        RetryBudget,
-        Strikes, //
+        CrashEvidence,
+        RetryBudget, //
     },
     http::LinkActivity,
     peer::PeerLink,
@@ -104,8 +104,10 @@
     pub state_changed: Notify,
     /// Registered runners.
     pub directory: RefCell<Directory>,
-    /// Fingerprints of requests that crash runners.
-    pub strikes: RefCell<Strikes>,
+    /// Evidence of what crashes runners.
+    pub(super) evidence: RefCell<CrashEvidence>,
+    /// Start of the process.
+    pub(super) started: Instant,
     /// Configuration in force.
     version: RefCell<Option<ConfigVersion>>,
     /// Time at which the configuration was last known to be the newest.
@@ -155,7 +157,8 @@
             runner_freed: Notify::new(),
             state_changed: Notify::new(),
             directory: RefCell::default(),
-            strikes: RefCell::default(),
+            evidence: RefCell::default(),
+            started: Instant::now(),
             version: RefCell::new(None),
             config_confirmed: Cell::new(None),
             runners_confirmed: Cell::new(None),
--- a/edge/src/serve/mod.rs
+++ b/edge/src/serve/mod.rs
@@ -13,6 +13,7 @@
 mod reservations;
 mod response;
 mod send;
+mod suspects;
 mod tokens;
 mod upstream;
 
--- a/edge/src/serve/receive.rs
+++ b/edge/src/serve/receive.rs
@@ -129,7 +129,7 @@
                 continue;
             }
             let may_retry = self.may_retry(now);
-            let given_up = probe == Probe::Unreachable && may_retry;
+            let given_up = probe.is_down() && may_retry;
             log::info!(
                 "event=runner_silent id={} runner={} probe={} silent_ms={} late_ms={} probe_ms={} link_quiet_ms={} may_retry={may_retry} given_up={given_up}",
                 self.call.meta.id,
@@ -140,7 +140,7 @@
                 (now - probed).as_millis(),
                 upstream.link.silence(now).as_millis()
             );
-            if probe == Probe::Unreachable {
+            if probe.is_down() {
                 upstream.mark_down(now);
             }
             if given_up {
--- a/edge/src/serve/relay.rs
+++ b/edge/src/serve/relay.rs
@@ -34,6 +34,12 @@
 /// what the caller has.
 const MAX_EXTRA_EVENTS: u64 = 1000;
 
+/// Time after its first event for which a runner that ends may still have been ended by the request.
+const BEGUN_AFTER: Duration = Duration::from_millis(100);
+
+/// Time after its first event at which a runner is known to survive the request.
+const ANSWERED_AFTER: Duration = Duration::from_millis(250);
+
 /// State of a streamed response, over all runners that send a part of it.
 #[derive(Debug, Default)]
 pub(super) struct Relay {
@@ -51,6 +57,10 @@
     last_event: Option<Instant>,
     /// Number of events received from the present runner.
     received: u64,
+    /// Time of the first event of the present runner.
+    begun_at: Option<Instant>,
+    /// Whether the answer of the present runner is recorded as evidence for the request.
+    answered: bool,
 }
 
 /// Why a relay ended before the last event.
@@ -65,11 +75,29 @@
     /// Starts an attempt at another runner.
     pub(super) fn start_attempt(&mut self) {
         self.received = 0;
+        self.begun_at = None;
+        self.answered = false;
     }
 
-    /// Whether the present runner has sent an event.
-    pub(super) fn has_begun(&self) -> bool {
-        self.received > 0
+    /// Whether the present runner has begun its answer and gone on for a while.
+    pub(super) fn has_begun(&self, now: Instant) -> bool {
+        self.runs_for(BEGUN_AFTER, now)
+    }
+
+    /// Whether the present runner sent its first event `time` before `now` or earlier.
+    fn runs_for(&self, time: Duration, now: Instant) -> bool {
+        let begun = self.begun_at;
+        begun.is_some_and(|at| now.saturating_duration_since(at) >= time)
+    }
+
+    /// Records the answer as evidence for the request once the present runner has gone on for long enough, or
+    /// has `ended` it.
+    fn record_answer<D>(&mut self, attempt: &Attempt<'_, D>, ended: bool) {
+        let now = Instant::now();
+        if !self.answered && (ended || self.runs_for(ANSWERED_AFTER, now)) {
+            self.answered = true;
+            attempt.core.record_answer(attempt.call, now);
+        }
     }
 
     /// Relays events until the end of the stream. After success the connection to the runner may be
@@ -101,8 +129,9 @@
             if let Some(error) = gap {
                 return Err(RelayError::Runner(error));
             }
+            self.record_answer(attempt, false);
             if done {
-                return self.finish(call, reply, &events, out).await;
+                return self.finish(attempt, reply, &events, out).await;
             }
             let prompt = if self.first_event.is_some() {
                 0
@@ -118,7 +147,7 @@
                     return Err(RelayError::Runner(ConnectionError::Closed.into()));
                 }
                 decode_events(reply, &mut events).map_err(RelayError::Runner)?;
-                return self.finish(call, reply, &events, out).await;
+                return self.finish(attempt, reply, &events, out).await;
             }
         }
     }
@@ -133,9 +162,9 @@
     }
 
     /// Ends the response, after the end of the stream.
-    async fn finish(
+    async fn finish<D>(
         &mut self,
-        call: &Call,
+        attempt: &Attempt<'_, D>,
         reply: &Reply,
         events: &EventBuffer,
         out: &TcpStream,
@@ -144,9 +173,10 @@
             let error = SendError::new(Failure::Broken, "stream ends within an event");
             return Err(RelayError::Runner(error));
         }
+        self.record_answer(attempt, true);
         let mut bytes = Vec::new();
         if !self.head_sent {
-            self.push_head(call, reply, &mut bytes);
+            self.push_head(attempt.call, reply, &mut bytes);
         }
         bytes.extend_from_slice(b"0\r\n\r\n");
         write_all(out, &bytes).await.map_err(|_| RelayError::Caller)
@@ -174,6 +204,7 @@
         let limit = call.max_events().saturating_add(MAX_EXTRA_EVENTS);
         while let Some(event) = events.next_event() {
             self.received += 1;
+            self.begun_at = self.begun_at.or_else(|| Some(Instant::now()));
             if self.received > limit {
                 let detail = "more events than the request allows tokens";
                 return Some(SendError::new(Failure::Broken, detail));
--- a/edge/src/serve/send.rs
+++ b/edge/src/serve/send.rs
@@ -5,15 +5,7 @@
     Instant, //
 };
 
-use super::{
-    Upstream,
-    call::Call,
-    receive::Attempt,
-    upstream::{
-        InFlight,
-        Probe, //
-    },
-};
+use super::{Upstream, call::Call, receive::Attempt, upstream::InFlight};
 use crate::{
     adapter::{
         Dialect,
@@ -116,7 +108,7 @@
             Ok(connection)
         }
         Err(failed) => {
-            if failed.probe == Probe::Unreachable {
+            if failed.probe.is_down() {
                 upstream.mark_down(now);
             }
             Err(failed.error.into())
--- /dev/null
+++ b/edge/src/serve/suspects.rs
@@ -0,0 +1,174 @@
+//! Keeps requests that crash runners away from them.
+
+use std::time::Instant;
+
+use super::{
+    Core,
+    Upstream,
+    call::Call, //
+};
+use crate::{
+    catalog::RunnerState,
+    decide::{
+        Blame,
+        FleetTime,
+        RunnerKey,
+        Suspect,
+        SuspectReport,
+        fingerprint, //
+    },
+};
+
+/// Key by which all daemons recognise the runner, and this start of it.
+fn runner_key(upstream: &Upstream) -> RunnerKey {
+    let runner = upstream.runner.borrow();
+    fingerprint(&runner.id, "", &runner.born.to_be_bytes()) as RunnerKey
+}
+
+/// Key by which all daemons choose the one that may try a suspect.
+fn suspect_key(suspect: Suspect) -> u64 {
+    match suspect {
+        Suspect::Request(id) | Suspect::Part(id) => id,
+    }
+}
+
+/// Logs what was decided about a request that may crash a runner, and on what evidence.
+fn log_decision(decision: &str, call: &Call, blame: &Blame) {
+    log::info!(
+        "event=suspect_{decision} id={} suspect={} ends={} age_ms={} answer_age_ms={} sources={}",
+        call.meta.id,
+        blame.suspect,
+        blame.ends,
+        blame.age_ms,
+        blame.answer_age_ms.map_or(-1, u64::cast_signed),
+        blame.sources.join(",")
+    );
+}
+
+impl<D> Core<D> {
+    /// The clock of the store; before its first response, the time since the start of the process.
+    fn fleet_time(&self, now: Instant) -> FleetTime {
+        let known = self.ledger.borrow().store_now(now);
+        known.unwrap_or_else(|| now.saturating_duration_since(self.started).as_millis() as u64)
+    }
+
+    /// Records that a runner has begun to answer `call`, and did not end.
+    pub(super) fn record_answer(&self, call: &Call, now: Instant) {
+        let time = self.fleet_time(now);
+        self.evidence
+            .borrow_mut()
+            .record_answer(&call.suspects, time);
+        self.log_block_changes();
+    }
+
+    /// Records that the runner of `upstream` ended while it had `call`; `begun` says that its answer had
+    /// begun.
+    pub(super) fn record_crash(&self, call: &Call, upstream: &Upstream, begun: bool, now: Instant) {
+        let id = upstream.runner.borrow().id.clone();
+        let directory = self.directory.borrow();
+        let entry = directory.get(&id).map(|r| r.state);
+        let planned = entry != Some(RunnerState::Ready);
+        let parts: Vec<String> = call
+            .shared_parts()
+            .iter()
+            .map(|p| format!("{:x}", p.id))
+            .collect();
+        log::info!(
+            "event=runner_crashed runner={id} id={} fingerprint={:016x} begun={begun} planned={planned} parts={}",
+            call.meta.id,
+            call.fingerprint,
+            parts.join(",")
+        );
+        if begun || planned {
+            return;
+        }
+        let time = self.fleet_time(now);
+        let key = runner_key(upstream);
+        self.evidence
+            .borrow_mut()
+            .record_end(&call.suspects, key, time);
+        self.log_block_changes();
+        self.writer_wake.notify_one();
+        self.state_changed.notify_waiters();
+    }
+
+    /// Whether the next send of `call` must not be made because requests like it crash runners.
+    pub(super) fn is_suspect(&self, call: &Call, now: Instant) -> bool {
+        let time = self.fleet_time(now);
+        let mut evidence = self.evidence.borrow_mut();
+        let Some(blame) = evidence.find_blocked(&call.suspects, time) else {
+            return false;
+        };
+        if call.trial.take() {
+            return false;
+        }
+        evidence.record_refusal(blame.suspect, time);
+        log_decision("refused", call, &blame);
+        true
+    }
+
+    /// Whether `call` is sent: it is not suspect, or it is a trial that shows whether such requests still crash
+    /// runners. All daemons choose the same one for trials.
+    pub(super) fn try_suspect(&self, call: &Call, now: Instant) -> bool {
+        let time = self.fleet_time(now);
+        let mut evidence = self.evidence.borrow_mut();
+        let Some(blame) = evidence.find_blocked(&call.suspects, time) else {
+            return true;
+        };
+        let key = suspect_key(blame.suspect);
+        let chosen = self.ledger.borrow().is_chosen(key, now);
+        if !chosen || !evidence.start_trial(blame.suspect, time) {
+            return false;
+        }
+        log_decision("tried", call, &blame);
+        call.trial.set(true);
+        true
+    }
+
+    /// What this daemon writes to its row.
+    pub fn own_suspects(&self, now: Instant) -> Vec<SuspectReport> {
+        self.evidence.borrow().own_reports(self.fleet_time(now))
+    }
+
+    /// What this daemon tells others that can't read the rows.
+    pub fn reported_suspects(&self, now: Instant) -> Vec<SuspectReport> {
+        self.evidence.borrow().all_reports(self.fleet_time(now))
+    }
+
+    /// Adds what the daemon `source` has reported.
+    pub fn merge_suspects(&self, source: &str, reports: &[SuspectReport], now: Instant) {
+        let time = self.fleet_time(now);
+        let mut evidence = self.evidence.borrow_mut();
+        evidence.expire(time);
+        let urgent = evidence.merge(source, reports, time);
+        drop(evidence);
+        self.log_block_changes();
+        if urgent {
+            self.writer_wake.notify_one();
+        }
+    }
+
+    /// Takes over what the previous process on this VM has reported, once.
+    pub fn restore_suspects(&self, now: Instant) {
+        let reports = self.ledger.borrow_mut().take_inherited_suspects();
+        if reports.is_empty() {
+            return;
+        }
+        let time = self.fleet_time(now);
+        log::info!("event=suspects_restored count={}", reports.len());
+        self.evidence.borrow_mut().restore(&reports, time);
+        self.log_block_changes();
+    }
+
+    /// Logs what has been blocked or cleared.
+    fn log_block_changes(&self) {
+        for change in self.evidence.borrow_mut().take_changes() {
+            log::warn!(
+                "event=suspect_{} suspect={} ends={}",
+                if change.blocked { "blocked" } else { "cleared" },
+                change.suspect,
+                change.ends
+            );
+        }
+    }
+}
--- a/edge/src/serve/upstream.rs
+++ b/edge/src/serve/upstream.rs
@@ -71,17 +71,25 @@
 pub enum Probe {
     /// It accepts connections.
     Reachable,
-    /// It does not.
+    /// Its machine answers that nothing listens there, so its process has ended.
+    Refused,
+    /// It does not accept connections, for another reason.
     Unreachable,
     /// The probe failed for a reason that may lie with this VM.
     Inconclusive,
 }
 
 impl Probe {
+    /// Whether the runner accepts no connections.
+    pub fn is_down(self) -> bool {
+        matches!(self, Probe::Refused | Probe::Unreachable)
+    }
+
     /// Name in log lines.
     pub fn as_str(self) -> &'static str {
         match self {
             Probe::Reachable => "reachable",
+            Probe::Refused => "refused",
             Probe::Unreachable => "unreachable",
             Probe::Inconclusive => "inconclusive",
         }
@@ -340,6 +348,9 @@
             );
             return Probe::Inconclusive;
         }
+        if error.is_refused() {
+            return Probe::Refused;
+        }
         Probe::Unreachable
     }
 
--- /dev/null
+++ b/edge/tests/crash_world/daemon.rs
@@ -0,0 +1,268 @@
+//! Daemons: their evidence, and the rows and queries through which they share it.
+
+use std::time::Duration;
+
+use cuminloom_edge::{
+    decide::{
+        CrashEvidence,
+        RunnerKey,
+        Suspect, //
+    },
+    prepaid::{
+        Ledger,
+        Pacing,
+        WriteScope,
+        read_interval,
+        write_interval, //
+    },
+};
+use rand::RngExt;
+
+use super::{
+    PART_RATE,
+    Request,
+    STEP_MS,
+    World, //
+};
+
+/// Response time of the store without a queue.
+const STORE_MS: u64 = 4;
+
+/// Pause after a call that the store did not answer, and between two queries to other daemons.
+const RETRY_MS: u64 = 100;
+const QUERY_MS: u64 = 300;
+
+/// Time without a read of the rows after which a daemon asks others, and how many.
+const QUERY_AFTER_MS: u64 = 1300;
+const QUERIED: usize = 3;
+
+/// A VM with its daemon.
+pub(crate) struct Node {
+    name: String,
+    zone: String,
+    state: Option<(Ledger, CrashEvidence)>,
+    pub(crate) process: u64,
+    restart_at: u64,
+    cut_until: u64,
+    frozen_until: u64,
+    /// Time since which it is without disruption.
+    pub(crate) calm_from: u64,
+    /// Monotonic clock.
+    pub(crate) clock: u64,
+    next_write: u64,
+    next_read: u64,
+    next_query: u64,
+    last_read: u64,
+    wake: bool,
+    pacing: Pacing,
+}
+
+impl Node {
+    pub(crate) fn new(i: usize, zones: usize) -> Node {
+        Node {
+            name: format!("vm-{i}"),
+            zone: format!("z-{}", i % zones),
+            state: None,
+            process: 0,
+            restart_at: 0,
+            cut_until: 0,
+            frozen_until: 0,
+            calm_from: 0,
+            clock: 0,
+            next_write: 0,
+            next_read: 0,
+            next_query: 0,
+            last_read: 0,
+            wake: false,
+            pacing: Pacing::default(),
+        }
+    }
+
+    pub(crate) fn kill(&mut self, restart_at: u64) {
+        self.state = None;
+        self.restart_at = restart_at;
+        self.calm_from = self.calm_from.max(restart_at);
+    }
+
+    pub(crate) fn cut(&mut self, until: u64) {
+        self.cut_until = self.cut_until.max(until);
+        self.calm_from = self.calm_from.max(until);
+    }
+
+    pub(crate) fn freeze(&mut self, until: u64) {
+        self.frozen_until = self.frozen_until.max(until);
+        self.calm_from = self.calm_from.max(until);
+    }
+
+    /// Whether it takes requests.
+    pub(crate) fn is_up(&self, now: u64) -> bool {
+        self.state.is_some() && now >= self.frozen_until
+    }
+}
+
+impl World {
+    /// Advances daemon `i` by one step.
+    pub(crate) fn step_daemon(&mut self, i: usize) {
+        if self.now < self.nodes[i].frozen_until {
+            return;
+        }
+        self.nodes[i].clock += STEP_MS;
+        if self.nodes[i].state.is_none() {
+            if self.now < self.nodes[i].restart_at {
+                return;
+            }
+            self.start_process(i);
+        }
+        self.read(i);
+        self.write(i);
+        self.query(i);
+    }
+
+    fn start_process(&mut self, i: usize) {
+        self.processes += 1;
+        let instant = self.instant(i);
+        let node = &mut self.nodes[i];
+        let mut ledger = Ledger::new(&node.name, self.processes, None).with_place(&node.zone, 120);
+        ledger.mark_exclusive(instant);
+        node.state = Some((ledger, CrashEvidence::default()));
+        node.process = self.processes;
+        (node.next_write, node.next_read, node.wake) = (self.now, self.now, false);
+        node.pacing = Pacing::default();
+    }
+
+    /// Whether daemon `i` reaches the store.
+    fn reaches_store(&self, i: usize) -> bool {
+        self.store_answers() && self.now >= self.nodes[i].cut_until
+    }
+
+    /// Time on the clock of the store as daemon `i` knows it.
+    fn fleet_time(&self, i: usize) -> u64 {
+        let instant = self.instant(i);
+        let node = &self.nodes[i];
+        let ledger = node.state.as_ref().map(|(ledger, _)| ledger);
+        ledger
+            .and_then(|l| l.store_now(instant))
+            .unwrap_or(node.clock)
+    }
+
+    fn read(&mut self, i: usize) {
+        let (now, instant) = (self.now, self.instant(i));
+        if now < self.nodes[i].next_read {
+            return;
+        }
+        if !self.reaches_store(i) {
+            self.nodes[i].next_read = now + RETRY_MS;
+            return;
+        }
+        let rows = self.store.rows(now);
+        let node = &mut self.nodes[i];
+        let (ledger, evidence) = node.state.as_mut().unwrap();
+        ledger.apply_rows(rows, true, instant, instant);
+        let inherited = ledger.take_inherited_suspects();
+        evidence.restore(&inherited, now);
+        evidence.expire(now);
+        let shared = !self.faults.unshared;
+        for (name, row) in ledger.peer_rows().filter(|_| shared) {
+            node.wake |= evidence.merge(name, &row.suspects, now);
+        }
+        node.last_read = now;
+        let interval = read_interval(ledger, self.random.random());
+        node.next_read = now + interval.as_millis() as u64;
+    }
+
+    fn write(&mut self, i: usize) {
+        let (now, instant) = (self.now, self.instant(i));
+        let due = self.nodes[i].wake || now >= self.nodes[i].next_write;
+        if !due {
+            return;
+        }
+        if !self.reaches_store(i) {
+            self.nodes[i].next_write = now + RETRY_MS;
+            return;
+        }
+        let time = self.fleet_time(i);
+        let node = &mut self.nodes[i];
+        let (ledger, evidence) = node.state.as_mut().unwrap();
+        if node.pacing.spacing(ledger, PART_RATE, instant) > Duration::ZERO {
+            return;
+        }
+        let reports = evidence.own_reports(time);
+        let bytes = serde_json::to_vec(&reports).unwrap().len();
+        let Some(plan) = ledger.plan_scoped(instant, reports, WriteScope::OwnRow) else {
+            return;
+        };
+        // A queue of transactions at the store delays the next write as it would delay the answer.
+        self.part_free = self.part_free.max(now as f64) + 1000.0 / PART_RATE;
+        let commit = self.store.apply(&plan.batch, now);
+        ledger.apply_outcome(&plan, commit, instant);
+        node.pacing.record_write(instant);
+        node.wake = false;
+        let interval = write_interval(ledger, self.random.random()).as_millis() as u64;
+        node.next_write = (now + interval).max(self.part_free as u64 + STORE_MS);
+        self.outcome.report_bytes = self.outcome.report_bytes.max(bytes);
+    }
+
+    /// Asks other daemons if the store does not answer.
+    fn query(&mut self, i: usize) {
+        let now = self.now;
+        let node = &self.nodes[i];
+        if now < node.next_query || now < node.last_read + QUERY_AFTER_MS || self.reaches_store(i) {
+            return;
+        }
+        self.nodes[i].next_query = now + QUERY_MS;
+        for _ in 0..QUERIED {
+            let peer = self.random.random_range(0..self.nodes.len());
+            if peer == i || !self.nodes[peer].is_up(now) {
+                continue;
+            }
+            let peer_time = self.fleet_time(peer);
+            let (_, evidence) = self.nodes[peer].state.as_ref().unwrap();
+            let reports = evidence.all_reports(peer_time);
+            let (name, time) = (self.nodes[peer].name.clone(), self.fleet_time(i));
+            let (_, evidence) = self.nodes[i].state.as_mut().unwrap();
+            evidence.merge(&name, &reports, time);
+        }
+    }
+
+    /// Whether daemon `i` refuses a request of `suspects`.
+    pub(crate) fn refuses(&mut self, i: usize, suspects: &[Suspect]) -> bool {
+        let (instant, time) = (self.instant(i), self.fleet_time(i));
+        let (ledger, evidence) = self.nodes[i].state.as_mut().unwrap();
+        let Some(blame) = evidence.find_blocked(suspects, time) else {
+            return false;
+        };
+        let (Suspect::Part(key) | Suspect::Request(key)) = blame.suspect;
+        if ledger.is_chosen(key, instant) && evidence.start_trial(blame.suspect, time) {
+            return false;
+        }
+        evidence.record_refusal(blame.suspect, time);
+        true
+    }
+
+    /// Records the end of a runner at the daemon that sent `request`, if its process still runs.
+    pub(crate) fn record_end(&mut self, request: &Request, runner: RunnerKey) {
+        let time = self.fleet_time(request.daemon);
+        let node = &mut self.nodes[request.daemon];
+        if let Some((_, evidence)) = node
+            .state
+            .as_mut()
+            .filter(|_| node.process == request.process)
+        {
+            evidence.record_end(&request.suspects, runner, time);
+            node.wake = true;
+        }
+    }
+
+    /// Records at the daemon that sent `request` that its answer has begun.
+    pub(crate) fn observe_answer(&mut self, request: &Request) {
+        let time = self.fleet_time(request.daemon);
+        let node = &mut self.nodes[request.daemon];
+        if let Some((_, evidence)) = node
+            .state
+            .as_mut()
+            .filter(|_| node.process == request.process)
+        {
+            evidence.record_answer(&request.suspects, time);
+        }
+    }
+}
--- /dev/null
+++ b/edge/tests/crash_world/runners.rs
@@ -0,0 +1,108 @@
+//! Runners, which end when they begin to answer a request with the bad part.
+
+use cuminloom_edge::decide::RunnerKey;
+use rand::RngExt;
+
+use super::{
+    Request,
+    World, //
+};
+
+/// Time from the arrival of a request to its first event.
+const MIN_PREFILL_MS: u64 = 60;
+const MAX_PREFILL_MS: u64 = 400;
+
+/// Time until a runner is back.
+const MIN_DOWN_MS: u64 = 2500;
+const MAX_DOWN_MS: u64 = 5000;
+
+/// Time after its first event at which a daemon takes an answer for begun.
+const ANSWERED_MS: u64 = 250;
+
+/// All runners and the requests that they have not begun to answer, or have just begun.
+pub(crate) struct Runners {
+    /// Key of the runner's present life, and the time from which it runs.
+    lives: Vec<(RunnerKey, u64)>,
+    next_key: RunnerKey,
+    waiting: Vec<Request>,
+    begun: Vec<Request>,
+}
+
+impl Runners {
+    pub(crate) fn new(count: usize) -> Runners {
+        Runners {
+            lives: (0..count).map(|i| (i as RunnerKey, 0)).collect(),
+            next_key: count as RunnerKey,
+            waiting: Vec::new(),
+            begun: Vec::new(),
+        }
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.lives.len()
+    }
+}
+
+impl World {
+    /// Sends a request to a random runner that runs.
+    pub(crate) fn place(&mut self, mut request: Request) {
+        let count = self.runners.len();
+        let Some(runner) = (0..8)
+            .map(|_| self.random.random_range(0..count))
+            .find(|i| self.now >= self.runners.lives[*i].1)
+        else {
+            return;
+        };
+        request.runner = runner;
+        request.begins_at = self.now + self.random.random_range(MIN_PREFILL_MS..MAX_PREFILL_MS);
+        self.runners.waiting.push(request);
+    }
+
+    /// Begins the answers that are due, and ends the runners of those with the bad part.
+    pub(crate) fn step_runners(&mut self) {
+        let now = self.now;
+        let due = self.runners.waiting.extract_if(.., |r| r.begins_at <= now);
+        let due: Vec<Request> = due.collect();
+        for request in due {
+            if now < self.runners.lives[request.runner].1 {
+                // Its runner has just ended.
+                self.observe_end(&request);
+            } else if request.bad {
+                self.bad_ends.push(now);
+                self.observe_end(&request);
+                self.end_runner(request.runner);
+            } else {
+                self.count_begun(&request);
+                self.runners.begun.push(request);
+            }
+        }
+        let answered = self
+            .runners
+            .begun
+            .extract_if(.., |r| r.begins_at + ANSWERED_MS <= now);
+        for request in answered.collect::<Vec<_>>() {
+            self.observe_answer(&request);
+        }
+    }
+
+    /// Ends a runner; it is back under another key.
+    pub(crate) fn end_runner(&mut self, runner: usize) {
+        if self.now < self.runners.lives[runner].1 {
+            return;
+        }
+        let lost = self.runners.waiting.extract_if(.., |r| r.runner == runner);
+        for request in lost.collect::<Vec<_>>() {
+            self.observe_end(&request);
+        }
+        self.runners.begun.retain(|r| r.runner != runner);
+        let down = self.random.random_range(MIN_DOWN_MS..MAX_DOWN_MS);
+        self.runners.lives[runner] = (self.runners.next_key, self.now + down);
+        self.runners.next_key += 1;
+    }
+
+    /// The daemon that sent a request notices the end of its runner.
+    fn observe_end(&mut self, request: &Request) {
+        let key = self.runners.lives[request.runner].0;
+        self.record_end(request, key);
+    }
+}
--- a/edge/tests/decisions.rs
+++ b/edge/tests/decisions.rs
@@ -20,7 +20,6 @@
         RequestNeeds,
         RetryBudget,
         RetryDecision,
-        Strikes,
         decide_retry,
         rendezvous_weight,
         retry_after,
@@ -217,37 +216,6 @@
     assert_eq!(retry_after(Duration::from_secs(2), left), left / 3);
 }
 
-/// Request that crashes runners: guards against a third crash at any daemon once two are known.
-#[test]
-fn crashing_requests_are_refused_by_all() {
-    let now = Instant::now();
-    let mut strikes = Strikes::default();
-    strikes.set_peer_strikes("vm-2", &[(7, 1)], now);
-    assert!(!strikes.is_refused(7, now));
-    // The same count again is no further strike.
-    strikes.set_peer_strikes("vm-2", &[(7, 1)], now);
-    assert!(!strikes.is_refused(7, now));
-    strikes.set_peer_strikes("vm-3", &[(7, 1)], now);
-    assert!(strikes.is_refused(7, now));
-    assert!(!strikes.is_refused(8, now));
-    assert!(!strikes.is_refused(7, now + Duration::from_secs(120)));
-}
-
-/// Crash with many running requests: guards against strikes of the others that displace the request
-/// that caused it.
-#[test]
-fn bystanders_do_not_displace_a_crashing_request() {
-    let now = Instant::now();
-    let mut strikes = Strikes::default();
-    strikes.add_strike(7, now);
-    strikes.add_strike(7, now);
-    let later = now + Duration::from_secs(1);
-    (100..3_000).for_each(|request| strikes.add_strike(request, later));
-    assert!(strikes.is_refused(7, later));
-    assert!(!strikes.is_refused(100, later));
-    assert_eq!(strikes.local_strikes(later).first(), Some(&(7, 2)));
-}
-
 /// A registered runner of the service `s`.
 fn runner(id: &str, state: RunnerState) -> Runner {
     Runner {
--- a/edge/tests/silence.rs
+++ b/edge/tests/silence.rs
@@ -75,7 +75,7 @@
     let many_files = ConnectionError::Connect(io::Error::from_raw_os_error(24));
     assert_eq!(classify(&many_files, ms(1), ms(0)), Probe::Inconclusive);
     let refused = error(io::ErrorKind::ConnectionRefused);
-    assert_eq!(classify(&refused, ms(1), ms(500)), Probe::Unreachable);
+    assert_eq!(classify(&refused, ms(1), ms(500)), Probe::Refused);
 }
 
 /// Guards against a look at the retry budget that uses it up.
--- a/fleetctl/src/explain.rs
+++ b/fleetctl/src/explain.rs
@@ -10,7 +10,7 @@
 
 /// Events about the state that requests depend on: the process, its settings, the configuration, the
 /// store, the budgets and other daemons.
-const CONTEXT_EVENTS: [&str; 22] = [
+const CONTEXT_EVENTS: [&str; 25] = [
     "started",
     "stop_begun",
     "stopped",
@@ -33,8 +33,14 @@
     "holder_role",
     "holder_silent",
     "commit",
+    "suspect_blocked",
+    "suspect_cleared",
+    "suspects_restored",
 ];
 
+/// Ends of runners that are shown for a request that was refused because of them.
+const MAX_CRASHES: usize = 10;
+
 /// Log line with the daemon that wrote it.
 #[derive(Clone, Debug)]
 pub struct LogEntry {
@@ -91,6 +97,13 @@
             "cause: unknown; the request has not ended, or its last lines were dropped\n",
         ),
     }
+    let crashes = find_crashes(entries, &own);
+    if !crashes.is_empty() {
+        out.push_str("runners that ended while they had such requests, at any daemon:\n");
+        crashes
+            .iter()
+            .for_each(|entry| write_entry(&mut out, entry, first));
+    }
     let nearby = nearby_events(entries, &own, first, last);
     if !nearby.is_empty() {
         out.push_str("other events around that time:\n");
@@ -111,6 +124,31 @@
     out.push('\n');
 }
 
+/// Returns the last ends of runners under what the request was refused for, by `suspect_refused` among its
+/// lines `own`: those whose answer had not begun.
+fn find_crashes<'a>(entries: &'a [LogEntry], own: &[&LogEntry]) -> Vec<&'a LogEntry> {
+    let refused = own.iter().rev().find(|e| e.line.event == "suspect_refused");
+    let Some((kind, suspect)) = refused
+        .and_then(|e| e.line.get("suspect"))
+        .and_then(|s| s.split_once(':'))
+    else {
+        return Vec::new();
+    };
+    let has_suspect = |line: &LogLine| match kind {
+        "part" => line
+            .get("parts")
+            .is_some_and(|p| p.split(',').any(|p| p == suspect)),
+        _ => line.get("fingerprint") == Some(suspect),
+    };
+    let mut crashes: Vec<&LogEntry> = entries
+        .iter()
+        .filter(|e| e.line.event == "runner_crashed" && e.line.get("begun") == Some("false"))
+        .filter(|e| has_suspect(&e.line))
+        .collect();
+    crashes.sort_by_key(|e| e.line.time);
+    crashes.split_off(crashes.len().saturating_sub(MAX_CRASHES))
+}
+
 /// Returns the events within [`CONTEXT_MS`] of the request that the request's daemons logged about
 /// [`CONTEXT_EVENTS`] or about the runners it was sent to. `own` holds the request's lines.
 fn nearby_events<'a>(
@@ -155,7 +193,10 @@
              the store was unreachable (Release, Refused) or other daemons held them (Grant); `holder` and \
              the line `reservation` of another daemon tell who decided"
         }
-        "crashes_runners" => "the same request crashed runners before",
+        "crashes_runners" => {
+            "such requests crash runners: `suspect` of `suspect_refused` is the request itself or a part of \
+             its prompt; `sources` are the daemons that saw the runners end"
+        }
         "no_runner" => "no runner could take it in time; `placed` shows the state at each send",
         "no-connection" => "no runner accepted a connection",
         "turned-away" => "runners refused it as not run",
--- a/fleetctl/tests/tool.rs
+++ b/fleetctl/tests/tool.rs
@@ -94,6 +94,21 @@
     assert_eq!(none.status.code(), Some(1));
 }
 
+/// The daemon that refuses a request names a prompt part, but the crashes behind it are in the logs of others.
+#[test]
+fn a_refused_part_is_explained_by_crashes_at_other_daemons() {
+    let one = "t=9000 event=suspect_refused id=r-1 suspect=part:bad ends=3 age_ms=10 sources=vm-2\n\
+        t=9000 event=request_done id=r-1 status=503 code=crashes_runners verdict=not-run";
+    let two = "t=1000 event=runner_crashed runner=i-1 id=r-2 fingerprint=07 begun=false parts=1,bad\n\
+        t=1000 event=runner_crashed runner=i-1 id=r-3 fingerprint=08 begun=true parts=1,bad\n\
+        t=1000 event=runner_crashed runner=i-1 id=r-4 fingerprint=09 begun=false parts=1,bad1";
+    let mut log = parse_log("vm-1", one);
+    log.extend(parse_log("vm-2", two));
+    let text = explain(&log, "r-1").unwrap();
+    assert!(text.contains("vm-2  runner_crashed runner=i-1"), "{text}");
+    assert_eq!(text.matches("runner_crashed").count(), 1, "{text}");
+}
+
 /// Guards against failure codes that the daemon logs and the tool does not know.
 #[test]
 fn each_failed_send_has_a_cause_in_words() {
