Identify ended runners alike in every build of the daemon

During an upgrade, daemons built with different compilers would have counted one end of a runner twice, as the key came from the standard library's hasher. The hash of rendezvous placement is the same in every build.

--- a/edge/src/serve/suspects.rs
+++ b/edge/src/serve/suspects.rs
@@ -15,14 +15,14 @@
         RunnerKey,
         Suspect,
         SuspectReport,
-        fingerprint, //
+        rendezvous_weight, //
     },
 };
 
 /// Key by which all daemons recognise the runner, and this start of it.
 fn runner_key(upstream: &Upstream) -> RunnerKey {
     let runner = upstream.runner.borrow();
-    fingerprint(&runner.id, "", &runner.born.to_be_bytes()) as RunnerKey
+    rendezvous_weight(runner.born, &runner.id) as RunnerKey
 }
 
 /// Key by which all daemons choose the one that may try a suspect.
