--- a/edge/src/adapter.rs
+++ b/edge/src/adapter.rs
@@ -77,6 +77,18 @@
     pub slots: u32,
 }
 
+/// What a response says of the requests a second that its runner takes from all daemons together.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum LimitField {
+    /// Nothing: the runner has no limit.
+    #[default]
+    Absent,
+    /// The limit, a finite number of at least 0.
+    Named(f64),
+    /// A value that can't be read; what was known before still holds.
+    Unusable,
+}
+
 /// Metadata of a response, decoded from the runner's header fields.
 #[derive(Clone, Debug, Default)]
 pub struct ResponseMeta {
@@ -90,6 +102,8 @@
     pub load: Option<Load>,
     /// Time for which the runner keeps an idle connection open.
     pub idle: Option<Duration>,
+    /// Limit that the runner names.
+    pub limit: LimitField,
 }
 
 /// Header field of a request that is missing or can't be decoded.
