Carry what daemons tell one another in one type

Rows, replies to other daemons and the writer each named the reports of crashed runners; the next kind of report would have had to pass through all of them. No change of behaviour.

--- a/benches/budgets/rows.rs
+++ b/benches/budgets/rows.rs
@@ -291,7 +291,7 @@
                 return;
             }
             proc.next_write = self.now + WRITE_INTERVAL.as_millis() as u64;
-            let Some(plan) = grants.plan_write(now, Vec::new()) else {
+            let Some(plan) = grants.plan_write(now, Default::default()) else {
                 return;
             };
             let plan: WritePlan = plan;
--- a/edge/src/decide/mod.rs
+++ b/edge/src/decide/mod.rs
@@ -5,6 +5,7 @@
 
 mod crash_evidence;
 mod fingerprint;
+mod observations;
 mod placement;
 mod retry;
 mod retry_budget;
@@ -23,6 +24,7 @@
     Fingerprint,
     fingerprint, //
 };
+pub use observations::Observations;
 pub use placement::{
     Candidate,
     PromptPart,
--- /dev/null
+++ b/edge/src/decide/observations.rs
@@ -0,0 +1,16 @@
+//! What a daemon tells the others of what it has seen.
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use super::SuspectReport;
+
+/// What a daemon has seen, in its row and in its replies to other daemons.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Observations {
+    /// Requests and prompt parts that crash runners.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub suspects: Vec<SuspectReport>,
+}
--- a/edge/src/fleet/peers.rs
+++ b/edge/src/fleet/peers.rs
@@ -177,7 +177,7 @@
                 .collect()
         }),
         strikes: Vec::new(),
-        suspects: core.reported_suspects(now),
+        observed: core.all_observations(now),
     }
 }
 
@@ -281,7 +281,7 @@
     Err(io::ErrorKind::UnexpectedEof.into())
 }
 
-/// Applies a reply: configuration, its confirmation, suspects and runners.
+/// Applies a reply: configuration, its confirmation, observations and runners.
 fn apply_reply<D, S: Store>(core: &Core<D>, store: &S, reply: PeerReply) {
     let now = Instant::now();
     core.link.record(now);
@@ -310,7 +310,7 @@
     {
         core.confirm_config(at);
     }
-    core.merge_suspects(&reply.node, &reply.suspects, now);
+    core.merge_observations(&reply.node, &reply.observed, now);
     if let Some(runners) = reply.runners
         && !core.runners_fresh(now)
     {
--- a/edge/src/fleet/rows.rs
+++ b/edge/src/fleet/rows.rs
@@ -61,7 +61,7 @@
                     .borrow_mut()
                     .apply_rows(rows, true, asked, Instant::now());
                 export_audits(&core, &core.ledger.borrow(), &old);
-                merge_suspects(&core);
+                merge_observations(&core);
                 core.tokens_freed.notify_waiters();
                 sleep(after_read(&core)).await;
             }
@@ -83,14 +83,13 @@
     read_interval(&ledger, rand::random())
 }
 
-/// Merges what the other daemons report of requests that crash runners, and takes over what the previous
-/// process on this VM has reported.
-fn merge_suspects<D>(core: &Core<D>) {
+/// Merges what the other daemons report, and takes over what the previous process on this VM has reported.
+fn merge_observations<D>(core: &Core<D>) {
     let now = Instant::now();
-    core.restore_suspects(now);
+    core.restore_observations(now);
     let ledger = core.ledger.borrow();
     for (name, row) in ledger.peer_rows() {
-        core.merge_suspects(name, &row.suspects, now);
+        core.merge_observations(name, &row.observed, now);
     }
 }
 
@@ -205,10 +204,10 @@
     /// Writes the row once.
     async fn write_once<D, S: Store>(&mut self, core: &Core<D>, store: &S) -> WriteResult {
         let now = Instant::now();
-        let suspects = core.own_suspects(now);
+        let observed = core.own_observations(now);
         let scope = self.pacing.scope();
         self.pacing.record_write(now);
-        let plan = core.ledger.borrow_mut().plan_scoped(now, suspects, scope);
+        let plan = core.ledger.borrow_mut().plan_scoped(now, observed, scope);
         let Some(plan) = plan else {
             return WriteResult::Ended;
         };
@@ -241,7 +240,7 @@
         let mut ledger = core.ledger.borrow_mut();
         ledger.apply_outcome(plan, commit, Instant::now());
         drop(ledger);
-        core.restore_suspects(Instant::now());
+        core.restore_observations(Instant::now());
         if core.ledger.borrow().is_fenced() {
             log::error!("event=row_lost cause=\"another process has taken it over\"");
             return WriteResult::Ended;
--- a/edge/src/peer/message.rs
+++ b/edge/src/peer/message.rs
@@ -18,7 +18,7 @@
         Runner,
         RunnerState, //
     },
-    decide::SuspectReport,
+    decide::Observations,
     prepaid::Admission,
 };
 
@@ -159,9 +159,9 @@
     /// Always empty; daemons of the earlier version require it.
     #[serde(default)]
     pub strikes: Vec<(u64, u32)>,
-    /// What the daemon knows of requests and prompt parts that crash runners.
+    /// What the daemon and those that it has heard of have seen.
     #[serde(default)]
-    pub suspects: Vec<SuspectReport>,
+    pub observed: Observations,
 }
 
 /// A runner as encoded in a reply.
--- a/edge/src/prepaid/ledger/mod.rs
+++ b/edge/src/prepaid/ledger/mod.rs
@@ -87,7 +87,7 @@
 /// ledger.apply_rows(Rows::default(), true, now, now);
 /// for version in [1, 2] {
 ///     ledger.adjust_waiting("ann", 100, true);
-///     let plan = ledger.plan_write(now, Vec::new()).unwrap();
+///     let plan = ledger.plan_write(now, Default::default()).unwrap();
 ///     ledger.apply_outcome(&plan, CommitOutcome::Done { version, now: version }, now);
 /// }
 /// assert_eq!(ledger.admit("ann", 100, now), Admission::Taken);
--- a/edge/src/prepaid/ledger/takeover.rs
+++ b/edge/src/prepaid/ledger/takeover.rs
@@ -12,16 +12,16 @@
     super::DaemonRow,
     Ledger, //
 };
-use crate::decide::SuspectReport;
+use crate::decide::Observations;
 
 /// Factor on the age of a row that allows for the drift between the two monotonic clocks.
 const CLOCK_DRIFT: f64 = 1.02;
 
 impl Ledger {
-    /// Takes what the previous process on this VM has reported of requests that crash runners.
-    pub fn take_inherited_suspects(&mut self) -> Vec<SuspectReport> {
+    /// Takes what the previous process on this VM has reported to the others.
+    pub fn take_inherited_observations(&mut self) -> Observations {
         let row = self.inherited.as_mut();
-        row.map(|row| std::mem::take(&mut row.suspects))
+        row.map(|row| std::mem::take(&mut row.observed))
             .unwrap_or_default()
     }
 
--- a/edge/src/prepaid/ledger/writes.rs
+++ b/edge/src/prepaid/ledger/writes.rs
@@ -18,7 +18,7 @@
     },
     Ledger,
 };
-use crate::decide::SuspectReport;
+use crate::decide::Observations;
 
 /// Which rows a write contains.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -59,22 +59,22 @@
 impl Ledger {
     /// Plans the next write; `None` if the rows have not been read yet or another process has
     /// replaced the own row.
-    pub fn plan_write(&mut self, now: Instant, suspects: Vec<SuspectReport>) -> Option<WritePlan> {
-        self.plan_scoped(now, suspects, WriteScope::Customers(usize::MAX))
+    pub fn plan_write(&mut self, now: Instant, observed: Observations) -> Option<WritePlan> {
+        self.plan_scoped(now, observed, WriteScope::Customers(usize::MAX))
     }
 
     /// Plans the next write with the rows of `scope`, as [`Ledger::plan_write`] does.
     pub fn plan_scoped(
         &mut self,
         now: Instant,
-        suspects: Vec<SuspectReport>,
+        observed: Observations,
         scope: WriteScope,
     ) -> Option<WritePlan> {
         if self.fenced || !self.rows_read {
             return None;
         }
         if !self.owned {
-            return self.plan_first(now, suspects);
+            return self.plan_first(now, observed);
         }
         let mut batch = Batch {
             preconditions: vec![Precondition::Daemon(self.node.clone(), self.version)],
@@ -94,7 +94,7 @@
         for change in changes {
             self.add_change(&mut batch, change);
         }
-        Some(self.finish_plan(batch, grants, suspects, now))
+        Some(self.finish_plan(batch, grants, observed, now))
     }
 
     /// The grants of all customers that the next write would contain at best, and which of them concern
@@ -155,23 +155,23 @@
     }
 
     /// Plans the write that replaces the row of the previous process.
-    fn plan_first(&mut self, now: Instant, suspects: Vec<SuspectReport>) -> Option<WritePlan> {
+    fn plan_first(&mut self, now: Instant, observed: Observations) -> Option<WritePlan> {
         let row = self.inherited.clone()?;
         let batch = Batch {
             preconditions: vec![Precondition::Daemon(self.node.clone(), self.version)],
             ..Batch::default()
         };
-        Some(self.finish_plan(batch, row.grants, suspects, now))
+        Some(self.finish_plan(batch, row.grants, observed, now))
     }
 
-    /// Adds this daemon's row with `grants` and `suspects` to `batch`, and returns the plan of the
+    /// Adds this daemon's row with `grants` and `observed` to `batch`, and returns the plan of the
     /// write. The grants count as uncertain from then on, until the outcome of the write is known.
-    /// `suspects` is what this daemon reports of crashed runners; `sent` is the time of planning.
+    /// `observed` is what this daemon reports to the others; `sent` is the time of planning.
     fn finish_plan(
         &mut self,
         mut batch: Batch,
         grants: BTreeMap<String, Grant>,
-        suspects: Vec<SuspectReport>,
+        observed: Observations,
         sent: Instant,
     ) -> WritePlan {
         self.number += 1;
@@ -191,7 +191,7 @@
                     .map(|(name, grant)| (name.clone(), *grant))
                     .collect(),
                 strikes: Vec::new(),
-                suspects,
+                observed,
             },
         ));
         if self.owned {
--- a/edge/src/prepaid/row.rs
+++ b/edge/src/prepaid/row.rs
@@ -11,7 +11,7 @@
 };
 
 use super::Grant;
-use crate::decide::SuspectReport;
+use crate::decide::Observations;
 
 /// Row of one daemon; its key is the name of the VM.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
@@ -38,9 +38,9 @@
     /// Always empty; daemons of the earlier version read it.
     #[serde(default)]
     pub strikes: Vec<(u64, u32)>,
-    /// What the daemon has seen of requests and prompt parts that crash runners.
+    /// What the daemon tells the others.
     #[serde(default)]
-    pub suspects: Vec<SuspectReport>,
+    pub observed: Observations,
 }
 
 /// Row of one customer; its key is the name of the customer.
--- a/edge/src/serve/mod.rs
+++ b/edge/src/serve/mod.rs
@@ -7,6 +7,7 @@
 mod exchange;
 mod handler;
 mod holders;
+mod observations;
 mod ready;
 mod receive;
 mod relay;
--- /dev/null
+++ b/edge/src/serve/observations.rs
@@ -0,0 +1,55 @@
+//! What this daemon tells the others, and what they tell it.
+
+use std::time::Instant;
+
+use super::{
+    Core,
+    Upstream, //
+};
+use crate::decide::{
+    FleetTime,
+    Observations,
+    RunnerKey,
+    rendezvous_weight, //
+};
+
+/// Key by which all daemons recognise the runner, and this start of it.
+pub(super) fn runner_key(upstream: &Upstream) -> RunnerKey {
+    let runner = upstream.runner.borrow();
+    rendezvous_weight(runner.born, &runner.id) as RunnerKey
+}
+
+impl<D> Core<D> {
+    /// The clock of the store; before its first response, the time since the start of the process.
+    pub(super) fn fleet_time(&self, now: Instant) -> FleetTime {
+        let known = self.ledger.borrow().store_now(now);
+        known.unwrap_or_else(|| now.saturating_duration_since(self.started).as_millis() as u64)
+    }
+
+    /// What this daemon writes to its row.
+    pub fn own_observations(&self, now: Instant) -> Observations {
+        let time = self.fleet_time(now);
+        Observations {
+            suspects: self.evidence.borrow().own_reports(time),
+        }
+    }
+
+    /// What this daemon tells others that can't read the rows.
+    pub fn all_observations(&self, now: Instant) -> Observations {
+        let time = self.fleet_time(now);
+        Observations {
+            suspects: self.evidence.borrow().all_reports(time),
+        }
+    }
+
+    /// Adds what the daemon `source` has reported.
+    pub fn merge_observations(&self, source: &str, observed: &Observations, now: Instant) {
+        self.merge_suspects(source, &observed.suspects, self.fleet_time(now));
+    }
+
+    /// Takes over what the previous process on this VM has reported, once.
+    pub fn restore_observations(&self, now: Instant) {
+        let observed = self.ledger.borrow_mut().take_inherited_observations();
+        self.restore_suspects(&observed.suspects, self.fleet_time(now));
+    }
+}
--- a/edge/src/serve/suspects.rs
+++ b/edge/src/serve/suspects.rs
@@ -5,26 +5,19 @@
 use super::{
     Core,
     Upstream,
-    call::Call, //
+    call::Call,
+    observations::runner_key, //
 };
 use crate::{
     catalog::RunnerState,
     decide::{
         Blame,
         FleetTime,
-        RunnerKey,
         Suspect,
-        SuspectReport,
-        rendezvous_weight, //
+        SuspectReport, //
     },
 };
 
-/// Key by which all daemons recognise the runner, and this start of it.
-fn runner_key(upstream: &Upstream) -> RunnerKey {
-    let runner = upstream.runner.borrow();
-    rendezvous_weight(runner.born, &runner.id) as RunnerKey
-}
-
 /// Key by which all daemons choose the one that may try a suspect.
 fn suspect_key(suspect: Suspect) -> u64 {
     match suspect {
@@ -46,12 +39,6 @@
 }
 
 impl<D> Core<D> {
-    /// The clock of the store; before its first response, the time since the start of the process.
-    fn fleet_time(&self, now: Instant) -> FleetTime {
-        let known = self.ledger.borrow().store_now(now);
-        known.unwrap_or_else(|| now.saturating_duration_since(self.started).as_millis() as u64)
-    }
-
     /// Records that a runner has begun to answer `call`, and did not end.
     pub(super) fn record_answer(&self, call: &Call, now: Instant) {
         let time = self.fleet_time(now);
@@ -125,19 +112,8 @@
         true
     }
 
-    /// What this daemon writes to its row.
-    pub fn own_suspects(&self, now: Instant) -> Vec<SuspectReport> {
-        self.evidence.borrow().own_reports(self.fleet_time(now))
-    }
-
-    /// What this daemon tells others that can't read the rows.
-    pub fn reported_suspects(&self, now: Instant) -> Vec<SuspectReport> {
-        self.evidence.borrow().all_reports(self.fleet_time(now))
-    }
-
     /// Adds what the daemon `source` has reported.
-    pub fn merge_suspects(&self, source: &str, reports: &[SuspectReport], now: Instant) {
-        let time = self.fleet_time(now);
+    pub(super) fn merge_suspects(&self, source: &str, reports: &[SuspectReport], time: FleetTime) {
         let mut evidence = self.evidence.borrow_mut();
         evidence.expire(time);
         let urgent = evidence.merge(source, reports, time);
@@ -148,15 +124,13 @@
         }
     }
 
-    /// Takes over what the previous process on this VM has reported, once.
-    pub fn restore_suspects(&self, now: Instant) {
-        let reports = self.ledger.borrow_mut().take_inherited_suspects();
+    /// Takes over what the previous process on this VM has reported.
+    pub(super) fn restore_suspects(&self, reports: &[SuspectReport], time: FleetTime) {
         if reports.is_empty() {
             return;
         }
-        let time = self.fleet_time(now);
         log::info!("event=suspects_restored count={}", reports.len());
-        self.evidence.borrow_mut().restore(&reports, time);
+        self.evidence.borrow_mut().restore(reports, time);
         self.log_block_changes();
     }
 
--- a/edge/tests/budget_run.rs
+++ b/edge/tests/budget_run.rs
@@ -177,7 +177,9 @@
     let name = "c0";
     for beat in 0..20 {
         ledger.apply_rows(store.rows(beat * 400), true, at(beat * 400), at(beat * 400));
-        let plan = ledger.plan_write(at(beat * 400), Vec::new()).unwrap();
+        let plan = ledger
+            .plan_write(at(beat * 400), Default::default())
+            .unwrap();
         let commit = store.apply(&plan.batch, beat * 400);
         ledger.apply_outcome(&plan, commit, at(beat * 400));
     }
@@ -211,12 +213,12 @@
     holder.set_limits(limits(1, 1_000_000));
     for ms in [0, 400, 800] {
         holder.apply_rows(store.rows(ms), true, at(ms), at(ms));
-        let plan = holder.plan_write(at(ms), Vec::new()).unwrap();
+        let plan = holder.plan_write(at(ms), Default::default()).unwrap();
         let commit = store.apply(&plan.batch, ms);
         holder.apply_outcome(&plan, commit, at(ms));
     }
     holder.apply_rows(store.rows(3_800), true, at(3_800), at(3_800));
-    let plan = holder.plan_write(at(3_900), Vec::new()).unwrap();
+    let plan = holder.plan_write(at(3_900), Default::default()).unwrap();
     store.apply(&plan.batch, 3_900);
     if found {
         holder.apply_rows(store.rows(4_000), true, at(4_000), at(4_000));
@@ -225,7 +227,7 @@
     let mut successor = Ledger::new("vm-1", 2, None);
     successor.set_limits(limits(1, 1_000_000));
     successor.apply_rows(store.rows(4_800), true, at(4_800), at(4_800));
-    let plan = successor.plan_write(at(4_800), Vec::new()).unwrap();
+    let plan = successor.plan_write(at(4_800), Default::default()).unwrap();
     let commit = store.apply(&plan.batch, 4_800);
     successor.apply_outcome(&plan, commit, at(4_800));
     (spent, successor.held_and_used("c0").1)
--- a/edge/tests/budget_world/mod.rs
+++ b/edge/tests/budget_world/mod.rs
@@ -347,7 +347,7 @@
         if !due && !ledger.has_waiting() {
             return;
         }
-        let Some(plan) = ledger.plan_write(instant, Vec::new()) else {
+        let Some(plan) = ledger.plan_write(instant, Default::default()) else {
             return;
         };
         self.nodes[i].next_write = self.now + WRITE_INTERVAL_MS;
--- a/edge/tests/crash_world/daemon.rs
+++ b/edge/tests/crash_world/daemon.rs
@@ -5,6 +5,7 @@
 use cuminloom_edge::{
     decide::{
         CrashEvidence,
+        Observations,
         RunnerKey,
         Suspect, //
     },
@@ -158,12 +159,12 @@
         let node = &mut self.nodes[i];
         let (ledger, evidence) = node.state.as_mut().unwrap();
         ledger.apply_rows(rows, true, instant, instant);
-        let inherited = ledger.take_inherited_suspects();
-        evidence.restore(&inherited, now);
+        let inherited = ledger.take_inherited_observations();
+        evidence.restore(&inherited.suspects, now);
         evidence.expire(now);
         let shared = !self.faults.unshared;
         for (name, row) in ledger.peer_rows().filter(|_| shared) {
-            node.wake |= evidence.merge(name, &row.suspects, now);
+            node.wake |= evidence.merge(name, &row.observed.suspects, now);
         }
         node.last_read = now;
         let interval = read_interval(ledger, self.random.random());
@@ -186,9 +187,11 @@
         if node.pacing.spacing(ledger, PART_RATE, instant) > Duration::ZERO {
             return;
         }
-        let reports = evidence.own_reports(time);
-        let bytes = serde_json::to_vec(&reports).unwrap().len();
-        let Some(plan) = ledger.plan_scoped(instant, reports, WriteScope::OwnRow) else {
+        let observed = Observations {
+            suspects: evidence.own_reports(time),
+        };
+        let bytes = serde_json::to_vec(&observed).unwrap().len();
+        let Some(plan) = ledger.plan_scoped(instant, observed, WriteScope::OwnRow) else {
             return;
         };
         // A queue of transactions at the store delays the next write as it would delay the answer.
--- a/edge/tests/holder_world/rows.rs
+++ b/edge/tests/holder_world/rows.rs
@@ -43,7 +43,7 @@
             Mechanism::Everyone => WriteScope::Customers(usize::MAX),
             Mechanism::Holders => node.pacing.scope(),
         };
-        let Some(plan) = ledger.plan_scoped(instant, Vec::new(), scope) else {
+        let Some(plan) = ledger.plan_scoped(instant, Default::default(), scope) else {
             return;
         };
         node.pacing.record_write(instant);
--- a/edge/tests/holders.rs
+++ b/edge/tests/holders.rs
@@ -84,7 +84,7 @@
         let at = start + Duration::from_millis(beat * 400);
         for ledger in &mut ledgers {
             ledger.apply_rows(store.rows(beat * 400), true, at, at);
-            let plan = ledger.plan_write(at, Vec::new()).unwrap();
+            let plan = ledger.plan_write(at, Default::default()).unwrap();
             let commit = store.apply(&plan.batch, beat * 400);
             ledger.apply_outcome(&plan, commit, at);
         }
@@ -98,7 +98,7 @@
 /// Writes the row once.
 fn write(store: &mut FakeStore, ledger: &mut Ledger, now: Instant) {
     for _ in 0..2 {
-        let plan = ledger.plan_write(now, Vec::new()).unwrap();
+        let plan = ledger.plan_write(now, Default::default()).unwrap();
         let commit = store.apply(&plan.batch, 1200);
         ledger.apply_outcome(&plan, commit, now);
     }
@@ -194,7 +194,7 @@
         cost: costs[0],
     };
     ledger.settle(&reservation, 1_960, now);
-    let plan = ledger.plan_write(now, Vec::new()).unwrap();
+    let plan = ledger.plan_write(now, Default::default()).unwrap();
     assert!(plan.batch.customers.is_empty(), "{:?}", plan.batch);
 }
 
@@ -204,7 +204,7 @@
 fn a_write_for_waiting_requests_checks_the_customers_row() {
     let (_, mut ledger, now) = started(4, 0);
     ledger.adjust_waiting("c0", 5_000_000, true);
-    let plan = ledger.plan_write(now, Vec::new()).unwrap();
+    let plan = ledger.plan_write(now, Default::default()).unwrap();
     let checked = |p: &Precondition| matches!(p, Precondition::Customer(name, _) if name == "c0");
     assert!(plan.batch.preconditions.iter().any(checked));
 }
@@ -225,7 +225,7 @@
     }
     for _ in 0..8 {
         ledger.apply_rows(store.rows(0), true, now, now);
-        let plan = ledger.plan_write(now, Vec::new()).unwrap();
+        let plan = ledger.plan_write(now, Default::default()).unwrap();
         let entries = plan.batch.preconditions.len() + plan.batch.customers.len() + 1;
         assert!(entries <= MAX_ENTRIES, "{entries} entries");
         let commit = store.apply(&plan.batch, 0);
--- a/edge/tests/reservations.rs
+++ b/edge/tests/reservations.rs
@@ -41,7 +41,7 @@
     ledger.adjust_waiting("ann", LIMIT, true);
     for _ in 0..3 {
         ledger.apply_rows(store.rows(0), true, now, now);
-        let plan = ledger.plan_write(now, Vec::new()).unwrap();
+        let plan = ledger.plan_write(now, Default::default()).unwrap();
         let commit = store.apply(&plan.batch, 0);
         ledger.apply_outcome(&plan, commit, now);
     }
--- a/edge/tests/row_writer.rs
+++ b/edge/tests/row_writer.rs
@@ -96,7 +96,7 @@
             leaving: false,
             grants: BTreeMap::from([("ann".to_owned(), grant)]),
             strikes: Vec::new(),
-            suspects: Vec::new(),
+            observed: Default::default(),
         };
         let batch = Batch {
             daemon: Some(("vm-1".to_owned(), row)),
