Share the limits that runners name among a few daemons

In the reproduction with two daemons: 19 in 4 s at 1.3 a second (12 allowed), 17 to 53 where all four runners name it, none refused.

Cause: nothing read the field. Reading it at each daemon alone would not do: 7 daemons with one request each at once stay below the bound, 81 do not (limits_that_each_daemon_keeps_alone_are_exceeded). Class: a limit on the sum that each part keeps alone.

At most limit + 4 daemons, those with the largest rendezvous weights for the runner, share the limit, with a burst of one each: n + 4 x limit <= 6 x limit + 5 in 4 s. Who has a share follows from the members alone, so a daemon that is told keeps it at once. Sharers prefer the runner when they have a turn, so that it gets what it named; they go on asking and so learn of changes and of the end. Reports in rows tell daemons that were not told, the newest answer counts. All sends take a turn: retries, resumed streams, those turned away. Where only limited runners are left, requests wait by urgency or are refused at once.

--- a/edge/src/decide/mod.rs
+++ b/edge/src/decide/mod.rs
@@ -9,6 +9,8 @@
 mod placement;
 mod retry;
 mod retry_budget;
+mod runner_limits;
+mod turn_order;
 
 pub use crash_evidence::{
     Blame,
@@ -41,3 +43,14 @@
     retry_after, //
 };
 pub use retry_budget::RetryBudget;
+pub use runner_limits::{
+    LimitReport,
+    RunnerLimits,
+    Turn,
+    count_sharers,
+    turn_wait, //
+};
+pub use turn_order::{
+    TurnOrder,
+    TurnPlace, //
+};
--- a/edge/src/decide/observations.rs
+++ b/edge/src/decide/observations.rs
@@ -5,7 +5,10 @@
     Serialize, //
 };
 
-use super::SuspectReport;
+use super::{
+    LimitReport,
+    SuspectReport, //
+};
 
 /// What a daemon has seen, in its row and in its replies to other daemons.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -13,4 +16,7 @@
     /// Requests and prompt parts that crash runners.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub suspects: Vec<SuspectReport>,
+    /// Limits that runners name.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub limits: Vec<LimitReport>,
 }
--- a/edge/src/decide/placement.rs
+++ b/edge/src/decide/placement.rs
@@ -8,6 +8,8 @@
     Hasher, //
 };
 
+use super::Turn;
+
 /// Cost of each request that runs at the runner: the prompt tokens by which it delays a batch step
 /// of the others.
 const RUNNING_TOKENS: f64 = 50.0;
@@ -49,6 +51,10 @@
 /// Cost of a runner in another data centre.
 const REMOTE_TOKENS: f64 = 60.0;
 
+/// Credit of a runner whose limit allows a request now: only this daemon can use its share, and a share that is
+/// left lying is lost. Less than a large prompt, so that these stay where their parts are.
+const TURN_TOKENS: f64 = 3000.0;
+
 /// One part of a prompt. Requests with the same part can share its cache entry at a runner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PromptPart {
@@ -95,6 +101,15 @@
     pub tried: bool,
     /// Whether it is in another data centre.
     pub remote: bool,
+    /// When it may be sent the next request.
+    pub turn: Turn,
+}
+
+impl Candidate {
+    /// Whether its limit, if it has one, allows a request now.
+    pub fn has_turn(&self) -> bool {
+        matches!(self.turn, Turn::Unlimited | Turn::Ready)
+    }
 }
 
 /// Score of an engine: the tokens that it has to prefill, and the time to the first event.
@@ -127,6 +142,9 @@
     if c.remote {
         score += REMOTE_TOKENS;
     }
+    if c.turn == Turn::Ready {
+        score -= TURN_TOKENS;
+    }
     if c.suspect {
         score += SUSPECT_TOKENS;
     }
@@ -146,7 +164,7 @@
 /// assert_eq!(select_runner(&[busy, idle], &RequestNeeds::default(), 0), Some(1));
 /// ```
 pub fn select_runner(candidates: &[Candidate], needs: &RequestNeeds, salt: u64) -> Option<usize> {
-    let usable = |c: &Candidate| !c.full && !c.tried;
+    let usable = |c: &Candidate| !c.full && !c.tried && c.has_turn();
     candidates
         .iter()
         .enumerate()
--- a/edge/src/fleet/rows.rs
+++ b/edge/src/fleet/rows.rs
@@ -87,6 +87,7 @@
 fn merge_observations<D>(core: &Core<D>) {
     let now = Instant::now();
     core.restore_observations(now);
+    core.update_shares(now);
     let ledger = core.ledger.borrow();
     for (name, row) in ledger.peer_rows() {
         core.merge_observations(name, &row.observed, now);
--- a/edge/src/prepaid/ledger/membership.rs
+++ b/edge/src/prepaid/ledger/membership.rs
@@ -35,15 +35,19 @@
         !self.holders.is_empty()
     }
 
-    /// Whether this daemon is the one that all choose for `key`, among those that are known to run.
-    pub fn is_chosen(&self, key: u64, now: Instant) -> bool {
+    /// Rank of this daemon in the order in which all choose one for `key`, among those that are known to run,
+    /// and their number; `None` if it is stopping.
+    pub fn rank_for(&self, key: u64, now: Instant) -> (Option<usize>, usize) {
         let own = rendezvous_weight(key, &self.node);
-        !self.leaving
-            && self
-                .peer_rows
-                .iter()
-                .filter(|(name, (_, row))| !row.leaving && !self.is_silent(name, now))
-                .all(|(name, _)| rendezvous_weight(key, name) <= own)
+        let (mut before, mut members) = (0, 1);
+        for (name, (_, row)) in &self.peer_rows {
+            if row.leaving || self.is_silent(name, now) {
+                continue;
+            }
+            members += 1;
+            before += usize::from(rendezvous_weight(key, name) > own);
+        }
+        ((!self.leaving).then_some(before), members)
     }
 
     /// Number of daemons that hold grants.
--- a/edge/src/serve/attempts.rs
+++ b/edge/src/serve/attempts.rs
@@ -4,7 +4,10 @@
     fmt::Write,
     rc::Rc,
     sync::Arc,
-    time::Instant, //
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use tokio::net::TcpStream;
@@ -119,22 +122,18 @@
     loop {
         let span = call.start_span("place");
         let upstream = match wait_for_runner(core, call, &history.tried, &service).await {
-            Some(upstream) => upstream,
-            None => {
-                return Err(ServeError::Refused(final_refusal(
-                    call,
-                    history,
-                    "no_runner",
-                )));
+            Ok(upstream) => upstream,
+            Err(none) => {
+                let refusal = final_refusal(call, history, none.code, none.retry_after);
+                return Err(ServeError::Refused(refusal));
             }
         };
         drop(span);
         let since = Instant::now();
         // Others may have been crashed by such requests while this one waited.
         if core.is_suspect(call, since) {
-            return Err(ServeError::Refused(final_refusal(
-                call, history, CRASH_CODE,
-            )));
+            let refusal = final_refusal(call, history, CRASH_CODE, Duration::MAX);
+            return Err(ServeError::Refused(refusal));
         }
         let runner = Arc::clone(&upstream.runner.borrow().id);
         history.tried.push(Arc::clone(&runner));
@@ -225,19 +224,22 @@
     if send_again {
         return Ok(());
     }
-    Err(final_refusal(call, history, error.failure.as_str()))
+    let code = error.failure.as_str();
+    Err(final_refusal(call, history, code, RUNNER_RETRY_AFTER))
 }
 
-/// The error response to a request that is not sent again.
-fn final_refusal(call: &Call, history: &SendHistory, code: &'static str) -> Refusal {
+/// The error response to a request that is not sent again; `wanted` is the best Retry-After.
+fn final_refusal(
+    call: &Call,
+    history: &SendHistory,
+    code: &'static str,
+    wanted: Duration,
+) -> Refusal {
     if history.verdict.is_some() {
         return Refusal::may_have_run(502, code);
     }
-    let now = Instant::now();
-    if code == CRASH_CODE {
-        return call.crash_refusal(now);
-    }
-    Refusal::not_run(code, retry_after(RUNNER_RETRY_AFTER, call.time_left(now)))
+    let left = call.time_left(Instant::now());
+    Refusal::not_run(code, retry_after(wanted, left))
 }
 
 /// Records a failed send for the runner, and what it had when it crashed; `begun` says that the answer had
--- a/edge/src/serve/call.rs
+++ b/edge/src/serve/call.rs
@@ -120,12 +120,6 @@
         shared_parts(&self.meta.parts)
     }
 
-    /// The response to a request that has not run and would crash a runner: the latest Retry-After, as a
-    /// new attempt hardly has a better chance.
-    pub(super) fn crash_refusal(&self, now: Instant) -> Refusal {
-        Refusal::not_run(CRASH_CODE, self.time_left(now) / 3)
-    }
-
     /// Most events of a response with one token each, with those that the caller already has.
     pub(super) fn max_events(&self) -> u64 {
         let output = self.meta.tokens.map_or(u64::MAX, |t| t.output);
@@ -239,7 +233,9 @@
         sent_at: Cell::new(None),
     };
     if !core.try_suspect(&call, received_at) && core.is_suspect(&call, received_at) {
-        return Err((call.crash_refusal(received_at), Some(id)));
+        // The latest Retry-After, as a new attempt hardly has a better chance.
+        let retry = retry_after(Duration::MAX, timeout);
+        return Err((Refusal::not_run(CRASH_CODE, retry), Some(id)));
     }
     Ok(call)
 }
--- a/edge/src/serve/choose.rs
+++ b/edge/src/serve/choose.rs
@@ -9,12 +9,19 @@
     },
 };
 
-use tokio::time::timeout_at;
+use tokio::time::{
+    sleep,
+    timeout_at, //
+};
 
 use super::{
     Core,
     Upstream,
-    call::Call, //
+    call::{
+        Call,
+        RUNNER_RETRY_AFTER, //
+    },
+    turns::QueuePlace, //
 };
 use crate::{
     adapter::Dialect,
@@ -22,9 +29,11 @@
     decide::{
         Candidate,
         RequestNeeds,
+        Turn,
         fingerprint,
         rendezvous_weight,
-        select_runner, //
+        select_runner,
+        turn_wait, //
     },
 };
 
@@ -34,6 +43,12 @@
 /// Minimum time for which a request waits for a runner.
 const MIN_WAIT: Duration = Duration::from_millis(20);
 
+/// Shortest time for which a request waits for a turn, so that rounding causes no busy loop.
+const MIN_TURN_WAIT: Duration = Duration::from_millis(1);
+
+/// Code of requests for which no turn at a runner with a limit comes in time.
+const TURN_CODE: &str = "no_turn";
+
 /// Chooses a service by the weights of the route. Retries of an attempt id get the same service.
 pub(super) fn choose_service(call: &Call) -> ServiceId {
     let services = &call.route.services;
@@ -50,33 +65,112 @@
         .map_or_else(|| Arc::from(""), |(s, _)| Arc::clone(s))
 }
 
-/// Chooses a runner, avoiding those in `tried`. Waits for a short time if none is available.
+/// Why no runner takes a request.
+pub(super) struct NoRunner {
+    /// Code of the response.
+    pub code: &'static str,
+    /// Time after which another attempt may be served.
+    pub retry_after: Duration,
+}
+
+/// What can be done with a request now.
+enum Choice {
+    /// Send it to this runner.
+    Runner(Rc<Upstream>),
+    /// Wait for a turn: only runners with limits are left. One may be sent a request after `next`, and all of
+    /// them together `rate` requests a second.
+    Turn { next: Duration, rate: f64 },
+    /// Nothing: other daemons share the limits of all runners that are left.
+    Never,
+    /// Wait for a runner.
+    Wait,
+}
+
+/// Chooses a runner, avoiding those in `tried`, and takes a turn at it. Waits for a short time if none is
+/// available, and for a turn if one comes in time.
+///
+/// # Errors
+///
+/// Fails as soon as it is known that no runner takes the request in time.
 pub(super) async fn wait_for_runner<D: Dialect>(
     core: &Rc<Core<D>>,
     call: &Call,
     tried: &[Arc<str>],
     service: &ServiceId,
-) -> Option<Rc<Upstream>> {
+) -> Result<Rc<Upstream>, NoRunner> {
     let wait = (call.route.objective / WAIT_DIVISOR).max(MIN_WAIT);
     let deadline = tokio::time::Instant::from_std((Instant::now() + wait).min(call.deadline));
+    let turn_deadline = (call.received_at + call.wait_limit()).min(call.deadline);
+    let mut place = None;
     loop {
         let freed = core.runner_freed.notified();
-        if let Some(upstream) = choose_runner(core, call, tried, service) {
-            return Some(upstream);
-        }
-        if timeout_at(deadline, freed).await.is_err() {
-            return None;
+        let now = Instant::now();
+        let ahead = match &place {
+            None => core.turn_queue.ahead_of_new(service, call.rank),
+            Some(place) => QueuePlace::ahead(place),
+        };
+        match choose_runner(core, call, tried, service, ahead == 0) {
+            Choice::Runner(upstream) => {
+                core.take_turn(&upstream, now);
+                return Ok(upstream);
+            }
+            Choice::Turn { next, rate } => {
+                let wait = turn_wait(next, ahead, rate);
+                if now + wait > turn_deadline {
+                    log_no_turn(call, service, ahead, wait, rate);
+                    return Err(NoRunner {
+                        code: TURN_CODE,
+                        retry_after: wait,
+                    });
+                }
+                let place = place.get_or_insert_with(|| core.turn_queue.enter(service, call.rank));
+                tokio::select! {
+                    () = sleep(wait.max(MIN_TURN_WAIT)) => {}
+                    () = place.wait_for_change() => {}
+                    () = freed => {}
+                }
+            }
+            Choice::Never => {
+                log_no_turn(call, service, ahead, Duration::MAX, 0.0);
+                return Err(NoRunner {
+                    code: TURN_CODE,
+                    retry_after: RUNNER_RETRY_AFTER,
+                });
+            }
+            Choice::Wait => {
+                if timeout_at(deadline, freed).await.is_err() {
+                    return Err(NoRunner {
+                        code: "no_runner",
+                        retry_after: RUNNER_RETRY_AFTER,
+                    });
+                }
+            }
         }
     }
 }
 
-/// Chooses a runner among those that are ready now.
+/// Logs that no turn at a runner with a limit comes in time.
+fn log_no_turn(call: &Call, service: &str, ahead: usize, wait: Duration, rate: f64) {
+    let wait_ms = match wait {
+        Duration::MAX => -1,
+        wait => wait.as_millis() as i64,
+    };
+    log::info!(
+        "event=no_turn id={} service={service} rank={} ahead={ahead} wait_ms={wait_ms} rate={rate:.2}",
+        call.meta.id,
+        call.rank
+    );
+}
+
+/// Chooses a runner among those that are ready now; `first` says that no other request waits before this one
+/// for a turn.
 fn choose_runner<D: Dialect>(
     core: &Rc<Core<D>>,
     call: &Call,
     tried: &[Arc<str>],
     service: &ServiceId,
-) -> Option<Rc<Upstream>> {
+    first: bool,
+) -> Choice {
     let now = Instant::now();
     let parts = &call.meta.parts;
     let shared_parts = call.shared_parts();
@@ -99,6 +193,10 @@
         .zip(&runners)
         .map(|(upstream, runner)| Candidate {
             remote: runner.zone != core.zone,
+            turn: match core.turn(upstream, now) {
+                Turn::Ready if !first => Turn::At(now),
+                turn => turn,
+            },
             ..upstream.candidate(now, parts, max_connections)
         })
         .zip(&runners)
@@ -120,9 +218,34 @@
         objective_ms: call.route.objective.as_secs_f64() * 1000.0,
     };
     let salt = fingerprint("", &call.meta.id, &[]);
-    let chosen = select_runner(&candidates, &needs, salt)?;
+    let Some(chosen) = select_runner(&candidates, &needs, salt) else {
+        return wait_choice(core, &upstreams, &candidates, now);
+    };
     log_placement(call, &runners[chosen].id, &candidates, chosen, &needs);
-    Some(Rc::clone(&upstreams[chosen]))
+    Choice::Runner(Rc::clone(&upstreams[chosen]))
+}
+
+/// What to wait for if no runner takes a request now.
+fn wait_choice<D>(
+    core: &Core<D>,
+    upstreams: &[Rc<Upstream>],
+    candidates: &[Candidate],
+    now: Instant,
+) -> Choice {
+    let left = || upstreams.iter().zip(candidates).filter(|(_, c)| !c.tried);
+    let turns = left().filter_map(|(_, c)| match c.turn {
+        Turn::At(at) => Some(at.saturating_duration_since(now)),
+        _ => None,
+    });
+    if let Some(next) = turns.min() {
+        let rate = left().filter_map(|(u, _)| core.turn_rate(u)).sum();
+        return Choice::Turn { next, rate };
+    }
+    let mut turns = left().map(|(_, c)| c.turn).peekable();
+    if turns.peek().is_some() && turns.all(|turn| turn == Turn::Never) {
+        return Choice::Never;
+    }
+    Choice::Wait
 }
 
 /// Logs the figures on which a placement was based.
--- a/edge/src/serve/core.rs
+++ b/edge/src/serve/core.rs
@@ -20,7 +20,8 @@
 
 use super::{
     Upstream,
-    reservations::Reservations, //
+    reservations::Reservations,
+    turns::TurnQueue, //
 };
 use crate::{
     accept::Shutdown,
@@ -34,7 +35,8 @@
     },
     decide::{
         CrashEvidence,
-        RetryBudget, //
+        RetryBudget,
+        RunnerLimits, //
     },
     http::LinkActivity,
     peer::PeerLink,
@@ -106,6 +108,10 @@
     pub directory: RefCell<Directory>,
     /// Evidence of what crashes runners.
     pub(super) evidence: RefCell<CrashEvidence>,
+    /// Limits that runners name.
+    pub(super) limits: RefCell<RunnerLimits>,
+    /// Requests that wait for a turn at runners with limits.
+    pub(super) turn_queue: Rc<TurnQueue>,
     /// Start of the process.
     pub(super) started: Instant,
     /// Configuration in force.
@@ -158,6 +164,8 @@
             state_changed: Notify::new(),
             directory: RefCell::default(),
             evidence: RefCell::default(),
+            limits: RefCell::default(),
+            turn_queue: Rc::default(),
             started: Instant::now(),
             version: RefCell::new(None),
             config_confirmed: Cell::new(None),
--- a/edge/src/serve/mod.rs
+++ b/edge/src/serve/mod.rs
@@ -7,6 +7,7 @@
 mod exchange;
 mod handler;
 mod holders;
+mod limits;
 mod observations;
 mod ready;
 mod receive;
@@ -16,6 +17,7 @@
 mod send;
 mod suspects;
 mod tokens;
+mod turns;
 mod upstream;
 
 pub use self::core::{
--- a/edge/src/serve/observations.rs
+++ b/edge/src/serve/observations.rs
@@ -31,6 +31,7 @@
         let time = self.fleet_time(now);
         Observations {
             suspects: self.evidence.borrow().own_reports(time),
+            limits: self.limits.borrow().own_reports(time),
         }
     }
 
@@ -39,17 +40,22 @@
         let time = self.fleet_time(now);
         Observations {
             suspects: self.evidence.borrow().all_reports(time),
+            limits: self.limits.borrow().all_reports(),
         }
     }
 
     /// Adds what the daemon `source` has reported.
     pub fn merge_observations(&self, source: &str, observed: &Observations, now: Instant) {
-        self.merge_suspects(source, &observed.suspects, self.fleet_time(now));
+        let time = self.fleet_time(now);
+        self.merge_suspects(source, &observed.suspects, time);
+        self.merge_limits(source, &observed.limits, time, now);
     }
 
     /// Takes over what the previous process on this VM has reported, once.
     pub fn restore_observations(&self, now: Instant) {
         let observed = self.ledger.borrow_mut().take_inherited_observations();
-        self.restore_suspects(&observed.suspects, self.fleet_time(now));
+        let time = self.fleet_time(now);
+        self.restore_suspects(&observed.suspects, time);
+        self.merge_limits("own", &observed.limits, time, now);
     }
 }
--- a/edge/src/serve/send.rs
+++ b/edge/src/serve/send.rs
@@ -155,7 +155,7 @@
         let mut decoder = BodyDecoder::new(head.framing);
         let foreign = meta.id.as_deref().is_some_and(|id| id != &*call.meta.id);
         if !foreign {
-            upstream.record_limit(meta.limit);
+            core.record_limit(upstream, &meta);
             let not_run = meta.not_run || head.status == 421;
             if meta.id.is_none() && !not_run {
                 return Err(SendError::new(
--- a/edge/src/serve/suspects.rs
+++ b/edge/src/serve/suspects.rs
@@ -103,8 +103,8 @@
             return true;
         };
         let key = suspect_key(blame.suspect);
-        let chosen = self.ledger.borrow().is_chosen(key, now);
-        if !chosen || !evidence.start_trial(blame.suspect, time) {
+        let (rank, _) = self.ledger.borrow().rank_for(key, now);
+        if rank != Some(0) || !evidence.start_trial(blame.suspect, time) {
             return false;
         }
         log_decision("tried", call, &blame);
--- a/edge/src/serve/upstream.rs
+++ b/edge/src/serve/upstream.rs
@@ -15,14 +15,12 @@
 };
 
 use crate::{
-    adapter::{
-        LimitField,
-        Load, //
-    },
+    adapter::Load,
     catalog::Runner,
     decide::{
         Candidate,
-        PromptPart, //
+        PromptPart,
+        Turn, //
     },
     http::{
         Connection,
@@ -143,8 +141,6 @@
     last_heard: Cell<Instant>,
     /// Time at which another runner responded at the address.
     replaced_at: Cell<Option<Instant>>,
-    /// What the last response said of the runner's limit.
-    limit: Cell<LimitField>,
     /// Prompt parts by id, with the time of their last use.
     cached_parts: RefCell<HashMap<u64, Instant>>,
 }
@@ -165,7 +161,6 @@
             down_until: Cell::new(None),
             last_heard: Cell::new(Instant::now()),
             replaced_at: Cell::new(None),
-            limit: Cell::default(),
             cached_parts: RefCell::default(),
         }
     }
@@ -216,6 +211,7 @@
                 .get()
                 .is_some_and(|at| now.duration_since(at) < REPLACED_TTL),
             remote: false,
+            turn: Turn::Unlimited,
         }
     }
 
@@ -298,20 +294,6 @@
         self.load_delta.set(0);
     }
 
-    /// Logs a change of the limit that the runner names.
-    pub fn record_limit(&self, limit: LimitField) {
-        let old = self.limit.replace(limit);
-        if old == limit {
-            return;
-        }
-        let id = Arc::clone(&self.runner.borrow().id);
-        match limit {
-            LimitField::Named(n) => log::info!("event=runner_limit runner={id} limit={n}"),
-            LimitField::Absent => log::info!("event=runner_limit runner={id} limit=none"),
-            LimitField::Unusable => log::warn!("event=runner_limit_unusable runner={id}"),
-        }
-    }
-
     /// Opens a connection. The timeout `base` is extended for the delay of this VM's link.
     ///
     /// # Errors
--- a/edge/tests/crash_run.rs
+++ b/edge/tests/crash_run.rs
@@ -2,12 +2,13 @@
 //! beside. Bounds are the users': three sends later than `contactMs` after the fifth end, and half of the
 //! sound requests later than twice that.
 
-mod crash_world;
+#[allow(dead_code, reason = "the runs of limits use the rest")]
+mod fleet_world;
 #[allow(dead_code, reason = "the runs of the ledger use the rest")]
 #[path = "budget_world/store.rs"]
 mod store;
 
-use crash_world::{
+use fleet_world::{
     Faults,
     Outcome,
     Size,
@@ -54,6 +55,9 @@
     crash: 0,
     rack_at: None,
     unshared: false,
+    limited: 0,
+    limit: 0.0,
+    limit_time: (0, 0),
 };
 
 fn run(seed: u64, size: Size, faults: Faults, seconds: u64) -> Outcome {
--- a/edge/tests/decisions.rs
+++ b/edge/tests/decisions.rs
@@ -20,6 +20,7 @@
         RequestNeeds,
         RetryBudget,
         RetryDecision,
+        Turn,
         decide_retry,
         rendezvous_weight,
         retry_after,
@@ -40,6 +41,7 @@
     full: false,
     tried: false,
     remote: false,
+    turn: Turn::Unlimited,
 };
 
 /// A long prompt of which other requests share a part.
--- a/edge/tests/crash_world/daemon.rs
+++ b/edge/tests/fleet_world/daemon.rs
@@ -1,13 +1,18 @@
 //! Daemons: their evidence, and the rows and queries through which they share it.
 
-use std::time::Duration;
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 use cuminloom_edge::{
     decide::{
         CrashEvidence,
         Observations,
         RunnerKey,
-        Suspect, //
+        RunnerLimits,
+        Suspect,
+        Turn, //
     },
     prepaid::{
         Ledger,
@@ -37,11 +42,18 @@
 const QUERY_AFTER_MS: u64 = 1300;
 const QUERIED: usize = 3;
 
+/// What a process knows.
+struct State {
+    ledger: Ledger,
+    evidence: CrashEvidence,
+    limits: RunnerLimits,
+}
+
 /// A VM with its daemon.
 pub(crate) struct Node {
     name: String,
     zone: String,
-    state: Option<(Ledger, CrashEvidence)>,
+    state: Option<State>,
     pub(crate) process: u64,
     restart_at: u64,
     cut_until: u64,
@@ -101,6 +113,19 @@
     }
 }
 
+/// Rank of a daemon among those that share the limit of `runner`; first of one if each is `alone`.
+fn rank_for(
+    ledger: &Ledger,
+    runner: RunnerKey,
+    now: Instant,
+    alone: bool,
+) -> (Option<usize>, usize) {
+    match alone {
+        true => (Some(0), 1),
+        false => ledger.rank_for(u64::from(runner), now),
+    }
+}
+
 impl World {
     /// Advances daemon `i` by one step.
     pub(crate) fn step_daemon(&mut self, i: usize) {
@@ -125,7 +150,11 @@
         let node = &mut self.nodes[i];
         let mut ledger = Ledger::new(&node.name, self.processes, None).with_place(&node.zone, 120);
         ledger.mark_exclusive(instant);
-        node.state = Some((ledger, CrashEvidence::default()));
+        node.state = Some(State {
+            ledger,
+            evidence: CrashEvidence::default(),
+            limits: RunnerLimits::default(),
+        });
         node.process = self.processes;
         (node.next_write, node.next_read, node.wake) = (self.now, self.now, false);
         node.pacing = Pacing::default();
@@ -140,9 +169,9 @@
     fn fleet_time(&self, i: usize) -> u64 {
         let instant = self.instant(i);
         let node = &self.nodes[i];
-        let ledger = node.state.as_ref().map(|(ledger, _)| ledger);
-        ledger
-            .and_then(|l| l.store_now(instant))
+        let state = node.state.as_ref();
+        state
+            .and_then(|s| s.ledger.store_now(instant))
             .unwrap_or(node.clock)
     }
 
@@ -157,14 +186,23 @@
         }
         let rows = self.store.rows(now);
         let node = &mut self.nodes[i];
-        let (ledger, evidence) = node.state.as_mut().unwrap();
+        let State {
+            ledger,
+            evidence,
+            limits,
+        } = node.state.as_mut().unwrap();
         ledger.apply_rows(rows, true, instant, instant);
         let inherited = ledger.take_inherited_observations();
         evidence.restore(&inherited.suspects, now);
         evidence.expire(now);
+        let alone = self.faults.unshared;
+        let rank = |key| rank_for(ledger, key, instant, alone);
+        limits.merge(&inherited.limits, now, instant, rank);
+        limits.update_shares(now, instant, rank);
         let shared = !self.faults.unshared;
         for (name, row) in ledger.peer_rows().filter(|_| shared) {
             node.wake |= evidence.merge(name, &row.observed.suspects, now);
+            limits.merge(&row.observed.limits, now, instant, rank);
         }
         node.last_read = now;
         let interval = read_interval(ledger, self.random.random());
@@ -183,12 +221,17 @@
         }
         let time = self.fleet_time(i);
         let node = &mut self.nodes[i];
-        let (ledger, evidence) = node.state.as_mut().unwrap();
+        let State {
+            ledger,
+            evidence,
+            limits,
+        } = node.state.as_mut().unwrap();
         if node.pacing.spacing(ledger, PART_RATE, instant) > Duration::ZERO {
             return;
         }
         let observed = Observations {
             suspects: evidence.own_reports(time),
+            limits: limits.own_reports(time),
         };
         let bytes = serde_json::to_vec(&observed).unwrap().len();
         let Some(plan) = ledger.plan_scoped(instant, observed, WriteScope::OwnRow) else {
@@ -219,23 +262,29 @@
                 continue;
             }
             let peer_time = self.fleet_time(peer);
-            let (_, evidence) = self.nodes[peer].state.as_ref().unwrap();
-            let reports = evidence.all_reports(peer_time);
+            let known = self.nodes[peer].state.as_ref().unwrap();
+            let reports = known.evidence.all_reports(peer_time);
+            let limits = known.limits.all_reports();
             let (name, time) = (self.nodes[peer].name.clone(), self.fleet_time(i));
-            let (_, evidence) = self.nodes[i].state.as_mut().unwrap();
-            evidence.merge(&name, &reports, time);
+            let instant = self.instant(i);
+            let state = self.nodes[i].state.as_mut().unwrap();
+            state.evidence.merge(&name, &reports, time);
+            let rank = |key| rank_for(&state.ledger, key, instant, false);
+            state.limits.merge(&limits, time, instant, rank);
         }
     }
 
     /// Whether daemon `i` refuses a request of `suspects`.
     pub(crate) fn refuses(&mut self, i: usize, suspects: &[Suspect]) -> bool {
         let (instant, time) = (self.instant(i), self.fleet_time(i));
-        let (ledger, evidence) = self.nodes[i].state.as_mut().unwrap();
+        let State {
+            ledger, evidence, ..
+        } = self.nodes[i].state.as_mut().unwrap();
         let Some(blame) = evidence.find_blocked(suspects, time) else {
             return false;
         };
         let (Suspect::Part(key) | Suspect::Request(key)) = blame.suspect;
-        if ledger.is_chosen(key, instant) && evidence.start_trial(blame.suspect, time) {
+        if ledger.rank_for(key, instant).0 == Some(0) && evidence.start_trial(blame.suspect, time) {
             return false;
         }
         evidence.record_refusal(blame.suspect, time);
@@ -246,12 +295,12 @@
     pub(crate) fn record_end(&mut self, request: &Request, runner: RunnerKey) {
         let time = self.fleet_time(request.daemon);
         let node = &mut self.nodes[request.daemon];
-        if let Some((_, evidence)) = node
+        if let Some(state) = node
             .state
             .as_mut()
             .filter(|_| node.process == request.process)
         {
-            evidence.record_end(&request.suspects, runner, time);
+            state.evidence.record_end(&request.suspects, runner, time);
             node.wake = true;
         }
     }
@@ -260,12 +309,47 @@
     pub(crate) fn observe_answer(&mut self, request: &Request) {
         let time = self.fleet_time(request.daemon);
         let node = &mut self.nodes[request.daemon];
-        if let Some((_, evidence)) = node
+        if let Some(state) = node
             .state
             .as_mut()
             .filter(|_| node.process == request.process)
         {
-            evidence.record_answer(&request.suspects, time);
+            state.evidence.record_answer(&request.suspects, time);
         }
     }
+
+    /// When daemon `i` may send `runner` the next request.
+    pub(crate) fn turn(&self, i: usize, runner: RunnerKey) -> Turn {
+        let state = self.nodes[i].state.as_ref().unwrap();
+        state.limits.turn(runner, self.instant(i))
+    }
+
+    /// Counts a request that daemon `i` sends to `runner`.
+    pub(crate) fn take_turn(&mut self, i: usize, runner: RunnerKey) {
+        let instant = self.instant(i);
+        let state = self.nodes[i].state.as_mut().unwrap();
+        state.limits.take(runner, instant);
+    }
+
+    /// Records at the daemon that sent `request` what its answer says of a limit. Returns whether it was told.
+    pub(crate) fn record_limit(
+        &mut self,
+        request: &Request,
+        runner: RunnerKey,
+        limit: Option<f64>,
+    ) -> bool {
+        let (time, instant) = (
+            self.fleet_time(request.daemon),
+            self.instant(request.daemon),
+        );
+        let node = &mut self.nodes[request.daemon];
+        let state = node.state.as_mut();
+        let Some(state) = state.filter(|_| node.process == request.process) else {
+            return false;
+        };
+        let alone = self.faults.unshared;
+        let rank = |key| rank_for(&state.ledger, key, instant, alone);
+        node.wake |= state.limits.record(runner, limit, time, instant, rank);
+        true
+    }
 }
--- a/edge/tests/crash_world/mod.rs
+++ b/edge/tests/fleet_world/mod.rs
@@ -1,7 +1,8 @@
-//! Deterministic simulation of a fleet whose runners are crashed by a prompt part, with rows in a store whose
+//! Deterministic simulation of a fleet whose runners are crashed by a prompt part, or name limits, with rows in a store whose
 //! part performs transactions one after another. Times are simulated milliseconds.
 
 mod daemon;
+mod limits;
 mod runners;
 
 use std::time::{
@@ -18,6 +19,7 @@
 
 use super::store::FakeStore;
 use daemon::Node;
+use limits::Arrivals;
 use runners::Runners;
 
 /// Length of a step.
@@ -57,6 +59,10 @@
     pub crash: u64,
     /// Crash of all runners of a data centre at once.
     pub rack_at: Option<u64>,
+    /// Number of runners that name a limit, the limit, and the time for which they do.
+    pub limited: usize,
+    pub limit: f64,
+    pub limit_time: (u64, u64),
     /// Daemons keep what they have seen to themselves, to show that the bounds find it.
     pub unshared: bool,
 }
@@ -89,6 +95,10 @@
     pub begun_before: u64,
     /// Sound requests that were refused because they crash runners.
     pub blamed: u64,
+    /// Most requests that a runner with a limit got in the window of the rule from daemons that it had told.
+    pub busiest: usize,
+    /// Least that a runner with a limit got, in requests a second, while it named one.
+    pub least_rate: f64,
     /// Largest report in a row, in bytes.
     pub report_bytes: usize,
 }
@@ -120,6 +130,7 @@
     pub(crate) runners: Runners,
     pub(crate) processes: u64,
     numbers: u64,
+    arrivals: Arrivals,
     bad_ends: Vec<u64>,
     pub(crate) outcome: Outcome,
 }
@@ -140,6 +151,7 @@
             runners: Runners::new(size.runners),
             processes: 0,
             numbers: 0,
+            arrivals: Arrivals::default(),
             bad_ends: Vec::new(),
             outcome: Outcome::default(),
         }
@@ -158,6 +170,7 @@
             self.send_requests();
         }
         self.outcome.bad_ends = self.bad_ends.len();
+        self.count_limits();
         self.outcome
     }
 
--- a/edge/tests/crash_world/runners.rs
+++ b/edge/tests/fleet_world/runners.rs
@@ -1,6 +1,9 @@
 //! Runners, which end when they begin to answer a request with the bad part.
 
-use cuminloom_edge::decide::RunnerKey;
+use cuminloom_edge::decide::{
+    RunnerKey,
+    Turn, //
+};
 use rand::RngExt;
 
 use super::{
@@ -44,20 +47,52 @@
 }
 
 impl World {
-    /// Sends a request to a random runner that runs.
+    /// Sends a request to a runner that runs and may be sent one: to one with a limit if this daemon has a
+    /// turn, and else to a random one without.
     pub(crate) fn place(&mut self, mut request: Request) {
         let count = self.runners.len();
-        let Some(runner) = (0..8)
-            .map(|_| self.random.random_range(0..count))
-            .find(|i| self.now >= self.runners.lives[*i].1)
-        else {
+        let limited = self.faults.limited;
+        let ready = (0..limited).find(|i| self.has_turn(request.daemon, *i, Turn::Ready));
+        let runner = ready.or_else(|| {
+            let tries = (0..8).map(|_| self.random.random_range(0..count));
+            let tries: Vec<usize> = tries.collect();
+            let mut free = tries.into_iter();
+            free.find(|i| self.has_turn(request.daemon, *i, Turn::Unlimited))
+        });
+        let Some(runner) = runner else {
             return;
         };
+        let life = self.runners.lives[runner].0;
+        self.take_turn(request.daemon, life);
+        self.count_arrival(&request, runner, life);
         request.runner = runner;
         request.begins_at = self.now + self.random.random_range(MIN_PREFILL_MS..MAX_PREFILL_MS);
         self.runners.waiting.push(request);
     }
 
+    /// Whether `runner` runs, and the turn of the daemon `daemon` at it is `turn`.
+    fn has_turn(&self, daemon: usize, runner: usize, turn: Turn) -> bool {
+        let (key, since) = self.runners.lives[runner];
+        self.now >= since && self.turn(daemon, key) == turn
+    }
+
+    /// Whether all daemons that run send requests to `runner` as they like.
+    pub(crate) fn is_free(&self, runner: usize) -> bool {
+        let daemons = 0..self.nodes.len();
+        let mut up = daemons.filter(|i| self.nodes[*i].is_up(self.now));
+        up.all(|i| self.has_turn(i, runner, Turn::Unlimited))
+    }
+
+    /// Begins to answer a request: the daemon is told the limit of the runner.
+    fn tell_limit(&mut self, request: &Request) {
+        let named = self.names_limit(request.runner);
+        let key = self.runners.lives[request.runner].0;
+        let limit = named.then_some(self.faults.limit);
+        if self.record_limit(request, key, limit) && named {
+            self.count_told(request, key);
+        }
+    }
+
     /// Begins the answers that are due, and ends the runners of those with the bad part.
     pub(crate) fn step_runners(&mut self) {
         let now = self.now;
@@ -72,6 +107,7 @@
                 self.observe_end(&request);
                 self.end_runner(request.runner);
             } else {
+                self.tell_limit(&request);
                 self.count_begun(&request);
                 self.runners.begun.push(request);
             }
--- a/fleetctl/src/explain.rs
+++ b/fleetctl/src/explain.rs
@@ -10,7 +10,7 @@
 
 /// Events about the state that requests depend on: the process, its settings, the configuration, the
 /// store, the budgets and other daemons.
-const CONTEXT_EVENTS: [&str; 25] = [
+const CONTEXT_EVENTS: [&str; 26] = [
     "started",
     "stop_begun",
     "stopped",
@@ -36,6 +36,7 @@
     "suspect_blocked",
     "suspect_cleared",
     "suspects_restored",
+    "runner_limit",
 ];
 
 /// Ends of runners that are shown for a request that was refused because of them.
@@ -197,6 +198,10 @@
             "such requests crash runners: `suspect` of `suspect_refused` is the request itself or a part of \
              its prompt; `sources` are the daemons that saw the runners end"
         }
+        "no_turn" => {
+            "only runners that name limits were left, and this daemon's share of them allows no request in time; \
+             `no_turn` tells how many waited before it"
+        }
         "no_runner" => "no runner could take it in time; `placed` shows the state at each send",
         "no-connection" => "no runner accepted a connection",
         "turned-away" => "runners refused it as not run",
