Take no refusal without an id for an answer on a used connection

A faulty runner may write an earlier refusal once more on a kept connection.

Cause: answers are matched by their id, but a refusal needed none. Now one without an id counts only as the first answer on a new connection, where it can belong to no other request. Elsewhere the send has failed and the request may have run. a_repeated_refusal_is_no_answer failed before (2 runs of a request that may run once).

--- a/edge/src/serve/send.rs
+++ b/edge/src/serve/send.rs
@@ -127,6 +127,7 @@
     let prompt_tokens = call.meta.tokens.map_or(0, |t| t.prompt);
     let in_flight = upstream.track_request(prompt_tokens);
     let idle = upstream.take_idle(now, !call.route.retry.allows_rerun());
+    let fresh = idle.is_none();
     let mut connection = match idle {
         Some(connection) => connection,
         None => connect(upstream).await?,
@@ -146,7 +147,7 @@
         .write(&bytes)
         .await
         .map_err(ConnectionError::Io)?;
-    for _ in 0..=MAX_FOREIGN_ANSWERS {
+    for skipped in 0..=MAX_FOREIGN_ANSWERS {
         let head = attempt.read_head(&mut connection, prompt_tokens).await?;
         let meta = D::response_meta(&head.fields);
         if let Some(load) = meta.load {
@@ -156,12 +157,12 @@
         let foreign = meta.id.as_deref().is_some_and(|id| id != &*call.meta.id);
         if !foreign {
             core.record_limit(upstream, &meta);
+            // A refusal without an id is for this request only if it can be for no earlier one.
             let not_run = meta.not_run || head.status == 421;
-            if meta.id.is_none() && !not_run {
-                return Err(SendError::new(
-                    Failure::Broken,
-                    "response without an attempt id",
-                ));
+            let first = fresh && skipped == 0;
+            if meta.id.is_none() && !(not_run && first) {
+                let detail = format!("status {} without an attempt id", head.status);
+                return Err(SendError::new(Failure::Broken, detail));
             }
             return Ok(Reply {
                 head,
