Break off streams in which bytes come that are no event

A runner whose stream fails may write an error, with its whole head, into the answer. A stream without a signature was relayed too.

Cause: what looks like an event was relayed without an id. Every event of a stream has one, so bytes without are a failure of the runner now: the stream is resumed elsewhere or broken off. Comments pass. Unsigned streams are failures, as unsigned answers were.

--- a/edge/src/http/event.rs
+++ b/edge/src/http/event.rs
@@ -17,6 +17,14 @@
     pub bytes: Bytes,
 }
 
+impl Event {
+    /// Whether it has only comments, which keep a connection alive.
+    pub fn is_comment(&self) -> bool {
+        let mut lines = self.bytes.split(|b| *b == b'\n');
+        lines.all(|line| matches!(line, [] | [b'\r'] | [b':', ..]))
+    }
+}
+
 /// Buffers body bytes and returns complete events.
 ///
 /// # Examples
--- a/edge/src/serve/attempts.rs
+++ b/edge/src/serve/attempts.rs
@@ -305,7 +305,7 @@
         let error = SendError::new(Failure::Broken, "response has a content encoding");
         return Err(RelayError::Runner(error));
     }
-    if status == 200 && call.route.retry.is_stream() {
+    if status == 200 && call.route.retry.is_stream() && reply.meta.sealed {
         let result = relay.run(attempt, &mut reply, out).await;
         result?;
         upstream.record_outcome(Instant::now(), false);
--- a/edge/src/serve/relay.rs
+++ b/edge/src/serve/relay.rs
@@ -209,6 +209,10 @@
                 let detail = "more events than the request allows tokens";
                 return Some(SendError::new(Failure::Broken, detail));
             }
+            if event.id.is_none() && !event.is_comment() {
+                let detail = "bytes in a stream that are no event of it";
+                return Some(SendError::new(Failure::Broken, detail));
+            }
             if let (Some(id), Some(last)) = (event.id, self.last_id) {
                 if id <= last {
                     continue;
