Take no answer for whole that stops right after its head

Cause: the end of the connection ends such an answer, wherever it comes. One without a single byte of body can't be told from one that stopped, so it is broken off now. A runner with nothing to say can send a length of 0.

--- a/edge/src/serve/receive.rs
+++ b/edge/src/serve/receive.rs
@@ -210,7 +210,8 @@
                 return Err(too_long("response exceeds the size limit"));
             }
             if self.read_more(connection, 0).await? == 0 {
-                if decoder.ends_with_connection() {
+                // A runner that stops after its head can't be told from one without a body.
+                if decoder.ends_with_connection() && !body.is_empty() {
                     return Ok(body);
                 }
                 return Err(ConnectionError::Closed.into());
--- a/edge/src/serve/relay.rs
+++ b/edge/src/serve/relay.rs
@@ -169,9 +169,10 @@
         events: &EventBuffer,
         out: &TcpStream,
     ) -> Result<(), RelayError> {
-        if events.has_partial() {
-            let error = SendError::new(Failure::Broken, "stream ends within an event");
-            return Err(RelayError::Runner(error));
+        let empty = self.received == 0 && reply.decoder.ends_with_connection();
+        if events.has_partial() || empty {
+            let detail = "stream ends within an event, or before the first one";
+            return Err(RelayError::Runner(SendError::new(Failure::Broken, detail)));
         }
         self.record_answer(attempt, true);
         let mut bytes = Vec::new();
