Split the evidence of crashes and the emulated runner into smaller files

Suspects, records and reports have files of their own, as have the requests that the emulated runner reads; the sizes of the seeded fleets stood twice. No change of behaviour.

--- a/edge/src/decide/crash_evidence.rs
+++ b/edge/src/decide/crash_evidence/mod.rs
@@ -5,8 +5,11 @@
 //! blocked. All daemons add up what each of them has seen: an end is identified by the runner, so it counts
 //! once however many report it.
 
+mod record;
+mod reports;
+mod suspect;
+
 use std::{
-    cmp::Reverse,
     collections::{
         HashMap,
         HashSet, //
@@ -14,30 +17,20 @@
     sync::Arc,
 };
 
-use serde::{
-    Deserialize,
-    Serialize, //
+pub use suspect::{
+    FleetTime,
+    RunnerKey,
+    Suspect,
+    SuspectReport,
+    suspects, //
 };
 
-use super::{
-    Fingerprint,
-    PromptPart, //
+use record::{
+    End,
+    MAX_ENDS,
+    Record, //
 };
 
-/// Ends of different runners at different moments, without an answer since, from which a prompt part is
-/// blocked. Runners also end for other reasons while they have a request with a rare part.
-const MIN_PART_ENDS: usize = 3;
-
-/// As [`MIN_PART_ENDS`], for a whole request. Sound requests are rarely repeated.
-const MIN_REQUEST_ENDS: usize = 2;
-
-/// Runners that end within this time under a part count as one, in milliseconds: the failure of a rack ends
-/// many. One request reaches them one after the other, so it needs no such time.
-const MOMENT_MS: u64 = 250;
-
-/// Newest ends that are kept for one suspect.
-const MAX_ENDS: usize = 8;
-
 /// Time after the last end, or the last request refused, for which evidence counts, in milliseconds.
 const EVIDENCE_TTL_MS: u64 = 600_000;
 
@@ -58,168 +51,6 @@
 /// Largest number of prompt parts whose last answer is kept.
 const MAX_ANSWERS: usize = 4096;
 
-/// Largest number of suspects of each kind in one report.
-const MAX_REPORTED: usize = 16;
-
-/// Milliseconds on the clock of the store, which all daemons know.
-pub type FleetTime = u64;
-
-/// Hash of the id and the start of a runner.
-pub type RunnerKey = u32;
-
-/// What may have ended a runner.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-pub enum Suspect {
-    /// A request, whenever it is repeated.
-    #[serde(rename = "r")]
-    Request(Fingerprint),
-    /// A prompt part, in any request.
-    #[serde(rename = "p")]
-    Part(u64),
-}
-
-impl Suspect {
-    /// Ends from which the suspect is blocked.
-    fn min_ends(self) -> usize {
-        match self {
-            Suspect::Request(_) => MIN_REQUEST_ENDS,
-            Suspect::Part(_) => MIN_PART_ENDS,
-        }
-    }
-
-    /// Number of `ends` that count, in the order of their times.
-    fn count_ends<'a>(self, ends: impl Iterator<Item = &'a End>) -> usize {
-        let gap = match self {
-            Suspect::Request(_) => 0,
-            Suspect::Part(_) => MOMENT_MS,
-        };
-        let mut count = 0;
-        let mut begun = None;
-        for end in ends {
-            if begun.is_none_or(|begun| end.at >= begun + gap) {
-                begun = Some(end.at);
-                count += 1;
-            }
-        }
-        count
-    }
-}
-
-impl std::fmt::Display for Suspect {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        match self {
-            Suspect::Request(id) => write!(f, "request:{id:016x}"),
-            Suspect::Part(id) => write!(f, "part:{id:x}"),
-        }
-    }
-}
-
-/// Suspects of a request with this fingerprint and these shared parts.
-///
-/// # Examples
-///
-/// ```
-/// use cuminloom_edge::decide::{Suspect, suspects};
-///
-/// assert_eq!(suspects(7, &[]), [Suspect::Request(7)]);
-/// ```
-pub fn suspects(request: Fingerprint, shared_parts: &[PromptPart]) -> Vec<Suspect> {
-    let parts = shared_parts.iter().map(|p| Suspect::Part(p.id));
-    std::iter::once(Suspect::Request(request))
-        .chain(parts)
-        .collect()
-}
-
-/// What a daemon reports of one suspect.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct SuspectReport {
-    /// The suspect.
-    #[serde(rename = "s")]
-    pub suspect: Suspect,
-    /// Runners that ended, with the times.
-    #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
-    pub ends: Vec<(RunnerKey, FleetTime)>,
-    /// Time of the last answer; 0 for none.
-    #[serde(rename = "a", default)]
-    pub answered: FleetTime,
-    /// Time of the last request that was refused; 0 for none.
-    #[serde(rename = "q", default)]
-    pub refused: FleetTime,
-}
-
-/// End of a runner.
-#[derive(Clone, Debug)]
-struct End {
-    runner: RunnerKey,
-    at: FleetTime,
-    /// Daemon that reported it first; `None` if it is this one.
-    source: Option<Arc<str>>,
-}
-
-/// What is known of one suspect.
-#[derive(Clone, Debug, Default)]
-struct Record {
-    /// Ends since the last answer, in the order of their times.
-    ends: Vec<End>,
-    /// Time of the last answer that is known; 0 for none.
-    answered: FleetTime,
-    /// Time of the last request refused by any daemon; 0 for none.
-    refused: FleetTime,
-    /// Time of the last request refused by this one.
-    own_refused: FleetTime,
-    /// Time until which own answers are reported, because another daemon has reported ends before them.
-    vouch_until: FleetTime,
-    /// Time of the last trial by this daemon.
-    tried: FleetTime,
-}
-
-impl Record {
-    /// Adds an end unless it is known. Returns whether it was added.
-    fn add_end(&mut self, end: End) -> bool {
-        if end.at <= self.answered {
-            return false;
-        }
-        if let Some(known) = self.ends.iter_mut().find(|e| e.runner == end.runner) {
-            known.at = known.at.min(end.at);
-            if end.source.is_none() {
-                known.source = None;
-            }
-            return false;
-        }
-        self.ends.push(end);
-        self.ends.sort_by_key(|e| e.at);
-        if self.ends.len() > MAX_ENDS {
-            self.drop_end();
-        }
-        true
-    }
-
-    /// Drops the oldest end at the same moment as the one before it, or else the oldest one.
-    fn drop_end(&mut self) {
-        let pairs = self.ends.windows(2);
-        let same = pairs.map(|pair| pair[1].at - pair[0].at < MOMENT_MS);
-        let index = same.enumerate().find(|(_, same)| *same);
-        self.ends.remove(index.map_or(0, |(i, _)| i + 1));
-    }
-
-    /// Records an answer at `at`, which clears the suspect of the ends before it.
-    fn set_answered(&mut self, at: FleetTime) {
-        self.answered = self.answered.max(at);
-        self.ends.retain(|e| e.at > self.answered);
-    }
-
-    /// Time of the last sign that the evidence is still needed.
-    fn fresh_at(&self) -> FleetTime {
-        let seen = self.last_end().max(self.answered);
-        seen.max(self.refused).max(self.vouch_until)
-    }
-
-    /// Time of the last end.
-    fn last_end(&self) -> FleetTime {
-        self.ends.last().map_or(0, |e| e.at)
-    }
-}
-
 /// Why a request is refused, for the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Blame {
@@ -498,56 +329,4 @@
         }
         due
     }
-
-    /// What this daemon has seen itself, to write to its row.
-    pub fn own_reports(&self, now: FleetTime) -> Vec<SuspectReport> {
-        self.reports(now, |record, suspect| {
-            let own = record.ends.iter().filter(|e| e.source.is_none());
-            let vouches = now < record.vouch_until;
-            SuspectReport {
-                suspect,
-                ends: own.map(|e| (e.runner, e.at)).collect(),
-                answered: if vouches { record.answered } else { 0 },
-                // Refreshes evidence that would expire; not with every refusal.
-                refused: match record.own_refused > record.last_end() + EVIDENCE_TTL_MS / 4 {
-                    true => record.own_refused,
-                    false => 0,
-                },
-            }
-        })
-    }
-
-    /// What this daemon knows from all daemons, for others that can't read the rows.
-    pub fn all_reports(&self, now: FleetTime) -> Vec<SuspectReport> {
-        self.reports(now, |record, suspect| SuspectReport {
-            suspect,
-            ends: record.ends.iter().map(|e| (e.runner, e.at)).collect(),
-            answered: record.answered,
-            refused: record.refused,
-        })
-    }
-
-    /// Reports made by `report`, blocked suspects and those with the most ends first.
-    fn reports(
-        &self,
-        now: FleetTime,
-        report: impl Fn(&Record, Suspect) -> SuspectReport,
-    ) -> Vec<SuspectReport> {
-        let mut list: Vec<(bool, SuspectReport)> = self
-            .records
-            .iter()
-            .filter(|(_, r)| r.fresh_at() + EVIDENCE_TTL_MS >= now)
-            .map(|(s, r)| (self.blocked.contains(s), report(r, *s)))
-            .filter(|(_, r)| !r.ends.is_empty() || r.answered > 0 || r.refused > 0)
-            .collect();
-        let newest = |r: &SuspectReport| r.ends.last().map_or(0, |(_, at)| *at);
-        list.sort_by_key(|(b, r)| (Reverse((*b, r.ends.len(), newest(r))), r.suspect));
-        let mut counts = [0; 2];
-        list.retain(|(_, r)| {
-            let kind = usize::from(matches!(r.suspect, Suspect::Part(_)));
-            counts[kind] += 1;
-            counts[kind] <= MAX_REPORTED
-        });
-        list.into_iter().map(|(_, report)| report).collect()
-    }
 }
--- /dev/null
+++ b/edge/src/decide/crash_evidence/record.rs
@@ -0,0 +1,108 @@
+//! Ends of runners under one suspect.
+
+use std::sync::Arc;
+
+use super::{
+    FleetTime,
+    RunnerKey,
+    Suspect, //
+};
+
+/// Runners that end within this time under a part count as one, in milliseconds: the failure of a rack ends
+/// many. One request reaches them one after the other, so it needs no such time.
+const MOMENT_MS: u64 = 250;
+
+/// Newest ends that are kept for one suspect.
+pub(super) const MAX_ENDS: usize = 8;
+
+/// End of a runner.
+#[derive(Clone, Debug)]
+pub(super) struct End {
+    pub(super) runner: RunnerKey,
+    pub(super) at: FleetTime,
+    /// Daemon that reported it first; `None` if it is this one.
+    pub(super) source: Option<Arc<str>>,
+}
+
+/// What is known of one suspect.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Record {
+    /// Ends since the last answer, in the order of their times.
+    pub(super) ends: Vec<End>,
+    /// Time of the last answer that is known; 0 for none.
+    pub(super) answered: FleetTime,
+    /// Time of the last request refused by any daemon; 0 for none.
+    pub(super) refused: FleetTime,
+    /// Time of the last request refused by this one.
+    pub(super) own_refused: FleetTime,
+    /// Time until which own answers are reported, because another daemon has reported ends before them.
+    pub(super) vouch_until: FleetTime,
+    /// Time of the last trial by this daemon.
+    pub(super) tried: FleetTime,
+}
+
+impl Record {
+    /// Adds an end unless it is known. Returns whether it was added.
+    pub(super) fn add_end(&mut self, end: End) -> bool {
+        if end.at <= self.answered {
+            return false;
+        }
+        if let Some(known) = self.ends.iter_mut().find(|e| e.runner == end.runner) {
+            known.at = known.at.min(end.at);
+            if end.source.is_none() {
+                known.source = None;
+            }
+            return false;
+        }
+        self.ends.push(end);
+        self.ends.sort_by_key(|e| e.at);
+        if self.ends.len() > MAX_ENDS {
+            self.drop_end();
+        }
+        true
+    }
+
+    /// Drops the oldest end at the same moment as the one before it, or else the oldest one.
+    fn drop_end(&mut self) {
+        let pairs = self.ends.windows(2);
+        let same = pairs.map(|pair| pair[1].at - pair[0].at < MOMENT_MS);
+        let index = same.enumerate().find(|(_, same)| *same);
+        self.ends.remove(index.map_or(0, |(i, _)| i + 1));
+    }
+
+    /// Records an answer at `at`, which clears the suspect of the ends before it.
+    pub(super) fn set_answered(&mut self, at: FleetTime) {
+        self.answered = self.answered.max(at);
+        self.ends.retain(|e| e.at > self.answered);
+    }
+
+    /// Time of the last sign that the evidence is still needed.
+    pub(super) fn fresh_at(&self) -> FleetTime {
+        let seen = self.last_end().max(self.answered);
+        seen.max(self.refused).max(self.vouch_until)
+    }
+
+    /// Time of the last end.
+    pub(super) fn last_end(&self) -> FleetTime {
+        self.ends.last().map_or(0, |e| e.at)
+    }
+}
+
+impl Suspect {
+    /// Number of `ends` that count, in the order of their times.
+    pub(super) fn count_ends<'a>(self, ends: impl Iterator<Item = &'a End>) -> usize {
+        let gap = match self {
+            Suspect::Request(_) => 0,
+            Suspect::Part(_) => MOMENT_MS,
+        };
+        let mut count = 0;
+        let mut begun = None;
+        for end in ends {
+            if begun.is_none_or(|begun| end.at >= begun + gap) {
+                begun = Some(end.at);
+                count += 1;
+            }
+        }
+        count
+    }
+}
--- /dev/null
+++ b/edge/src/decide/crash_evidence/suspect.rs
@@ -0,0 +1,87 @@
+//! What may have ended a runner, and what daemons report of it.
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use super::super::{
+    Fingerprint,
+    PromptPart, //
+};
+
+/// Ends of different runners at different moments, without an answer since, from which a prompt part is
+/// blocked. Runners also end for other reasons while they have a request with a rare part.
+const MIN_PART_ENDS: usize = 3;
+
+/// As [`MIN_PART_ENDS`], for a whole request. Sound requests are rarely repeated.
+const MIN_REQUEST_ENDS: usize = 2;
+
+/// Milliseconds on the clock of the store, which all daemons know.
+pub type FleetTime = u64;
+
+/// Hash of the id and the start of a runner.
+pub type RunnerKey = u32;
+
+/// What may have ended a runner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Suspect {
+    /// A request, whenever it is repeated.
+    #[serde(rename = "r")]
+    Request(Fingerprint),
+    /// A prompt part, in any request.
+    #[serde(rename = "p")]
+    Part(u64),
+}
+
+impl Suspect {
+    /// Ends from which the suspect is blocked.
+    pub(super) fn min_ends(self) -> usize {
+        match self {
+            Suspect::Request(_) => MIN_REQUEST_ENDS,
+            Suspect::Part(_) => MIN_PART_ENDS,
+        }
+    }
+}
+
+impl std::fmt::Display for Suspect {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Suspect::Request(id) => write!(f, "request:{id:016x}"),
+            Suspect::Part(id) => write!(f, "part:{id:x}"),
+        }
+    }
+}
+
+/// Suspects of a request with this fingerprint and these shared parts.
+///
+/// # Examples
+///
+/// ```
+/// use cuminloom_edge::decide::{Suspect, suspects};
+///
+/// assert_eq!(suspects(7, &[]), [Suspect::Request(7)]);
+/// ```
+pub fn suspects(request: Fingerprint, shared_parts: &[PromptPart]) -> Vec<Suspect> {
+    let parts = shared_parts.iter().map(|p| Suspect::Part(p.id));
+    std::iter::once(Suspect::Request(request))
+        .chain(parts)
+        .collect()
+}
+
+/// What a daemon reports of one suspect.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectReport {
+    /// The suspect.
+    #[serde(rename = "s")]
+    pub suspect: Suspect,
+    /// Runners that ended, with the times.
+    #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
+    pub ends: Vec<(RunnerKey, FleetTime)>,
+    /// Time of the last answer; 0 for none.
+    #[serde(rename = "a", default)]
+    pub answered: FleetTime,
+    /// Time of the last request that was refused; 0 for none.
+    #[serde(rename = "q", default)]
+    pub refused: FleetTime,
+}
--- a/edge/tests/fleet_world/mod.rs
+++ b/edge/tests/fleet_world/mod.rs
@@ -79,6 +79,33 @@
     pub contact_ms: u64,
 }
 
+/// Size of the users' small sites.
+pub(crate) const SMALL: Size = Size {
+    daemons: 7,
+    runners: 9,
+    zones: 4,
+    sound_rate: 60.0,
+    contact_ms: 3000,
+};
+
+/// Size of the users' larger sites.
+pub(crate) const MEDIUM: Size = Size {
+    daemons: 81,
+    runners: 100,
+    zones: 4,
+    sound_rate: 400.0,
+    contact_ms: 4000,
+};
+
+/// Daemons of the target size, with fewer runners.
+pub(crate) const LARGE: Size = Size {
+    daemons: 340,
+    runners: 400,
+    zones: 21,
+    sound_rate: 800.0,
+    contact_ms: 4000,
+};
+
 /// What a run counts.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Outcome {
