Wake the writer once for evidence that an old row keeps reporting

A daemon that has answered a part tells those whose rows report ends under it, and writes its row at once for that. It did so at each read while a row that is written seldom, or that of a lost VM, kept its old ends: with 340 daemons more writes than the store's part performs. And each further answer extended the report, so that it never ended.

--- a/edge/src/decide/crash_evidence/mod.rs
+++ b/edge/src/decide/crash_evidence/mod.rs
@@ -129,7 +129,7 @@
             }
             if let Some(record) = self.records.get_mut(suspect) {
                 record.set_answered(now);
-                if record.vouch_until > 0 || self.blocked.contains(suspect) {
+                if self.blocked.contains(suspect) {
                     record.vouch_until = now + VOUCH_MS;
                 }
                 self.update_block(*suspect);
@@ -189,11 +189,13 @@
                 source: source.cloned(),
             });
         }
+        let first = record.vouch_until == 0;
         if cleared > 0 && source.is_some() {
             record.vouch_until = now + VOUCH_MS;
         }
         self.update_block(suspect);
-        cleared + 1 >= suspect.min_ends()
+        // A row that is written seldom may report the same ends for long.
+        first && cleared + 1 >= suspect.min_ends()
     }
 
     /// Time of the last answer of this daemon for a prompt part; 0 for none.
--- a/edge/tests/crash_evidence.rs
+++ b/edge/tests/crash_evidence.rs
@@ -195,6 +195,26 @@
     assert!(!is_refused(&one, &[RARE], 20_000));
 }
 
+/// A row that is no longer written makes all daemons write theirs again and again.
+#[test]
+fn an_old_row_wakes_the_writer_once() {
+    let mut old = CrashEvidence::default();
+    end_runners(&mut old, &[RARE], 1..4);
+    let row = old.own_reports(4000);
+    let mut evidence = CrashEvidence::default();
+    evidence.record_answer(&[RARE], 4000);
+    assert!(evidence.merge("lost", &row, 5000));
+    for at in (6000..60_000).step_by(1000) {
+        evidence.record_answer(&[RARE], at);
+        assert!(!evidence.merge("lost", &row, at), "{at}");
+    }
+    // Without such a row, nothing is left to report.
+    for at in (60_000..80_000).step_by(1000) {
+        evidence.record_answer(&[RARE], at);
+    }
+    assert!(evidence.own_reports(80_000).is_empty());
+}
+
 /// A restart forgets what the process before it has seen.
 #[test]
 fn a_restarted_daemon_knows_and_reports_what_it_had_seen() {
