Wait for a connection rather than for a turn, and read no limit without need

With one runner whose connections are all in use beside limited ones, a request waited for a turn, or was refused because none comes in time, although the connection is free sooner. And each signed answer looked up a limit although no runner has one. Found on reading the change again.

--- a/edge/src/serve/choose.rs
+++ b/edge/src/serve/choose.rs
@@ -233,6 +233,10 @@
     now: Instant,
 ) -> Choice {
     let left = || upstreams.iter().zip(candidates).filter(|(_, c)| !c.tried);
+    // A runner without a limit, all of whose connections are in use, is free sooner than a turn comes.
+    if left().any(|(_, c)| c.turn == Turn::Unlimited) {
+        return Choice::Wait;
+    }
     let turns = left().filter_map(|(_, c)| match c.turn {
         Turn::At(at) => Some(at.saturating_duration_since(now)),
         _ => None,
@@ -241,11 +245,10 @@
         let rate = left().filter_map(|(u, _)| core.turn_rate(u)).sum();
         return Choice::Turn { next, rate };
     }
-    let mut turns = left().map(|(_, c)| c.turn).peekable();
-    if turns.peek().is_some() && turns.all(|turn| turn == Turn::Never) {
-        return Choice::Never;
+    match left().any(|(_, c)| c.turn == Turn::Never) {
+        true => Choice::Never,
+        false => Choice::Wait,
     }
-    Choice::Wait
 }
 
 /// Logs the figures on which a placement was based.
--- a/edge/src/serve/limits.rs
+++ b/edge/src/serve/limits.rs
@@ -31,7 +31,7 @@
     pub(super) fn record_limit(&self, upstream: &Upstream, meta: &ResponseMeta) {
         let limit = match meta.limit {
             LimitField::Named(limit) => Some(limit),
-            LimitField::Absent if meta.sealed => None,
+            LimitField::Absent if meta.sealed && !self.limits.borrow().is_empty() => None,
             LimitField::Absent => return,
             LimitField::Unusable => {
                 let id = &upstream.runner.borrow().id;
