Decode each row of the store by itself, and bound its figures

Cause: one unreadable row of the daemons' table failed the reading for all daemons, and a page with one odd row failed whole, so that a feed began anew every 150 ms. A total near 2^64 in a row wrapped when it was added up: committed tokens could look free. A row that another writer put in place of a daemon's own kept the next process from ever taking tokens.

An unreadable customer's row still can't be overwritten, as its version is not known.

--- a/edge/src/prepaid/audit.rs
+++ b/edge/src/prepaid/audit.rs
@@ -75,6 +75,7 @@
         .collect();
     for row in &rows.rows {
         match row {
+            Row::Unreadable(..) => {}
             Row::Customer(name, _, sum) => {
                 audits.entry(name.clone()).or_default().committed = sum.committed;
             }
--- a/edge/src/prepaid/ledger/mod.rs
+++ b/edge/src/prepaid/ledger/mod.rs
@@ -401,6 +401,12 @@
                         *entry = (version, sum);
                     }
                 }
+                // What another writer has put in place of the row of the previous process hides its grants:
+                // they stay committed, and this process begins without any.
+                Row::Unreadable(name, version) if name == self.node && !self.owned => {
+                    self.apply_own_row(version, DaemonRow::default(), now, asked..received);
+                }
+                Row::Unreadable(..) => {}
                 Row::Daemon(name, version, row) if name == self.node => {
                     self.apply_own_row(version, row, now, asked..received);
                 }
--- a/edge/src/prepaid/mod.rs
+++ b/edge/src/prepaid/mod.rs
@@ -48,6 +48,7 @@
     CommitOutcome,
     CustomerRow,
     DaemonRow,
+    MAX_TOTAL,
     Precondition,
     Row,
     Rows, //
--- a/edge/src/prepaid/row.rs
+++ b/edge/src/prepaid/row.rs
@@ -13,6 +13,10 @@
 use super::Grant;
 use crate::decide::Observations;
 
+/// Largest total of tokens, or time in milliseconds, in a row: sums of many can't overflow, and JSON's numbers
+/// are exact up to it.
+pub const MAX_TOTAL: u64 = 1 << 53;
+
 /// Row of one daemon; its key is the name of the VM.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct DaemonRow {
@@ -43,6 +47,17 @@
     pub observed: Observations,
 }
 
+impl DaemonRow {
+    /// Whether a daemon can have written it.
+    pub fn is_plausible(&self) -> bool {
+        let fits = |g: &Grant| {
+            let figures = [g.cap, g.issued, g.spent, g.open, g.rate];
+            figures.iter().all(|n| *n <= MAX_TOTAL)
+        };
+        self.seen <= MAX_TOTAL && self.grants.values().all(fits)
+    }
+}
+
 /// Row of one customer; its key is the name of the customer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CustomerRow {
@@ -50,6 +65,13 @@
     pub committed: u64,
 }
 
+impl CustomerRow {
+    /// Whether a daemon can have written it.
+    pub fn is_plausible(&self) -> bool {
+        self.committed <= MAX_TOTAL
+    }
+}
+
 /// One row as read from the store: name, version and content.
 #[derive(Clone, Debug)]
 pub enum Row {
@@ -57,6 +79,8 @@
     Daemon(String, u64, DaemonRow),
     /// Row of a customer.
     Customer(String, u64, CustomerRow),
+    /// Row of a daemon that can't be decoded: name and version.
+    Unreadable(String, u64),
 }
 
 /// Rows from one read of the store.
--- a/edge/src/serve/reservations.rs
+++ b/edge/src/serve/reservations.rs
@@ -30,6 +30,7 @@
     },
     prepaid::{
         Admission,
+        MAX_TOTAL,
         Reservation, //
     },
 };
@@ -104,7 +105,7 @@
         if self.stopping_for(received_at).is_some() {
             return ReserveOutcome::Stopping;
         }
-        if !self.knows_limit(&request.customer) {
+        if !self.knows_limit(&request.customer) || request.cost > MAX_TOTAL {
             return ReserveOutcome::Unavailable;
         }
         let id = (request.process, request.number);
