Start the daemon's long-running tasks again when one fails

Cause: a panic in the task that follows the runners, the configuration or the rows ended that task for good, without a line in the log, while the process went on with what it knew.

No input is known that ends such a task; the huge Keep-Alive ended one of a request.

--- a/edge/src/fleet/mod.rs
+++ b/edge/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 mod feeds;
 mod peers;
 mod rows;
+mod service;
 mod shutdown;
 
 pub use feeds::{
@@ -18,4 +19,5 @@
     poll_rows,
     write_rows, //
 };
+pub use service::spawn_service;
 pub use shutdown::run_until_stopped;
