Keep one view of whether a runner may be sent a request

Cause: Server-Leaving and a runner's Retry-After were not read. A runner that said in its answers that it leaves got requests for as long as its entry said ready, and one that had asked for quiet was asked again with the next placement. What else speaks against a runner lay in four places: directory, limits, and two marks in the state of its connections.

Change: decide::Availability owns entry state, leaving marks, pauses, limits, closed port and silence, by process of the runner. Every send asks it: at placement, and again when the connection is open. Leaving is final for the process; a daemon writes it to its row (of several, the one with the smallest name), takes it over after a restart and tells others that can't read the store. A pause binds this daemon; after it one request is sent, spread over up to 0.5 s, and each answer allows two more. If all runners are paused, requests wait for their turn, urgent first, or are refused with the time of the next opening.

--- a/edge/src/adapter.rs
+++ b/edge/src/adapter.rs
@@ -77,18 +77,24 @@
     pub slots: u32,
 }
 
-/// What a response says of the requests a second that its runner takes from all daemons together.
+/// What a response says in a field that may be missing or odd.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub enum LimitField {
-    /// Nothing: the runner has no limit.
+pub enum Signal<T> {
+    /// Nothing.
     #[default]
     Absent,
-    /// The limit, a finite number of at least 0.
-    Named(f64),
+    /// This value.
+    Named(T),
     /// A value that can't be read; what was known before still holds.
     Unusable,
 }
 
+/// Requests a second that the runner takes from all daemons together, a finite number of at least 0.
+pub type LimitField = Signal<f64>;
+
+/// Time for which the runner wants nothing from this daemon, at most a day.
+pub type RetryField = Signal<Duration>;
+
 /// Metadata of a response, decoded from the runner's header fields.
 #[derive(Clone, Debug, Default)]
 pub struct ResponseMeta {
@@ -104,6 +110,10 @@
     pub idle: Option<Duration>,
     /// Limit that the runner names.
     pub limit: LimitField,
+    /// Time after which the runner wants to be asked again.
+    pub retry_after: RetryField,
+    /// Whether the runner says that it leaves.
+    pub leaving: bool,
 }
 
 /// Header field of a request that is missing or can't be decoded.
--- a/edge/src/catalog/directory.rs
+++ b/edge/src/catalog/directory.rs
@@ -14,6 +14,10 @@
     RunnerId,
     ServiceId, //
 };
+use crate::decide::{
+    RunnerKey,
+    rendezvous_weight, //
+};
 
 /// Whether a runner takes new requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -43,6 +47,13 @@
     pub born: u64,
 }
 
+impl Runner {
+    /// Key by which all daemons recognise this process of the runner.
+    pub fn key(&self) -> RunnerKey {
+        rendezvous_weight(self.born, &self.id) as RunnerKey
+    }
+}
+
 /// Change of one entry.
 #[derive(Clone, Debug)]
 pub enum RunnerChange {
@@ -170,6 +181,17 @@
             .filter(move |r| self.lapsed.get(&r.id).is_none_or(|until| now < *until))
     }
 
+    /// State in the entry of the process of `runner`; `None` if there is none, or its grace period is over.
+    pub fn state(&self, runner: &Runner, now: Instant) -> Option<RunnerState> {
+        let entry = self.runners.get(&runner.id)?;
+        let same = entry.born == runner.born && entry.address == runner.address;
+        let lapsed = self
+            .lapsed
+            .get(&runner.id)
+            .is_some_and(|until| now >= *until);
+        (same && !lapsed).then_some(entry.state)
+    }
+
     /// Entry of the runner `id`.
     pub fn get(&self, id: &str) -> Option<&Arc<Runner>> {
         self.runners.get(id)
--- a/edge/src/decide/mod.rs
+++ b/edge/src/decide/mod.rs
@@ -3,6 +3,7 @@
 //! Each module names the load pattern that it handles; its test in `tests/decisions.rs` replays
 //! that load.
 
+mod availability;
 mod crash_evidence;
 mod fingerprint;
 mod observations;
@@ -12,6 +13,13 @@
 mod runner_limits;
 mod turn_order;
 
+pub use availability::{
+    Availability,
+    DownCause,
+    LeavingReport,
+    Standing,
+    View, //
+};
 pub use crash_evidence::{
     Blame,
     BlockChange,
--- a/edge/src/decide/observations.rs
+++ b/edge/src/decide/observations.rs
@@ -6,6 +6,7 @@
 };
 
 use super::{
+    LeavingReport,
     LimitReport,
     SuspectReport, //
 };
@@ -19,4 +20,7 @@
     /// Limits that runners name.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub limits: Vec<LimitReport>,
+    /// Runners that leave.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub leaving: Vec<LeavingReport>,
 }
--- a/edge/src/decide/placement.rs
+++ b/edge/src/decide/placement.rs
@@ -108,7 +108,7 @@
 impl Candidate {
     /// Whether its limit, if it has one, allows a request now.
     pub fn has_turn(&self) -> bool {
-        matches!(self.turn, Turn::Unlimited | Turn::Ready)
+        self.turn.is_now()
     }
 }
 
--- a/edge/src/decide/retry.rs
+++ b/edge/src/decide/retry.rs
@@ -62,6 +62,8 @@
 pub enum Failure {
     /// No connection could be opened; nothing was sent.
     NoConnection,
+    /// The runner was not to be used any more when the connection was open; nothing was sent.
+    NotSent,
     /// The runner answered that it has not run the request.
     TurnedAway,
     /// The connection ended, or the bytes received were no valid response.
@@ -76,16 +78,22 @@
     /// Whether the request may have run at this runner.
     pub fn verdict(self) -> Verdict {
         match self {
-            Failure::NoConnection | Failure::TurnedAway => Verdict::NotRun,
+            Failure::NoConnection | Failure::NotSent | Failure::TurnedAway => Verdict::NotRun,
             Failure::Broken | Failure::Silent => Verdict::MayHaveRun,
             Failure::Failed => Verdict::Ran,
         }
     }
 
+    /// Whether the runner may have received the request.
+    pub fn was_sent(self) -> bool {
+        !matches!(self, Failure::NoConnection | Failure::NotSent)
+    }
+
     /// Name in log lines.
     pub fn as_str(self) -> &'static str {
         match self {
             Failure::NoConnection => "no-connection",
+            Failure::NotSent => "not-sent",
             Failure::TurnedAway => "turned-away",
             Failure::Broken => "broken",
             Failure::Silent => "silent",
@@ -153,7 +161,7 @@
     match r.failure.verdict() {
         Verdict::NotRun => {
             let attempts = r.started + r.rejected;
-            if r.failure == Failure::NoConnection {
+            if !r.failure.was_sent() {
                 return RetryDecision::Retry { uses_budget: false };
             }
             if attempts >= r.max_attempts + MAX_EXTRA_REJECTED || r.started >= r.max_attempts {
--- a/edge/src/decide/runner_limits.rs
+++ b/edge/src/decide/runner_limits.rs
@@ -66,12 +66,46 @@
     Unlimited,
     /// Now: this daemon's share of the limit allows it.
     Ready,
+    /// Now: one of a few requests after a pause of the runner.
+    Trial,
     /// At this time.
     At(Instant),
     /// Never: other daemons share the limit.
     Never,
 }
 
+impl Turn {
+    /// Whether the runner may be sent a request now.
+    pub fn is_now(self) -> bool {
+        matches!(self, Turn::Unlimited | Turn::Ready | Turn::Trial)
+    }
+
+    /// The later of two turns, or the one with a condition if both are now.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    /// use cuminloom_edge::decide::Turn;
+    ///
+    /// let (now, later) = (Instant::now(), Instant::now() + Duration::from_secs(1));
+    /// assert_eq!(Turn::At(later).later(Turn::At(now)), Turn::At(later));
+    /// assert_eq!(Turn::Unlimited.later(Turn::Ready), Turn::Ready);
+    /// assert_eq!(Turn::Ready.later(Turn::Never), Turn::Never);
+    /// ```
+    #[must_use]
+    pub fn later(self, other: Turn) -> Turn {
+        match (self, other) {
+            (Turn::Never, _) | (_, Turn::Never) => Turn::Never,
+            (Turn::At(a), Turn::At(b)) => Turn::At(a.max(b)),
+            (Turn::At(at), _) | (_, Turn::At(at)) => Turn::At(at),
+            (Turn::Trial, _) | (_, Turn::Trial) => Turn::Trial,
+            (Turn::Ready, _) | (_, Turn::Ready) => Turn::Ready,
+            (Turn::Unlimited, Turn::Unlimited) => Turn::Unlimited,
+        }
+    }
+}
+
 /// This daemon's part of a limit.
 #[derive(Clone, Copy, Debug)]
 struct Share {
--- a/edge/src/serve/attempts.rs
+++ b/edge/src/serve/attempts.rs
@@ -85,7 +85,7 @@
     /// Counts a failed send. A connection that was not opened counts neither as started nor as rejected.
     fn count_failure(&mut self, failure: Failure) {
         match failure.verdict() {
-            Verdict::NotRun if failure == Failure::NoConnection => {}
+            Verdict::NotRun if !failure.was_sent() => {}
             Verdict::NotRun => self.rejected += 1,
             verdict => {
                 self.started += 1;
@@ -168,6 +168,10 @@
             .with_label_values(&[error.failure.as_str()])
             .inc();
         history.count_failure(error.failure);
+        if core.refuses_send(&upstream, Instant::now()).is_some() {
+            // It gets nothing for now; once it does, it is as good as any other.
+            history.tried.pop();
+        }
         record_failure(
             core,
             call,
@@ -225,7 +229,9 @@
         return Ok(());
     }
     let code = error.failure.as_str();
-    Err(final_refusal(call, history, code, RUNNER_RETRY_AFTER))
+    let opening = core.next_opening(service, now);
+    let wanted = opening.unwrap_or(RUNNER_RETRY_AFTER);
+    Err(final_refusal(call, history, code, wanted))
 }
 
 /// The error response to a request that is not sent again; `wanted` is the best Retry-After.
@@ -253,14 +259,12 @@
 ) {
     let now = Instant::now();
     match error.failure {
-        Failure::TurnedAway | Failure::NoConnection => {}
+        Failure::TurnedAway | Failure::NoConnection | Failure::NotSent => {}
         Failure::Failed | Failure::Silent => upstream.record_outcome(now, true),
         Failure::Broken => {
             upstream.record_outcome(now, true);
             let probe = upstream.probe().await;
-            if probe.is_down() {
-                upstream.mark_down(Instant::now());
-            }
+            core.record_probe(upstream, probe, Instant::now());
             // Only a closed port shows that the process has ended: a cut ends connections too.
             if probe == Probe::Refused {
                 core.record_crash(call, upstream, begun, now);
@@ -281,7 +285,7 @@
     let mut reply = match send(attempt, relay.last_id).await {
         Ok(reply) => reply,
         Err(error) => {
-            if error.failure == Failure::NoConnection && attempt.started == 0 {
+            if !error.failure.was_sent() && attempt.started == 0 {
                 charge.prompt_read.set(false);
             }
             return Err(RelayError::Runner(error));
@@ -293,7 +297,7 @@
             charge.prompt_read.set(false);
         }
         if status == 421 {
-            upstream.mark_replaced(Instant::now());
+            attempt.core.mark_replaced(upstream, Instant::now());
         }
         let detail = format!("status {status}");
         return Err(RelayError::Runner(SendError::new(
--- a/edge/src/serve/choose.rs
+++ b/edge/src/serve/choose.rs
@@ -46,6 +46,9 @@
 /// Shortest time for which a request waits for a turn, so that rounding causes no busy loop.
 const MIN_TURN_WAIT: Duration = Duration::from_millis(1);
 
+/// Time after the next turn up to which a runner's turns count in the estimate of a wait.
+const RATE_HORIZON: Duration = Duration::from_secs(1);
+
 /// Code of requests for which no turn at a runner with a limit comes in time.
 const TURN_CODE: &str = "no_turn";
 
@@ -191,18 +194,18 @@
     let mut candidates: Vec<Candidate> = upstreams
         .iter()
         .zip(&runners)
-        .map(|(upstream, runner)| Candidate {
-            remote: runner.zone != core.zone,
-            turn: match core.turn(upstream, now) {
-                Turn::Ready if !first => Turn::At(now),
-                turn => turn,
-            },
-            ..upstream.candidate(now, parts, max_connections)
-        })
-        .zip(&runners)
-        .map(|(c, runner)| Candidate {
-            tried: c.tried || tried.contains(&runner.id),
-            ..c
+        .map(|(upstream, runner)| {
+            let view = core.view(upstream, now);
+            Candidate {
+                remote: runner.zone != core.zone,
+                turn: match view.turn {
+                    Turn::Ready | Turn::Trial if !first => Turn::At(now),
+                    turn => turn,
+                },
+                suspect: view.doubtful,
+                tried: view.excluded || tried.contains(&runner.id),
+                ..upstream.candidate(now, parts, max_connections)
+            }
         })
         .collect();
     if let Some(key) = key {
@@ -242,7 +245,12 @@
         _ => None,
     });
     if let Some(next) = turns.min() {
-        let rate = left().filter_map(|(u, _)| core.turn_rate(u)).sum();
+        let soon = |c: &Candidate| match c.turn {
+            Turn::At(at) => at <= now + next + RATE_HORIZON,
+            _ => false,
+        };
+        let open = left().filter(|(_, c)| soon(c));
+        let rate = open.filter_map(|(u, _)| core.turn_rate(u)).sum();
         return Choice::Turn { next, rate };
     }
     match left().any(|(_, c)| c.turn == Turn::Never) {
--- a/edge/src/serve/core.rs
+++ b/edge/src/serve/core.rs
@@ -34,9 +34,9 @@
         ServiceId, //
     },
     decide::{
+        Availability,
         CrashEvidence,
-        RetryBudget,
-        RunnerLimits, //
+        RetryBudget, //
     },
     http::LinkActivity,
     peer::PeerLink,
@@ -108,8 +108,8 @@
     pub directory: RefCell<Directory>,
     /// Evidence of what crashes runners.
     pub(super) evidence: RefCell<CrashEvidence>,
-    /// Limits that runners name.
-    pub(super) limits: RefCell<RunnerLimits>,
+    /// What is known of whether runners may be sent requests.
+    pub(super) availability: RefCell<Availability>,
     /// Requests that wait for a turn at runners with limits.
     pub(super) turn_queue: Rc<TurnQueue>,
     /// Start of the process.
@@ -164,7 +164,7 @@
             state_changed: Notify::new(),
             directory: RefCell::default(),
             evidence: RefCell::default(),
-            limits: RefCell::default(),
+            availability: RefCell::default(),
             turn_queue: Rc::default(),
             started: Instant::now(),
             version: RefCell::new(None),
@@ -272,13 +272,17 @@
             return upstream;
         }
         let upstream = Rc::new(Upstream::new(Arc::clone(runner), Rc::clone(&self.link)));
+        self.availability.borrow_mut().reset_contact(upstream.key);
         map.insert(Arc::clone(&runner.id), Rc::clone(&upstream));
         upstream
     }
 
-    /// Removes the upstreams of runners that are no longer in the directory.
+    /// Removes the state of runners that are no longer in the directory.
     pub fn prune_upstreams(&self) {
+        let time = self.fleet_time(Instant::now());
         let directory = self.directory.borrow();
+        let present = directory.all().map(|r| r.key()).collect();
+        self.availability.borrow_mut().prune(&present, time);
         self.upstreams
             .borrow_mut()
             .retain(|id, _| directory.get(id).is_some());
--- a/edge/src/serve/mod.rs
+++ b/edge/src/serve/mod.rs
@@ -1,13 +1,13 @@
 //! Serves requests: chooses a runner, sends the request there and relays the response.
 
 mod attempts;
+mod availability;
 mod call;
 mod choose;
 mod core;
 mod exchange;
 mod handler;
 mod holders;
-mod limits;
 mod observations;
 mod ready;
 mod receive;
--- a/edge/src/serve/observations.rs
+++ b/edge/src/serve/observations.rs
@@ -2,23 +2,12 @@
 
 use std::time::Instant;
 
-use super::{
-    Core,
-    Upstream, //
-};
+use super::Core;
 use crate::decide::{
     FleetTime,
-    Observations,
-    RunnerKey,
-    rendezvous_weight, //
+    Observations, //
 };
 
-/// Key by which all daemons recognise the runner, and this start of it.
-pub(super) fn runner_key(upstream: &Upstream) -> RunnerKey {
-    let runner = upstream.runner.borrow();
-    rendezvous_weight(runner.born, &runner.id) as RunnerKey
-}
-
 impl<D> Core<D> {
     /// The clock of the store; before its first response, the time since the start of the process.
     pub(super) fn fleet_time(&self, now: Instant) -> FleetTime {
@@ -31,7 +20,8 @@
         let time = self.fleet_time(now);
         Observations {
             suspects: self.evidence.borrow().own_reports(time),
-            limits: self.limits.borrow().own_reports(time),
+            limits: self.availability.borrow().limits.own_reports(time),
+            leaving: self.own_leaving(),
         }
     }
 
@@ -40,7 +30,8 @@
         let time = self.fleet_time(now);
         Observations {
             suspects: self.evidence.borrow().all_reports(time),
-            limits: self.limits.borrow().all_reports(),
+            limits: self.availability.borrow().limits.all_reports(),
+            leaving: self.availability.borrow().all_leaving(),
         }
     }
 
@@ -49,6 +40,7 @@
         let time = self.fleet_time(now);
         self.merge_suspects(source, &observed.suspects, time);
         self.merge_limits(source, &observed.limits, time, now);
+        self.merge_leaving(Some(source), &observed.leaving, now);
     }
 
     /// Takes over what the previous process on this VM has reported, once.
@@ -57,5 +49,6 @@
         let time = self.fleet_time(now);
         self.restore_suspects(&observed.suspects, time);
         self.merge_limits("own", &observed.limits, time, now);
+        self.merge_leaving(None, &observed.leaving, now);
     }
 }
--- a/edge/src/serve/receive.rs
+++ b/edge/src/serve/receive.rs
@@ -109,7 +109,7 @@
             let limit = MAX_SILENCE + prefill + upstream.link.allowance(begun);
             if let Ok(read) = timeout(limit, connection.fill()).await {
                 let n = read.map_err(broken)?;
-                upstream.mark_alive(Instant::now());
+                self.core.mark_alive(upstream, Instant::now());
                 return Ok(n);
             }
             let probed = Instant::now();
@@ -121,11 +121,11 @@
             // Bytes that arrived during the probe refute it.
             if let Some(read) = connection.try_fill() {
                 let n = read.map_err(broken)?;
-                upstream.mark_alive(now);
+                self.core.mark_alive(upstream, now);
                 return Ok(n);
             }
             if probe == Probe::Reachable {
-                upstream.mark_alive(now);
+                self.core.mark_alive(upstream, now);
                 continue;
             }
             let may_retry = self.may_retry(now);
@@ -140,9 +140,7 @@
                 (now - probed).as_millis(),
                 upstream.link.silence(now).as_millis()
             );
-            if probe.is_down() {
-                upstream.mark_down(now);
-            }
+            self.core.record_probe(upstream, probe, now);
             if given_up {
                 return Err(SendError::new(
                     Failure::Silent,
--- a/edge/src/serve/send.rs
+++ b/edge/src/serve/send.rs
@@ -5,7 +5,13 @@
     Instant, //
 };
 
-use super::{Upstream, call::Call, receive::Attempt, upstream::InFlight};
+use super::{
+    Core,
+    Upstream,
+    call::Call,
+    receive::Attempt,
+    upstream::InFlight, //
+};
 use crate::{
     adapter::{
         Dialect,
@@ -99,18 +105,16 @@
 }
 
 /// Opens a connection to a runner and records whether that succeeded.
-async fn connect(upstream: &Upstream) -> Result<Connection, SendError> {
+async fn connect<D>(core: &Core<D>, upstream: &Upstream) -> Result<Connection, SendError> {
     let opened = upstream.open(CONNECT_TIMEOUT).await;
     let now = Instant::now();
     match opened {
         Ok(connection) => {
-            upstream.mark_alive(now);
+            core.mark_alive(upstream, now);
             Ok(connection)
         }
         Err(failed) => {
-            if failed.probe.is_down() {
-                upstream.mark_down(now);
-            }
+            core.record_probe(upstream, failed.probe, now);
             Err(failed.error.into())
         }
     }
@@ -130,8 +134,11 @@
     let fresh = idle.is_none();
     let mut connection = match idle {
         Some(connection) => connection,
-        None => connect(upstream).await?,
+        None => connect(core, upstream).await?,
     };
+    if let Some(standing) = core.refuses_send(upstream, Instant::now()) {
+        return Err(SendError::new(Failure::NotSent, standing.as_str()));
+    }
     let bytes = request_bytes::<D>(
         call,
         &ForwardFields {
@@ -153,6 +160,7 @@
         if let Some(load) = meta.load {
             upstream.record_load(Instant::now(), load);
         }
+        core.record_signals(upstream, head.status, &meta);
         let mut decoder = BodyDecoder::new(head.framing);
         let foreign = meta.id.as_deref().is_some_and(|id| id != &*call.meta.id);
         if !foreign {
--- a/edge/src/serve/suspects.rs
+++ b/edge/src/serve/suspects.rs
@@ -5,17 +5,13 @@
 use super::{
     Core,
     Upstream,
-    call::Call,
-    observations::runner_key, //
+    call::Call, //
 };
-use crate::{
-    catalog::RunnerState,
-    decide::{
-        Blame,
-        FleetTime,
-        Suspect,
-        SuspectReport, //
-    },
+use crate::decide::{
+    Blame,
+    FleetTime,
+    Suspect,
+    SuspectReport, //
 };
 
 /// Key by which all daemons choose the one that may try a suspect.
@@ -52,9 +48,7 @@
     /// begun.
     pub(super) fn record_crash(&self, call: &Call, upstream: &Upstream, begun: bool, now: Instant) {
         let id = upstream.runner.borrow().id.clone();
-        let directory = self.directory.borrow();
-        let entry = directory.get(&id).map(|r| r.state);
-        let planned = entry != Some(RunnerState::Ready);
+        let planned = self.is_leaving(upstream, now);
         let parts: Vec<String> = call
             .shared_parts()
             .iter()
@@ -70,7 +64,7 @@
             return;
         }
         let time = self.fleet_time(now);
-        let key = runner_key(upstream);
+        let key = upstream.key;
         self.evidence
             .borrow_mut()
             .record_end(&call.suspects, key, time);
--- a/edge/src/serve/upstream.rs
+++ b/edge/src/serve/upstream.rs
@@ -20,6 +20,7 @@
     decide::{
         Candidate,
         PromptPart,
+        RunnerKey,
         Turn, //
     },
     http::{
@@ -47,20 +48,9 @@
 /// Age up to which a reported load is used.
 const MAX_LOAD_AGE: Duration = Duration::from_millis(1500);
 
-/// Time for which a runner is not used after a first failed connection; doubled with each further one
-/// up to [`MAX_DOWN_TIME`].
-const MIN_DOWN_TIME: Duration = Duration::from_millis(300);
-
-/// Longest time for which a runner is not used after failed connections.
-const MAX_DOWN_TIME: Duration = Duration::from_millis(1200);
-
 /// Longest time for opening a connection that probes a silent runner.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(60);
 
-/// Time for which a runner is not used after another one has responded at its address, unless its
-/// entry changes.
-const REPLACED_TTL: Duration = Duration::from_secs(4);
-
 /// Weight of one outcome in the failure rate.
 const OUTCOME_WEIGHT: f64 = 0.2;
 
@@ -119,6 +109,8 @@
 pub struct Upstream {
     /// Bytes received from any other machine, to tell a silent runner from a stalled link.
     pub link: Rc<LinkActivity>,
+    /// Key of this process of the runner.
+    pub key: RunnerKey,
     /// Newest entry of the runner.
     pub runner: RefCell<Arc<Runner>>,
     /// Open connections without a request.
@@ -133,14 +125,8 @@
     load_delta: Cell<i32>,
     /// Share of failed requests, 0 to 1, and the time at which it held.
     failure_rate: Cell<(f64, Option<Instant>)>,
-    /// Time for which the next failed connection takes the runner out of use.
-    down_time: Cell<Duration>,
-    /// Time until which the runner counts as unreachable.
-    down_until: Cell<Option<Instant>>,
     /// Time of the last bytes from the runner.
     last_heard: Cell<Instant>,
-    /// Time at which another runner responded at the address.
-    replaced_at: Cell<Option<Instant>>,
     /// Prompt parts by id, with the time of their last use.
     cached_parts: RefCell<HashMap<u64, Instant>>,
 }
@@ -150,6 +136,7 @@
     pub fn new(runner: Arc<Runner>, link: Rc<LinkActivity>) -> Upstream {
         Upstream {
             link,
+            key: runner.key(),
             runner: RefCell::new(runner),
             idle: RefCell::default(),
             in_flight: Cell::new(0),
@@ -157,10 +144,7 @@
             load: Cell::new(None),
             load_delta: Cell::new(0),
             failure_rate: Cell::new((0.0, None)),
-            down_time: Cell::new(MIN_DOWN_TIME),
-            down_until: Cell::new(None),
             last_heard: Cell::new(Instant::now()),
-            replaced_at: Cell::new(None),
             cached_parts: RefCell::default(),
         }
     }
@@ -177,8 +161,8 @@
         same
     }
 
-    /// Input to the placement decision. Affinity, zone and the runners already tried are left to the
-    /// caller.
+    /// Input to the placement decision. Affinity, zone, availability and the runners already tried are
+    /// left to the caller.
     pub fn candidate(&self, now: Instant, parts: &[PromptPart], max_connections: u32) -> Candidate {
         let slots = self.runner.borrow().slots;
         let fresh = self
@@ -204,12 +188,9 @@
             slots,
             backlog_tokens: self.backlog_tokens.get(),
             failure_rate: self.current_failure_rate(now),
-            suspect: self.down_until.get().is_some_and(|until| now < until),
+            suspect: false,
             full: open_connections >= max_connections && self.idle.borrow().is_empty(),
-            tried: self
-                .replaced_at
-                .get()
-                .is_some_and(|at| now.duration_since(at) < REPLACED_TTL),
+            tried: false,
             remote: false,
             turn: Turn::Unlimited,
         }
@@ -254,28 +235,15 @@
         self.failure_rate.set((new, Some(now)));
     }
 
-    /// Records that the runner is unreachable or silent, and closes its idle connections.
-    pub fn mark_down(&self, now: Instant) {
-        self.down_until.set(Some(now + self.down_time.get()));
-        self.down_time
-            .set((self.down_time.get() * 2).min(MAX_DOWN_TIME));
-        self.idle.borrow_mut().clear();
-    }
-
-    /// Records that another runner responds at the address, and closes the idle connections.
-    pub fn mark_replaced(&self, now: Instant) {
-        self.replaced_at.set(Some(now));
+    /// Closes the idle connections.
+    pub fn close_idle(&self) {
         self.idle.borrow_mut().clear();
     }
 
     /// Records that the runner has sent bytes or accepted a connection.
-    pub fn mark_alive(&self, now: Instant) {
+    pub fn record_activity(&self, now: Instant) {
         self.last_heard.set(now);
         self.link.record(now);
-        if self.down_until.get().is_some() {
-            self.down_until.set(None);
-            self.down_time.set(MIN_DOWN_TIME);
-        }
     }
 
     /// Time since the runner last sent bytes or accepted a connection.
