Play fleets before runners that leave or want nothing

Fleets of 7, 95 and 340 daemons, with restarts, cuts, freezes and an absent store, against the users' bounds: no request later than drainMs after the word of a leaving runner, two at most in the time of a Retry-After.

--- a/edge/tests/crash_run.rs
+++ b/edge/tests/crash_run.rs
@@ -37,6 +37,13 @@
     limited: 0,
     limit: 0.0,
     limit_time: (0, 0),
+    leave: 0,
+    entry: fleet_world::Entry::Early,
+    busy: 0,
+    busy_ms: 0,
+    told: fleet_world::Told::All,
+    busy_time: (0, 0),
+    deaf: false,
 };
 
 fn run(seed: u64, size: Size, faults: Faults, seconds: u64) -> Outcome {
--- a/edge/tests/fleet_world/daemon.rs
+++ b/edge/tests/fleet_world/daemon.rs
@@ -1,18 +1,23 @@
 //! Daemons: their evidence, and the rows and queries through which they share it.
 
-use std::time::{
-    Duration,
-    Instant, //
+use std::{
+    collections::HashSet,
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use cuminloom_edge::{
+    catalog::RunnerState,
     decide::{
+        Availability,
         CrashEvidence,
+        LeavingReport,
         Observations,
         RunnerKey,
-        RunnerLimits,
         Suspect,
-        Turn, //
+        View, //
     },
     prepaid::{
         Ledger,
@@ -46,7 +51,7 @@
 struct State {
     ledger: Ledger,
     evidence: CrashEvidence,
-    limits: RunnerLimits,
+    runners: Availability,
 }
 
 /// A VM with its daemon.
@@ -60,6 +65,11 @@
     frozen_until: u64,
     /// Time since which it is without disruption.
     pub(crate) calm_from: u64,
+    /// Time of the last begin of a process or end of a freeze, and of the last end of a cut.
+    pub(crate) excused_from: u64,
+    pub(crate) cut_from: u64,
+    /// Time of the last look at the entries of the runners.
+    pub(crate) seen_at: u64,
     /// Monotonic clock.
     pub(crate) clock: u64,
     next_write: u64,
@@ -81,6 +91,9 @@
             cut_until: 0,
             frozen_until: 0,
             calm_from: 0,
+            excused_from: 0,
+            cut_from: 0,
+            seen_at: 0,
             clock: 0,
             next_write: 0,
             next_read: 0,
@@ -95,16 +108,19 @@
         self.state = None;
         self.restart_at = restart_at;
         self.calm_from = self.calm_from.max(restart_at);
+        self.excused_from = self.excused_from.max(restart_at);
     }
 
     pub(crate) fn cut(&mut self, until: u64) {
         self.cut_until = self.cut_until.max(until);
         self.calm_from = self.calm_from.max(until);
+        self.cut_from = self.cut_from.max(until);
     }
 
     pub(crate) fn freeze(&mut self, until: u64) {
         self.frozen_until = self.frozen_until.max(until);
         self.calm_from = self.calm_from.max(until);
+        self.excused_from = self.excused_from.max(until);
     }
 
     /// Whether it takes requests.
@@ -113,6 +129,14 @@
     }
 }
 
+/// Leaving runners that a daemon reports itself: of several, the one with the smallest name does.
+fn own_leaving(name: &str, ledger: &Ledger, runners: &Availability) -> Vec<LeavingReport> {
+    let before = ledger.peer_rows().filter(|(other, _)| *other < name);
+    let reports = before.flat_map(|(_, row)| &row.observed.leaving);
+    let reported: HashSet<RunnerKey> = reports.map(|r| r.runner).collect();
+    runners.own_leaving(|runner| reported.contains(&runner))
+}
+
 /// Rank of a daemon among those that share the limit of `runner`; first of one if each is `alone`.
 fn rank_for(
     ledger: &Ledger,
@@ -133,6 +157,9 @@
             return;
         }
         self.nodes[i].clock += STEP_MS;
+        if self.reaches_store(i) {
+            self.nodes[i].seen_at = self.now;
+        }
         if self.nodes[i].state.is_none() {
             if self.now < self.nodes[i].restart_at {
                 return;
@@ -153,7 +180,7 @@
         node.state = Some(State {
             ledger,
             evidence: CrashEvidence::default(),
-            limits: RunnerLimits::default(),
+            runners: Availability::default(),
         });
         node.process = self.processes;
         (node.next_write, node.next_read, node.wake) = (self.now, self.now, false);
@@ -189,7 +216,7 @@
         let State {
             ledger,
             evidence,
-            limits,
+            runners,
         } = node.state.as_mut().unwrap();
         ledger.apply_rows(rows, true, instant, instant);
         let inherited = ledger.take_inherited_observations();
@@ -197,12 +224,16 @@
         evidence.expire(now);
         let alone = self.faults.unshared;
         let rank = |key| rank_for(ledger, key, instant, alone);
-        limits.merge(&inherited.limits, now, instant, rank);
-        limits.update_shares(now, instant, rank);
+        runners.limits.merge(&inherited.limits, now, instant, rank);
+        runners.restore_leaving(&inherited.leaving, instant);
+        runners.limits.update_shares(now, instant, rank);
         let shared = !self.faults.unshared;
         for (name, row) in ledger.peer_rows().filter(|_| shared) {
             node.wake |= evidence.merge(name, &row.observed.suspects, now);
-            limits.merge(&row.observed.limits, now, instant, rank);
+            runners
+                .limits
+                .merge(&row.observed.limits, now, instant, rank);
+            runners.merge_leaving(name, &row.observed.leaving, instant);
         }
         node.last_read = now;
         let interval = read_interval(ledger, self.random.random());
@@ -224,14 +255,15 @@
         let State {
             ledger,
             evidence,
-            limits,
+            runners,
         } = node.state.as_mut().unwrap();
         if node.pacing.spacing(ledger, PART_RATE, instant) > Duration::ZERO {
             return;
         }
         let observed = Observations {
             suspects: evidence.own_reports(time),
-            limits: limits.own_reports(time),
+            limits: runners.limits.own_reports(time),
+            leaving: own_leaving(&node.name, ledger, runners),
         };
         let bytes = serde_json::to_vec(&observed).unwrap().len();
         let Some(plan) = ledger.plan_scoped(instant, observed, WriteScope::OwnRow) else {
@@ -264,13 +296,15 @@
             let peer_time = self.fleet_time(peer);
             let known = self.nodes[peer].state.as_ref().unwrap();
             let reports = known.evidence.all_reports(peer_time);
-            let limits = known.limits.all_reports();
+            let limits = known.runners.limits.all_reports();
+            let leaving = known.runners.all_leaving();
             let (name, time) = (self.nodes[peer].name.clone(), self.fleet_time(i));
             let instant = self.instant(i);
             let state = self.nodes[i].state.as_mut().unwrap();
             state.evidence.merge(&name, &reports, time);
             let rank = |key| rank_for(&state.ledger, key, instant, false);
-            state.limits.merge(&limits, time, instant, rank);
+            state.runners.limits.merge(&limits, time, instant, rank);
+            state.runners.merge_leaving(&name, &leaving, instant);
         }
     }
 
@@ -318,17 +352,17 @@
         }
     }
 
-    /// When daemon `i` may send `runner` the next request.
-    pub(crate) fn turn(&self, i: usize, runner: RunnerKey) -> Turn {
+    /// What daemon `i` knows of `runner`, whose entry says `entry`.
+    pub(crate) fn view(&self, i: usize, runner: RunnerKey, entry: Option<RunnerState>) -> View {
         let state = self.nodes[i].state.as_ref().unwrap();
-        state.limits.turn(runner, self.instant(i))
+        state.runners.view(runner, entry, self.instant(i))
     }
 
     /// Counts a request that daemon `i` sends to `runner`.
     pub(crate) fn take_turn(&mut self, i: usize, runner: RunnerKey) {
         let instant = self.instant(i);
         let state = self.nodes[i].state.as_mut().unwrap();
-        state.limits.take(runner, instant);
+        state.runners.take(runner, instant);
     }
 
     /// Records at the daemon that sent `request` what its answer says of a limit. Returns whether it was told.
@@ -349,7 +383,50 @@
         };
         let alone = self.faults.unshared;
         let rank = |key| rank_for(&state.ledger, key, instant, alone);
-        node.wake |= state.limits.record(runner, limit, time, instant, rank);
+        node.wake |= state
+            .runners
+            .limits
+            .record(runner, limit, time, instant, rank);
+        true
+    }
+
+    /// Records at the daemon that sent `request` that the runner leaves. Returns whether it was told.
+    pub(crate) fn tell_leaving(&mut self, request: &Request, runner: RunnerKey) -> bool {
+        let time = self.fleet_time(request.daemon);
+        let instant = self.instant(request.daemon);
+        let Some(state) = self.process_of(request) else {
+            return false;
+        };
+        state.runners.record_leaving(runner, time, instant);
         true
     }
+
+    /// Records at the daemon that sent `request` that the runner wants nothing for `ms`. Returns whether it
+    /// was told.
+    pub(crate) fn tell_pause(&mut self, request: &Request, runner: RunnerKey, ms: u64) -> bool {
+        let instant = self.instant(request.daemon);
+        let random = self.random.random();
+        let Some(state) = self.process_of(request) else {
+            return false;
+        };
+        let time = Duration::from_millis(ms);
+        state.runners.pause(runner, time, random, instant);
+        true
+    }
+
+    /// Records at the daemon that sent `request` that the runner has answered it.
+    pub(crate) fn tell_answer(&mut self, request: &Request, runner: RunnerKey) {
+        let instant = self.instant(request.daemon);
+        if let Some(state) = self.process_of(request) {
+            state.runners.record_answer(runner, instant);
+        }
+    }
+
+    /// State of the process that sent `request`, if it still runs.
+    fn process_of(&mut self, request: &Request) -> Option<&mut State> {
+        let node = &mut self.nodes[request.daemon];
+        node.state
+            .as_mut()
+            .filter(|_| node.process == request.process)
+    }
 }
--- a/edge/tests/fleet_world/mod.rs
+++ b/edge/tests/fleet_world/mod.rs
@@ -3,6 +3,7 @@
 
 mod daemon;
 mod limits;
+mod refusals;
 mod runners;
 
 use std::time::{
@@ -20,6 +21,11 @@
 use super::store::FakeStore;
 use daemon::Node;
 use limits::Arrivals;
+use refusals::Refusals;
+pub(crate) use refusals::{
+    Entry,
+    Told, //
+};
 use runners::Runners;
 
 /// Length of a step.
@@ -63,6 +69,17 @@
     pub limited: usize,
     pub limit: f64,
     pub limit_time: (u64, u64),
+    /// Planned end of a runner, for each runner, and when its entry says so.
+    pub leave: u64,
+    pub entry: Entry,
+    /// Share of the runners, in percent, that turn requests away and name a time in milliseconds; whom they
+    /// do that to, and when.
+    pub busy: u64,
+    pub busy_ms: u64,
+    pub told: Told,
+    pub busy_time: (u64, u64),
+    /// Daemons take no notice of runners that leave or want nothing, to show that the bounds find it.
+    pub deaf: bool,
     /// Daemons keep what they have seen to themselves, to show that the bounds find it.
     pub unshared: bool,
 }
@@ -75,8 +92,9 @@
     pub zones: usize,
     /// Sound requests a second.
     pub sound_rate: f64,
-    /// `contactMs` of the users' sites.
+    /// `contactMs` and `drainMs` of the users' sites.
     pub contact_ms: u64,
+    pub drain_ms: u64,
 }
 
 /// Size of the users' small sites.
@@ -86,6 +104,7 @@
     zones: 4,
     sound_rate: 60.0,
     contact_ms: 3000,
+    drain_ms: 2000,
 };
 
 /// Size of the users' larger sites.
@@ -95,6 +114,17 @@
     zones: 4,
     sound_rate: 400.0,
     contact_ms: 4000,
+    drain_ms: 3000,
+};
+
+/// Size of the users' largest site.
+pub(crate) const SIX_ZONES: Size = Size {
+    daemons: 95,
+    runners: 84,
+    zones: 6,
+    sound_rate: 450.0,
+    contact_ms: 5000,
+    drain_ms: 4000,
 };
 
 /// Daemons of the target size, with fewer runners.
@@ -104,6 +134,7 @@
     zones: 21,
     sound_rate: 800.0,
     contact_ms: 4000,
+    drain_ms: 3000,
 };
 
 /// What a run counts.
@@ -126,6 +157,15 @@
     pub busiest: usize,
     /// Least that a runner with a limit got, in requests a second, while it named one.
     pub least_rate: f64,
+    /// Requests that reached a runner later than `drain_ms` after it had told their daemon that it leaves.
+    pub after_leaving: usize,
+    /// Most requests of a daemon that reached a runner in a time for which it wanted none of them.
+    pub unwanted: usize,
+    /// Most requests that reached a runner in a step after a pause.
+    pub rush: usize,
+    /// Requests, and those that a runner has begun to answer.
+    pub sent: u64,
+    pub answered: u64,
     /// Largest report in a row, in bytes.
     pub report_bytes: usize,
 }
@@ -158,6 +198,7 @@
     pub(crate) processes: u64,
     numbers: u64,
     arrivals: Arrivals,
+    refusals: Refusals,
     bad_ends: Vec<u64>,
     pub(crate) outcome: Outcome,
 }
@@ -179,6 +220,7 @@
             processes: 0,
             numbers: 0,
             arrivals: Arrivals::default(),
+            refusals: Refusals::default(),
             bad_ends: Vec::new(),
             outcome: Outcome::default(),
         }
@@ -190,6 +232,7 @@
         while self.now < end {
             self.now += STEP_MS;
             self.inject_faults();
+            self.step_leaving();
             self.step_runners();
             for i in 0..self.nodes.len() {
                 self.step_daemon(i);
@@ -198,6 +241,7 @@
         }
         self.outcome.bad_ends = self.bad_ends.len();
         self.count_limits();
+        self.count_refusals();
         self.outcome
     }
 
@@ -250,6 +294,9 @@
             if rack || (second && self.chance(f.crash)) {
                 self.end_runner(runner);
             }
+            if second && self.chance(f.leave) {
+                self.begin_leaving(runner);
+            }
         }
     }
 
--- a/edge/tests/fleet_world/runners.rs
+++ b/edge/tests/fleet_world/runners.rs
@@ -8,6 +8,7 @@
 
 use super::{
     Request,
+    STEP_MS,
     World, //
 };
 
@@ -25,7 +26,7 @@
 /// All runners and the requests that they have not begun to answer, or have just begun.
 pub(crate) struct Runners {
     /// Key of the runner's present life, and the time from which it runs.
-    lives: Vec<(RunnerKey, u64)>,
+    pub(super) lives: Vec<(RunnerKey, u64)>,
     next_key: RunnerKey,
     waiting: Vec<Request>,
     begun: Vec<Request>,
@@ -57,23 +58,32 @@
             let tries = (0..8).map(|_| self.random.random_range(0..count));
             let tries: Vec<usize> = tries.collect();
             let mut free = tries.into_iter();
-            free.find(|i| self.has_turn(request.daemon, *i, Turn::Unlimited))
+            free.find(|i| {
+                self.has_turn(request.daemon, *i, Turn::Unlimited)
+                    || self.has_turn(request.daemon, *i, Turn::Trial)
+            })
         });
+        self.outcome.sent += 1;
         let Some(runner) = runner else {
             return;
         };
         let life = self.runners.lives[runner].0;
+        self.count_refusal_arrival(request.daemon, runner, life);
         self.take_turn(request.daemon, life);
         self.count_arrival(&request, runner, life);
         request.runner = runner;
-        request.begins_at = self.now + self.random.random_range(MIN_PREFILL_MS..MAX_PREFILL_MS);
+        request.begins_at = match self.turns_away(&request) {
+            true => self.now + STEP_MS,
+            false => self.now + self.random.random_range(MIN_PREFILL_MS..MAX_PREFILL_MS),
+        };
         self.runners.waiting.push(request);
     }
 
     /// Whether `runner` runs, and the turn of the daemon `daemon` at it is `turn`.
     fn has_turn(&self, daemon: usize, runner: usize, turn: Turn) -> bool {
         let (key, since) = self.runners.lives[runner];
-        self.now >= since && self.turn(daemon, key) == turn
+        let view = self.view(daemon, key, self.seen_entry(daemon, runner));
+        self.now >= since && !view.excluded && view.turn == turn
     }
 
     /// Whether all daemons that run send requests to `runner` as they like.
@@ -106,8 +116,12 @@
                 self.bad_ends.push(now);
                 self.observe_end(&request);
                 self.end_runner(request.runner);
+            } else if self.turns_away(&request) {
+                self.tell_refusal(&request);
             } else {
+                self.outcome.answered += 1;
                 self.tell_limit(&request);
+                self.tell_state(&request);
                 self.count_begun(&request);
                 self.runners.begun.push(request);
             }
