Plan what a stopping daemon takes, sends and answers

Cause: a planned stop refused requests after 2.6 s, by a timer that is late on a busy VM, and then waited. A request that waited for tokens or a runner was still sent late in the grace period. What was open 0.4 s before its end was dropped without an answer, sent or not. The steady clock stands still while a VM is suspended, the grace period does not.

--- a/edge/src/decide/mod.rs
+++ b/edge/src/decide/mod.rs
@@ -8,8 +8,10 @@
 mod fingerprint;
 mod observations;
 mod placement;
+mod planned_stop;
 mod retry;
 mod retry_budget;
+mod route_times;
 mod runner_limits;
 mod turn_order;
 
@@ -42,6 +44,7 @@
     rendezvous_weight,
     select_runner, //
 };
+pub use planned_stop::PlannedStop;
 pub use retry::{
     FailedAttempt,
     Failure,
@@ -51,6 +54,7 @@
     retry_after, //
 };
 pub use retry_budget::RetryBudget;
+pub use route_times::RouteTimes;
 pub use runner_limits::{
     LimitReport,
     RunnerLimits,
--- a/edge/src/fleet/shutdown.rs
+++ b/edge/src/fleet/shutdown.rs
@@ -2,10 +2,7 @@
 
 use std::{
     rc::Rc,
-    time::{
-        Duration,
-        Instant, //
-    },
+    time::Duration, //
 };
 
 use tokio::{
@@ -16,23 +13,18 @@
     time::sleep,
 };
 
+use super::boot_time;
 use crate::serve::Core;
 
-/// Time for which new requests are served after the stop began: the load balancer needs two of its
-/// health checks, a second apart, to send them elsewhere.
-const DRAIN_DELAY: Duration = Duration::from_millis(2600);
-
-/// Time before the end of the grace period at which the process exits in any case.
-const EXIT_MARGIN: Duration = Duration::from_millis(400);
-
-/// Longest time for which a daemon without open requests tries to return its tokens.
-const RETURN_TIMEOUT: Duration = Duration::from_millis(1500);
-
 /// Interval between two checks of the open requests.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time for the log writer, which pauses between writes, to write the last lines.
+const LOG_TIME: Duration = Duration::from_millis(150);
+
 /// Waits for SIGTERM or SIGINT, and then until the open requests have finished and the tokens are
-/// returned, or the grace period ends.
+/// returned, or the grace period is nearly over. What is still open then gets an answer that says whether the
+/// request may have run.
 ///
 /// # Errors
 ///
@@ -44,30 +36,28 @@
         _ = term.recv() => {}
         _ = interrupt.recv() => {}
     }
-    let begun = Instant::now();
-    core.begin_stop(begun);
-    core.writer_wake.notify_one();
+    let stop = core.begin_stop(boot_time());
     log::info!("event=stop_begun open={}", core.open_requests());
-    let end = core.bounds.get().grace.saturating_sub(EXIT_MARGIN);
-    sleep(DRAIN_DELAY.min(end)).await;
-    core.shutdown.begin();
-    while begun.elapsed() < end {
+    loop {
         core.writer_wake.notify_one();
         sleep(CHECK_INTERVAL).await;
-        let idle = core.open_requests() == 0 && core.reservation_count() == 0;
-        if idle && core.ledger.borrow().is_returned() {
-            break;
+        let now = boot_time();
+        if !stop.accepts(now) && !core.shutdown.has_begun() {
+            core.shutdown.begin();
+        }
+        if stop.must_answer(now) {
+            core.answer_open_requests();
         }
-        if idle && begun.elapsed() > DRAIN_DELAY + RETURN_TIMEOUT {
+        let open = core.open_requests() > 0 || core.reservation_count() > 0;
+        if stop.must_exit(now, open, core.ledger.borrow().is_returned()) {
             break;
         }
     }
     log::info!(
         "event=stopped open={} ms={}",
         core.open_requests(),
-        begun.elapsed().as_millis()
+        stop.elapsed(boot_time()).as_millis()
     );
-    // Lets the log writer, which pauses between writes, write the last lines.
-    sleep(Duration::from_millis(150)).await;
+    sleep(LOG_TIME).await;
     Ok(())
 }
--- a/edge/src/serve/attempts.rs
+++ b/edge/src/serve/attempts.rs
@@ -30,6 +30,8 @@
     },
     response::{
         Refusal,
+        STOP_CODE,
+        STOP_RETRY_AFTER,
         encode_head, //
     },
     send::{
@@ -120,6 +122,10 @@
     core.with_retry_budget(&service, |a| a.record_request(call.received_at));
     relay.last_id = call.meta.last_event;
     loop {
+        if !core.may_send(&call.route) {
+            let refusal = final_refusal(call, history, STOP_CODE, STOP_RETRY_AFTER);
+            return Err(ServeError::Refused(refusal));
+        }
         let span = call.start_span("place");
         let upstream = match wait_for_runner(core, call, &history.tried, &service).await {
             Ok(upstream) => upstream,
--- a/edge/src/serve/call.rs
+++ b/edge/src/serve/call.rs
@@ -17,7 +17,11 @@
 
 use super::{
     Core,
-    response::Refusal, //
+    response::{
+        Refusal,
+        STOP_CODE,
+        STOP_RETRY_AFTER, //
+    },
 };
 use crate::{
     adapter::{
@@ -187,6 +191,9 @@
     let id = Arc::clone(&meta.id);
     let refuse = |refusal| (refusal, Some(Arc::clone(&id)));
     let timeout = meta.timeout.unwrap_or(DEFAULT_TIMEOUT);
+    if !core.accepts_requests() {
+        return Err(refuse(Refusal::not_run(STOP_CODE, STOP_RETRY_AFTER)));
+    }
     let Some(config) = core.config() else {
         let retry = retry_after(RUNNER_RETRY_AFTER, timeout);
         return Err(refuse(Refusal::not_run("no_configuration", retry)));
--- a/edge/src/serve/core.rs
+++ b/edge/src/serve/core.rs
@@ -5,7 +5,10 @@
         Cell,
         RefCell, //
     },
-    collections::HashMap,
+    collections::{
+        HashMap,
+        HashSet, //
+    },
     marker::PhantomData,
     net::SocketAddr,
     rc::Rc,
@@ -30,14 +33,18 @@
         Config,
         CustomerId,
         Directory,
+        Route,
         RunnerId,
         ServiceId, //
     },
     decide::{
         Availability,
         CrashEvidence,
-        RetryBudget, //
+        PlannedStop,
+        RetryBudget,
+        RouteTimes, //
     },
+    fleet::boot_time,
     http::LinkActivity,
     peer::PeerLink,
     prepaid::Ledger,
@@ -132,8 +139,12 @@
     reclaimed_at: RefCell<HashMap<CustomerId, Instant>>,
     /// Tokens reserved for requests of other daemons.
     pub(super) reservations: Reservations,
-    /// Time at which the planned stop began.
-    stop_began: Cell<Option<Instant>>,
+    /// The planned stop, once it has begun.
+    stop: Cell<Option<PlannedStop>>,
+    /// Notified when open requests are answered because the process ends.
+    stop_answers: Notify,
+    /// Time that requests took, by route.
+    pub(super) route_times: RefCell<RouteTimes>,
     /// State of the shutdown of the callers' listener.
     pub shutdown: Shutdown,
     /// Number of requests in progress.
@@ -176,7 +187,9 @@
             last_reservation: Cell::new(0),
             reclaimed_at: RefCell::default(),
             reservations: Reservations::default(),
-            stop_began: Cell::new(None),
+            stop: Cell::new(None),
+            stop_answers: Notify::new(),
+            route_times: RefCell::default(),
             shutdown: Shutdown::default(),
             open_requests: Cell::new(0),
             dialect: PhantomData,
@@ -217,6 +230,16 @@
             .filter_map(|c| c.prepaid.map(|p| (c.name.to_string(), p)))
             .collect();
         self.ledger.borrow_mut().set_limits(limits);
+        let names: HashSet<Arc<str>> = version
+            .config
+            .hosts
+            .values()
+            .flatten()
+            .map(|route| Arc::clone(&route.name))
+            .collect();
+        self.route_times
+            .borrow_mut()
+            .retain(|route| names.contains(route));
         *self.version.borrow_mut() = Some(version);
         self.state_changed.notify_waiters();
         self.tokens_freed.notify_waiters();
@@ -338,23 +361,57 @@
         number
     }
 
-    /// Begins the planned stop, unless it has begun.
-    pub fn begin_stop(&self, now: Instant) {
-        if self.stop_began.get().is_none() {
-            self.stop_began.set(Some(now));
-            self.ledger.borrow_mut().leave();
-            self.state_changed.notify_waiters();
+    /// Begins the planned stop at `now`, a time since the start of the VM, unless it has begun. Returns its
+    /// plan.
+    pub fn begin_stop(&self, now: Duration) -> PlannedStop {
+        if let Some(stop) = self.stop.get() {
+            return stop;
         }
+        let stop = PlannedStop::new(now, self.bounds.get().grace);
+        self.stop.set(Some(stop));
+        self.ledger.borrow_mut().leave();
+        self.state_changed.notify_waiters();
+        stop
+    }
+
+    /// Whether the planned stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        self.stop.get().is_some()
     }
 
-    /// Time since the planned stop began; `None` if it has not.
-    pub fn stopping_for(&self, now: Instant) -> Option<Duration> {
-        self.stop_began.get().map(|at| now.duration_since(at))
+    /// Whether requests are taken: not in the later part of a planned stop.
+    pub(super) fn accepts_requests(&self) -> bool {
+        self.stop.get().is_none_or(|stop| stop.accepts(boot_time()))
+    }
+
+    /// Whether a request of `route` may be sent: during a planned stop only if it can end in time.
+    pub(super) fn may_send(&self, route: &Route) -> bool {
+        self.stop.get().is_none_or(|stop| {
+            let times = self.route_times.borrow();
+            let time = times.most(&route.name, route.objective);
+            stop.may_send(boot_time(), time)
+        })
+    }
+
+    /// Makes all open requests end with an answer, because the process is about to.
+    pub fn answer_open_requests(&self) {
+        self.stop_answers.notify_waiters();
+    }
+
+    /// Returns when open requests are to be answered because the process is about to end.
+    pub(super) async fn stop_answers(&self) {
+        loop {
+            let notified = self.stop_answers.notified();
+            if self.stop.get().is_some_and(|s| s.must_answer(boot_time())) {
+                return;
+            }
+            notified.await;
+        }
     }
 
     /// Whether the load balancer may send new connections.
     pub fn is_ready(&self) -> bool {
-        self.stop_began.get().is_none()
+        !self.is_stopping()
             && self.version.borrow().is_some()
             && !self.directory.borrow().is_empty()
     }
--- a/edge/src/serve/exchange.rs
+++ b/edge/src/serve/exchange.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use tokio::{
     net::TcpStream,
-    time::timeout_at, //
+    time::sleep_until, //
 };
 
 use super::{
@@ -27,7 +27,11 @@
         resolve_call, //
     },
     relay::Relay,
-    response::Refusal,
+    response::{
+        Refusal,
+        STOP_CODE,
+        STOP_RETRY_AFTER, //
+    },
 };
 use crate::{
     adapter::Dialect,
@@ -49,7 +53,7 @@
     out: &TcpStream,
 ) -> bool {
     let _open = core.track_request();
-    let keep_alive = head.keep_alive() && core.stopping_for(received_at).is_none();
+    let keep_alive = head.keep_alive() && !core.is_stopping();
     let call = match resolve_call(core, head, body, received_at, keep_alive) {
         Ok(call) => call,
         Err((refusal, id)) => {
@@ -81,10 +85,14 @@
         event_count: Rc::clone(&relay.event_count),
         armed: true,
     };
-    let served = timeout_at(deadline, serve(core, &call, &mut history, &mut relay, out)).await;
+    let served = tokio::select! {
+        biased;
+        served = serve(core, &call, &mut history, &mut relay, out) => served,
+        () = sleep_until(deadline) => Err(ServeError::Refused(deadline_refusal(&call))),
+        () = core.stop_answers() => Err(ServeError::Refused(stop_refusal(&call))),
+    };
     abort_log.armed = false;
-    let result = served.unwrap_or_else(|_| Err(ServeError::Refused(deadline_refusal(&call))));
-    finish(core, &call, &history, &relay, result, out).await
+    finish(core, &call, &history, &relay, served, out).await
 }
 
 /// Logs a request whose task is dropped because its caller has closed the connection.
@@ -124,6 +132,14 @@
     Refusal::not_run("deadline_before_send", Duration::ZERO)
 }
 
+/// The response to a request that is open when a planned stop ends.
+fn stop_refusal(call: &Call) -> Refusal {
+    if call.sent_at.get().is_some() {
+        return Refusal::may_have_run(502, STOP_CODE);
+    }
+    Refusal::not_run(STOP_CODE, STOP_RETRY_AFTER)
+}
+
 /// Writes the error response, if there is one, and records metrics and the log line of a request.
 /// Returns whether the connection may carry another request.
 async fn finish<D: Dialect>(
@@ -135,6 +151,11 @@
     out: &TcpStream,
 ) -> bool {
     let now = Instant::now();
+    if let (Ok(_), Some(sent_at)) = (&result, call.sent_at.get()) {
+        let time = now.saturating_duration_since(sent_at);
+        let mut times = core.route_times.borrow_mut();
+        times.record(&call.route.name, time);
+    }
     let (status, code, verdict, keep_alive) = match &result {
         Ok(status) => (*status, "answered", "ran", call.keep_alive),
         Err(ServeError::CallerLeft) => (0, "caller_left", Verdict::MayHaveRun.as_str(), false),
--- a/edge/src/serve/handler.rs
+++ b/edge/src/serve/handler.rs
@@ -2,10 +2,7 @@
 
 use std::{
     rc::Rc,
-    time::{
-        Duration,
-        Instant, //
-    },
+    time::Instant, //
 };
 
 use bytes::Bytes;
@@ -14,7 +11,10 @@
 use super::{
     Core,
     exchange::exchange,
-    response::Refusal, //
+    response::{
+        Refusal,
+        STOP_RETRY_AFTER, //
+    },
 };
 use crate::{
     accept::{
@@ -27,9 +27,6 @@
     http::RequestHead, //
 };
 
-/// `Retry-After` for callers of a stopping daemon; short because another daemon can serve the retry.
-const STOP_RETRY_AFTER: Duration = Duration::from_millis(50);
-
 impl<D: Dialect> Handler for Core<D> {
     fn limits(&self) -> Limits {
         self.config().map_or_else(Limits::default, |c| c.limits)
--- a/edge/src/serve/reservations.rs
+++ b/edge/src/serve/reservations.rs
@@ -102,7 +102,7 @@
         received_at: Instant,
         replies: &flume::Sender<ReserveReply>,
     ) -> ReserveOutcome {
-        if self.stopping_for(received_at).is_some() {
+        if self.is_stopping() {
             return ReserveOutcome::Stopping;
         }
         if !self.knows_limit(&request.customer) || request.cost > MAX_TOTAL {
--- a/edge/src/serve/response.rs
+++ b/edge/src/serve/response.rs
@@ -10,6 +10,12 @@
     },
 };
 
+/// Code of requests that a stopping daemon refuses or ends.
+pub(super) const STOP_CODE: &str = "stopping";
+
+/// `Retry-After` for callers of a stopping daemon; short because another daemon can serve the retry.
+pub(super) const STOP_RETRY_AFTER: Duration = Duration::from_millis(50);
+
 /// An error response that the daemon generates itself.
 #[derive(Clone, Debug)]
 pub(super) struct Refusal {
--- a/edge/src/serve/send.rs
+++ b/edge/src/serve/send.rs
@@ -10,6 +10,7 @@
     Upstream,
     call::Call,
     receive::Attempt,
+    response::STOP_CODE,
     upstream::InFlight, //
 };
 use crate::{
@@ -139,6 +140,9 @@
     if let Some(standing) = core.refuses_send(upstream, Instant::now()) {
         return Err(SendError::new(Failure::NotSent, standing.as_str()));
     }
+    if !core.may_send(&call.route) {
+        return Err(SendError::new(Failure::NotSent, STOP_CODE));
+    }
     let bytes = request_bytes::<D>(
         call,
         &ForwardFields {
