End streams in which no event comes for longer than callers wait

Cause: the time of silence began anew at each byte, and a byte is no event: a runner that sent single bytes or comments kept a stream until its deadline, also one that could go on elsewhere.

Change: a stream has stalled when no new event has come for the users' patience (2 s, 4 objectives or 8 pauses of the route, the longest) and 250 ms, in a time in which this process ran and heard from other machines. It then goes on elsewhere if it may.

--- a/edge/src/catalog/config.rs
+++ b/edge/src/catalog/config.rs
@@ -52,6 +52,8 @@
     pub timeout: Duration,
     /// Latency objective for the response.
     pub objective: Duration,
+    /// Longest pause between two events of a stream for which it is still on time.
+    pub pause: Option<Duration>,
     /// Rank of the requests; 0 is the most urgent.
     pub rank: u8,
     /// Services that serve the route, with their weights.
--- a/edge/src/decide/mod.rs
+++ b/edge/src/decide/mod.rs
@@ -7,6 +7,7 @@
 mod crash_evidence;
 mod fingerprint;
 mod observations;
+mod patience;
 mod placement;
 mod planned_stop;
 mod retry;
@@ -37,6 +38,7 @@
     fingerprint, //
 };
 pub use observations::Observations;
+pub use patience::stall_limit;
 pub use placement::{
     Candidate,
     PromptPart,
--- a/edge/src/serve/relay.rs
+++ b/edge/src/serve/relay.rs
@@ -9,7 +9,10 @@
     },
 };
 
-use tokio::net::TcpStream;
+use tokio::{
+    net::TcpStream,
+    time::timeout, //
+};
 
 use super::{
     call::Call,
@@ -21,7 +24,10 @@
     },
 };
 use crate::{
-    decide::Failure,
+    decide::{
+        Failure,
+        stall_limit, //
+    },
     http::{
         ConnectionError,
         EventBuffer,
@@ -59,6 +65,8 @@
     received: u64,
     /// Time of the first event of the present runner.
     begun_at: Option<Instant>,
+    /// Time of the last event that was new to the caller, or of the begin of the present attempt.
+    progress_at: Option<Instant>,
     /// Whether the answer of the present runner is recorded as evidence for the request.
     answered: bool,
 }
@@ -77,6 +85,7 @@
         self.received = 0;
         self.begun_at = None;
         self.answered = false;
+        self.progress_at = Some(Instant::now());
     }
 
     /// Whether the present runner has begun its answer and gone on for a while.
@@ -138,8 +147,8 @@
             } else {
                 call.prompt_tokens()
             };
-            let n = attempt
-                .read_more(&mut reply.connection, prompt)
+            let n = self
+                .read_progress(attempt, reply, prompt)
                 .await
                 .map_err(RelayError::Runner)?;
             if n == 0 {
@@ -152,6 +161,40 @@
         }
     }
 
+    /// Reads more bytes as [`Attempt::read_more`] does, as long as the stream has not stalled. Only a time in
+    /// which this process ran and heard from other machines tells that.
+    async fn read_progress<D>(
+        &mut self,
+        attempt: &Attempt<'_, D>,
+        reply: &mut Reply,
+        prompt_tokens: u64,
+    ) -> Result<usize, SendError> {
+        let route = &attempt.call.route;
+        let limit = stall_limit(route.objective, route.pause);
+        loop {
+            let since = *self.progress_at.get_or_insert_with(Instant::now);
+            let left = limit.saturating_sub(since.elapsed());
+            let read = attempt.read_more(&mut reply.connection, prompt_tokens);
+            if let Ok(read) = timeout(left, read).await {
+                return read;
+            }
+            let now = Instant::now();
+            if !attempt.upstream.link.is_conclusive(since, limit, now) {
+                self.progress_at = Some(now);
+                continue;
+            }
+            log::info!(
+                "event=stream_stalled id={} runner={} events={} idle_ms={}",
+                attempt.call.meta.id,
+                attempt.upstream.runner.borrow().id,
+                self.event_count.get(),
+                now.duration_since(since).as_millis()
+            );
+            let detail = "no event for longer than callers wait";
+            return Err(SendError::new(Failure::Silent, detail));
+        }
+    }
+
     /// Updates the longest pause when events are about to be written.
     fn record_pause(&mut self, now: Instant) {
         let pause = self
@@ -214,6 +257,12 @@
                 let detail = "bytes in a stream that are no event of it";
                 return Some(SendError::new(Failure::Broken, detail));
             }
+            if event
+                .id
+                .is_some_and(|id| self.last_id.is_none_or(|last| id > last))
+            {
+                self.progress_at = Some(Instant::now());
+            }
             if let (Some(id), Some(last)) = (event.id, self.last_id) {
                 if id <= last {
                     continue;
