--- a/edge/src/decide/crash_evidence/mod.rs
+++ b/edge/src/decide/crash_evidence/mod.rs
@@ -170,7 +170,8 @@
     ) -> bool {
         let suspect = report.suspect;
         let newest = report.ends.iter().map(|(_, at)| *at).max().unwrap_or(0);
-        if newest.max(report.refused).max(report.answered) + EVIDENCE_TTL_MS < now {
+        let newest = newest.max(report.refused).max(report.answered);
+        if newest.saturating_add(EVIDENCE_TTL_MS) < now {
             return false;
         }
         self.make_room();
--- a/edge/src/fleet/peers.rs
+++ b/edge/src/fleet/peers.rs
@@ -5,6 +5,7 @@
 
 use std::{
     cell::Cell,
+    cmp::Reverse,
     io,
     net::SocketAddr,
     rc::Rc,
@@ -199,40 +200,46 @@
         round.set(round.get() + 1);
         let chosen = choose_peers(&core, &seeds, own, round.get());
         let asked = chosen.len();
-        let replies = Rc::new(Cell::new(0_usize));
-        let mut tasks = Vec::new();
-        for address in chosen {
-            let replies = Rc::clone(&replies);
-            let core = Rc::clone(&core);
-            let store = Rc::clone(&store);
-            tasks.push(spawn_local(async move {
-                let limit = QUERY_TIMEOUT + core.link.allowance(Instant::now());
-                match timeout(limit, query_peer(&core, address)).await {
-                    Ok(Ok(reply)) => {
-                        replies.set(replies.get() + 1);
-                        apply_reply(&core, &*store, reply);
-                    }
-                    Ok(Err(e)) => {
-                        log::debug!("event=peer_unreachable peer={address} error=\"{e}\"")
-                    }
-                    Err(_) => log::debug!("event=peer_unreachable peer={address} error=timeout"),
-                }
-            }));
-        }
-        for task in tasks {
-            if let Err(e) = task.await {
-                log::warn!("event=task_failed task=ask_peer error=\"{e}\"");
-            }
-        }
-        if reached != (replies.get() > 0) {
+        let replies = query_all(&core, chosen).await;
+        if reached == replies.is_empty() {
             reached = !reached;
             log::info!(
                 "event=peers_{} asked={asked} replied={}",
                 if reached { "reached" } else { "lost" },
-                replies.get()
+                replies.len()
             );
         }
+        for reply in replies {
+            apply_reply(&core, &*store, reply);
+        }
+    }
+}
+
+/// Queries the daemons at `addresses` at the same time. Returns their replies, the newest configuration first,
+/// so that an older one never comes into force before it.
+async fn query_all<D: 'static>(core: &Rc<Core<D>>, addresses: Vec<SocketAddr>) -> Vec<PeerReply> {
+    let query = |address| {
+        let core = Rc::clone(core);
+        spawn_local(async move {
+            let limit = QUERY_TIMEOUT + core.link.allowance(Instant::now());
+            match timeout(limit, query_peer(&core, address)).await {
+                Ok(Ok(reply)) => return Some(reply),
+                Ok(Err(e)) => log::debug!("event=peer_unreachable peer={address} error=\"{e}\""),
+                Err(_) => log::debug!("event=peer_unreachable peer={address} error=timeout"),
+            }
+            None
+        })
+    };
+    let tasks: Vec<_> = addresses.into_iter().map(query).collect();
+    let mut replies = Vec::new();
+    for task in tasks {
+        match task.await {
+            Ok(reply) => replies.extend(reply),
+            Err(e) => log::warn!("event=task_failed task=query error=\"{e}\""),
+        }
     }
+    replies.sort_by_key(|reply: &PeerReply| Reverse(reply.version));
+    replies
 }
 
 /// Chooses the daemons to query in this round, from the other daemons' rows and the seeds; each
