Charge a prompt only once it was written to a runner

Cause: a prompt counted as read from the begin of a send on, so a caller that left while the connection to its runner was being opened was charged for a prompt of which no byte had been sent.

Change: it counts from just before the first byte is written. What a runner may have read stays charged.

--- a/edge/src/serve/attempts.rs
+++ b/edge/src/serve/attempts.rs
@@ -287,16 +287,9 @@
     out: &TcpStream,
 ) -> Result<u16, RelayError> {
     let (call, upstream) = (attempt.call, attempt.upstream);
-    charge.prompt_read.set(true);
-    let mut reply = match send(attempt, relay.last_id).await {
-        Ok(reply) => reply,
-        Err(error) => {
-            if !error.failure.was_sent() && attempt.started == 0 {
-                charge.prompt_read.set(false);
-            }
-            return Err(RelayError::Runner(error));
-        }
-    };
+    let mut reply = send(attempt, &charge.prompt_read, relay.last_id)
+        .await
+        .map_err(RelayError::Runner)?;
     let status = reply.head.status;
     if reply.meta.not_run || status == 421 {
         if attempt.started == 0 {
--- a/edge/src/serve/send.rs
+++ b/edge/src/serve/send.rs
@@ -1,8 +1,11 @@
 //! Sends a request to one runner and reads the start of its response.
 
-use std::time::{
-    Duration,
-    Instant, //
+use std::{
+    cell::Cell,
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use super::{
@@ -121,9 +124,11 @@
     }
 }
 
-/// Sends the request to the runner of `attempt` and reads the head of the response to it.
+/// Sends the request to the runner of `attempt` and reads the head of the response to it. Sets `prompt_read`
+/// as soon as the runner may have read the prompt.
 pub(super) async fn send<D: Dialect>(
     attempt: &Attempt<'_, D>,
+    prompt_read: &Cell<bool>,
     last_event: Option<u64>,
 ) -> Result<Reply, SendError> {
     let (core, call, upstream) = (attempt.core, attempt.call, attempt.upstream);
@@ -154,6 +159,7 @@
         },
     );
     call.mark_sent(Instant::now());
+    prompt_read.set(true);
     connection
         .write(&bytes)
         .await
