Log where a customer's tokens are when a request gets none

tokens_missing tells, for each request that gets no tokens, the limit by what holds it: spent, open, own, at other holders, at other daemons, at silent ones, free, and what the rows of one reading do not add up to; the parts add up to the limit (asserted for any rows).

--- a/edge/src/prepaid/ledger/mod.rs
+++ b/edge/src/prepaid/ledger/mod.rs
@@ -29,9 +29,12 @@
     Audit,
     CustomerRow,
     DaemonRow,
+    Grant,
     Member,
     Row,
     Rows,
+    TokenPlace,
+    Whereabouts,
     audit, //
 };
 use crate::catalog::CustomerId;
@@ -283,6 +286,34 @@
         limit.saturating_sub(others + own)
     }
 
+    /// Where the tokens of `customer` are, as far as this daemon knows.
+    pub fn whereabouts(&self, customer: &str, now: Instant) -> Whereabouts {
+        let limit = self.limits.get(customer).copied().unwrap_or(0);
+        let row = self.customer_rows.get(customer);
+        let mut found = Whereabouts::new(limit, row.map_or(0, |(_, sum)| sum.committed));
+        if let Some(account) = self.accounts.get(customer) {
+            let grant = Grant {
+                spent: account.spent,
+                open: account.open,
+                ..account.confirmed
+            };
+            found.add(&grant, TokenPlace::Own);
+        }
+        for (name, (_, row)) in &self.peer_rows {
+            let Some(grant) = row.grants.get(customer) else {
+                continue;
+            };
+            let holds = || self.holders.iter().any(|h| h.node == *name);
+            let place = match () {
+                () if self.is_silent(name, now) => TokenPlace::Silent,
+                () if holds() => TokenPlace::Holder,
+                () => TokenPlace::Other,
+            };
+            found.add(grant, place);
+        }
+        found
+    }
+
     /// Tokens of `customer` that are not committed to any daemon.
     fn free(&self, customer: &str) -> u64 {
         let limit = self.limits.get(customer).copied().unwrap_or(0);
--- a/edge/src/prepaid/mod.rs
+++ b/edge/src/prepaid/mod.rs
@@ -14,6 +14,7 @@
 mod pacing;
 mod rate;
 mod row;
+mod whereabouts;
 
 pub use audit::{
     Audit,
@@ -53,3 +54,7 @@
     Row,
     Rows, //
 };
+pub use whereabouts::{
+    TokenPlace,
+    Whereabouts, //
+};
--- a/edge/src/serve/tokens.rs
+++ b/edge/src/serve/tokens.rs
@@ -180,6 +180,15 @@
         ledger.contact_age(now).map_or(-1, |d| d.as_millis() as i64),
         now.duration_since(call.received_at).as_millis()
     );
+    if admission != Admission::Taken {
+        log::info!(
+            "event=tokens_missing id={} customer={} cost={} {}",
+            call.meta.id,
+            reservation.customer,
+            reservation.cost,
+            ledger.whereabouts(&reservation.customer, now)
+        );
+    }
 }
 
 /// Reserves tokens. A holder takes them from its own grants first and asks other holders if these do not
