--- a/fleetctl/src/explain.rs
+++ b/fleetctl/src/explain.rs
@@ -180,7 +180,10 @@
     let text = match code {
         "answered" => "none, the request was answered",
         "caller_left" => "the caller closed its connection",
-        "stopping" => "the daemon was stopping and accepted no more requests",
+        "stopping" => {
+            "the daemon was stopping: it took no more requests (not-run), could not end this one in time \
+             (not-run), or ended it near the end of its grace period (may-have-run, broken-off)"
+        }
         "bad_fields" => "a header field that the system reads is missing or malformed",
         "no_route" => "no route has this host and path",
         "unknown_key" => "no customer has this key",
@@ -192,21 +195,28 @@
         "no_grant" => {
             "the tokens could not be reserved in time; outcome and contact_ms of `tokens` tell whether \
              the store was unreachable (Release, Refused) or other daemons held them (Grant); `holder` and \
-             the line `reservation` of another daemon tell who decided"
+             the line `reservation` of another daemon tell who decided; `tokens_missing` tells where the \
+             customer's tokens were"
         }
         "crashes_runners" => {
             "such requests crash runners: `suspect` of `suspect_refused` is the request itself or a part of \
              its prompt; `sources` are the daemons that saw the runners end"
         }
         "no_turn" => {
-            "only runners that name limits were left, and this daemon's share of them allows no request in time; \
-             `no_turn` tells how many waited before it"
+            "only runners were left that name limits or want nothing for a time, and no turn came in time; \
+             `no_turn` tells how many waited before it, `runner_paused` and `runner_limit` which they are"
         }
         "no_runner" => "no runner could take it in time; `placed` shows the state at each send",
         "no-connection" => "no runner accepted a connection",
         "turned-away" => "runners refused it as not run",
         "broken" => "the connection broke before a runner's answer was complete",
-        "silent" => "a runner stopped responding and accepted no connection",
+        "not-sent" => {
+            "the runner left or wanted nothing by the time the connection was open; nothing was sent"
+        }
+        "silent" => {
+            "a runner stopped responding and accepted no connection, or its stream had no event for longer \
+             than callers wait (`stream_stalled`)"
+        }
         "failed" => "a runner answered with an error of its own",
         "deadline" => "its deadline passed before a runner answered",
         "deadline_before_send" => "its deadline passed before it was sent",
