Ask other holders for what they have before waiting at the first

Change: the first holder may wait 150 ms for its next write, then the others are asked for what they have, and only then one waits for what others return. A holder that is asked not to wait answers at once, and waits no longer than it is asked to.

--- a/edge/src/serve/holders.rs
+++ b/edge/src/serve/holders.rs
@@ -34,6 +34,9 @@
 /// Holders that are asked for one request.
 const MAX_HOLDERS_ASKED: usize = 3;
 
+/// Time for which the first holder that is asked may wait for its next write, before the others are asked.
+pub(super) const FIRST_WAIT: Duration = Duration::from_millis(150);
+
 /// Time by which a holder keeps a reservation beyond the deadline of the request.
 const EXPIRY_MARGIN: Duration = Duration::from_secs(2);
 
@@ -76,13 +79,42 @@
     !links.is_empty()
 }
 
-/// Asks holders in turn until one has tokens; `None` if none of them decided.
+/// Best outcome of the holders that were asked for one request.
+#[derive(Default)]
+struct Asked {
+    /// The first refusal.
+    refusal: Option<(Admission, Charge)>,
+    /// The first holder that may have tokens later.
+    later: Option<Rc<PeerLink>>,
+}
+
+impl Asked {
+    /// Takes the outcome of `link`. Returns it if it decides about the request.
+    fn take(
+        &mut self,
+        link: &Rc<PeerLink>,
+        outcome: Option<(Admission, Charge)>,
+    ) -> Option<(Admission, Charge)> {
+        let (admission, charge) = outcome?;
+        match admission {
+            Admission::Taken | Admission::Exhausted => return Some((admission, charge)),
+            Admission::Grant | Admission::Release(_) => {
+                self.later.get_or_insert_with(|| Rc::clone(link));
+            }
+            Admission::Refused => {}
+        }
+        self.refusal.get_or_insert((admission, charge));
+        None
+    }
+}
+
+/// Asks holders until one has tokens; `None` if none of them decided. The first one may wait for a write, then
+/// all are asked for what they have, and only then one of them waits for what others return.
 pub(super) async fn reserve_at_holders<D>(
     core: &Rc<Core<D>>,
     call: &Call,
     reservation: &Reservation,
 ) -> Option<(Admission, Charge)> {
-    let end = call.received_at + call.wait_limit();
     let addresses = core.ledger.borrow().holders_for(&reservation.customer);
     let links: Vec<Rc<PeerLink>> = addresses
         .into_iter()
@@ -90,24 +122,38 @@
         .filter(|link| !link.is_down(Instant::now()))
         .take(MAX_HOLDERS_ASKED)
         .collect();
-    let mut refusal = None;
-    for link in links {
-        let left = end.saturating_duration_since(Instant::now());
-        if left.is_zero() {
-            break;
+    let mut asked = Asked::default();
+    let first_wait = match core.ledger.borrow().is_holder() {
+        true => Duration::ZERO,
+        false => FIRST_WAIT,
+    };
+    for (i, link) in links.iter().enumerate() {
+        let wait = if i == 0 { first_wait } else { Duration::ZERO };
+        let outcome = ask_holder(core, call, reservation, link, wait).await;
+        if let Some(decided) = asked.take(link, outcome) {
+            return Some(decided);
         }
-        match ask_holder(core, call, reservation, &link, left).await {
-            None => {}
-            Some((admission @ (Admission::Taken | Admission::Exhausted), charge)) => {
-                return Some((admission, charge));
-            }
-            Some(result) => refusal = Some(result),
+    }
+    let Some(waiting) = asked.later.take().filter(|_| !first_wait.is_zero()) else {
+        return asked.refusal;
+    };
+    let end = call.received_at + call.wait_limit();
+    let left = end.saturating_duration_since(Instant::now());
+    let outcome = ask_holder(core, call, reservation, &waiting, left).await;
+    if let Some(decided) = asked.take(&waiting, outcome) {
+        return Some(decided);
+    }
+    // Others may have got some meanwhile.
+    for link in links.iter().filter(|link| !Rc::ptr_eq(link, &waiting)) {
+        let outcome = ask_holder(core, call, reservation, link, Duration::ZERO).await;
+        if let Some(decided) = asked.take(link, outcome) {
+            return Some(decided);
         }
     }
-    refusal
+    asked.refusal
 }
 
-/// Reserves tokens at one holder; `None` if it decided nothing.
+/// Reserves tokens at one holder, which may wait for them for `wait`; `None` if it decided nothing.
 async fn ask_holder<D>(
     core: &Rc<Core<D>>,
     call: &Call,
@@ -136,7 +182,8 @@
         number,
         used: 0,
     };
-    let outcome = await_outcome(core, link, &replies, now + wait).await?;
+    let end = (now + wait).max(call.received_at + call.wait_limit());
+    let outcome = await_outcome(core, link, &replies, end).await?;
     if outcome == ReserveOutcome::Stopping {
         link.mark_down(Instant::now());
     }
--- a/edge/src/serve/reservations.rs
+++ b/edge/src/serve/reservations.rs
@@ -119,7 +119,8 @@
             cost: request.cost,
         };
         let mut admission = try_admit(self, &reservation, received_at);
-        if matches!(admission, Admission::Grant | Admission::Release(_)) {
+        let may_wait = request.wait_ms > 0;
+        if may_wait && matches!(admission, Admission::Grant | Admission::Release(_)) {
             send_reply(replies, request.number, ReserveOutcome::Waiting);
             let wait = bounded_time(request.wait_ms);
             let token_request = TokenRequest {
--- a/edge/src/serve/tokens.rs
+++ b/edge/src/serve/tokens.rs
@@ -16,6 +16,7 @@
     Core,
     call::Call,
     holders::{
+        FIRST_WAIT,
         RemoteReservation,
         reclaim_reserves,
         reserve_at_holders, //
@@ -198,30 +199,38 @@
     call: &Call,
     reservation: &Reservation,
 ) -> (Admission, Charge) {
-    if core.ledger.borrow().is_holder() {
-        let (admission, charge) = reserve_here(core, call, reservation).await;
-        if matches!(admission, Admission::Taken | Admission::Exhausted) {
-            return (admission, charge);
+    let most = call.wait_limit();
+    if !core.ledger.borrow().is_holder() {
+        return match reserve_at_holders(core, call, reservation).await {
+            Some(result) => result,
+            None => reserve_here(core, call, reservation, most).await,
+        };
+    }
+    let mut last = (Admission::Grant, Charge::None);
+    for wait in [FIRST_WAIT.min(most), most] {
+        last = reserve_here(core, call, reservation, wait).await;
+        if matches!(last.0, Admission::Taken | Admission::Exhausted) {
+            return last;
         }
         let elsewhere = reserve_at_holders(core, call, reservation).await;
-        return elsewhere.unwrap_or((admission, charge));
-    }
-    match reserve_at_holders(core, call, reservation).await {
-        Some(result) => result,
-        None => reserve_here(core, call, reservation).await,
+        if let Some(found @ (Admission::Taken | Admission::Exhausted, _)) = elsewhere {
+            return found;
+        }
     }
+    last
 }
 
-/// Reserves tokens of this daemon's own grants.
+/// Reserves tokens of this daemon's own grants, and waits for them until `wait` after the request's arrival.
 async fn reserve_here<D>(
     core: &Rc<Core<D>>,
     call: &Call,
     reservation: &Reservation,
+    wait: Duration,
 ) -> (Admission, Charge) {
     let request = TokenRequest {
         reservation,
         received_at: call.received_at,
-        wait: call.wait_limit(),
+        wait,
     };
     let admission = wait_for_tokens(core, &request).await;
     (admission, Charge::Local(reservation.clone()))
@@ -270,7 +279,8 @@
                     reclaimed_at = Some(now);
                 }
                 let in_vain = reclaimed_at.is_some_and(|at| now > at + RECLAIM_WAIT);
-                if pool_short && in_vain || now > request.received_at + MAX_GRANT_WAIT {
+                let end = request.received_at + request.wait.min(MAX_GRANT_WAIT);
+                if pool_short && in_vain || now > end {
                     return admission;
                 }
                 demand.get_or_insert_with(|| TokenDemand::new(core, reservation));
--- a/edge/tests/reservations.rs
+++ b/edge/tests/reservations.rs
@@ -34,6 +34,11 @@
 
 /// A holder that has issued all tokens of the customer to itself.
 fn holder() -> Rc<Core<()>> {
+    holder_of(LIMIT)
+}
+
+/// A holder that has issued [`LIMIT`] tokens to itself, of a customer who has `limit`.
+fn holder_of(limit: u64) -> Rc<Core<()>> {
     let mut store = FakeStore::default();
     let mut ledger = Ledger::new("vm-1", 1, None);
     ledger.set_limits([("ann".to_owned(), LIMIT)].into());
@@ -46,7 +51,7 @@
         ledger.apply_outcome(&plan, commit, now);
     }
     ledger.adjust_waiting("ann", LIMIT, false);
-    start_core(ledger, LIMIT)
+    start_core(ledger, limit)
 }
 
 /// Reservation of `cost` tokens.
@@ -183,3 +188,31 @@
     core.begin_stop(cuminloom_edge::fleet::boot_time());
     assert_eq!(reserve(&core, request(4, 10)), ReserveOutcome::Stopping);
 }
+
+/// Outcomes of `request` at a holder that has issued fewer tokens than the customer has left, and the time until
+/// the last.
+fn reserve_more(wait_ms: u64) -> (Vec<ReserveOutcome>, Duration) {
+    let core = holder_of(10 * LIMIT);
+    let (sender, replies) = flume::unbounded();
+    let begun = Instant::now();
+    let request = ReserveRequest {
+        wait_ms,
+        ..request(1, 2 * LIMIT)
+    };
+    run(core.reserve_for_peer(request, sender));
+    let outcomes = replies.drain().map(|reply| reply.outcome);
+    (outcomes.collect(), begun.elapsed())
+}
+
+/// A daemon that asks several holders for what they have waits at the first one that has too little, although
+/// another has enough; or a holder waits longer than it was asked to.
+#[test]
+fn a_holder_waits_no_longer_than_it_is_asked_to() {
+    let (outcomes, time) = reserve_more(0);
+    assert_eq!(outcomes, [ReserveOutcome::Grant]);
+    assert!(time < Duration::from_millis(80), "{time:?}");
+    let (outcomes, time) = reserve_more(150);
+    assert_eq!(outcomes, [ReserveOutcome::Waiting, ReserveOutcome::Grant]);
+    let ms = Duration::from_millis;
+    assert!(time >= ms(150) && time < ms(450), "{time:?}");
+}
--- a/edge/tests/whereabouts.rs
+++ b/edge/tests/whereabouts.rs
@@ -69,10 +69,13 @@
     assert_eq!(found.holders + found.others, 50);
 }
 
+/// Cap, spent and open tokens of a grant, and the place of its daemon.
+type GrantCase = (u16, u16, u16, u8);
+
 /// The parts do not add up to the limit, whatever the rows say.
 #[test]
 fn the_parts_add_up_to_the_limit() {
-    fn property(input: (u32, u32, Vec<(u16, u16, u16, u8)>)) -> bool {
+    fn property(input: (u32, u32, Vec<GrantCase>)) -> bool {
         let (limit, committed, grants) = input;
         let mut found = Whereabouts::new(limit.into(), committed.into());
         for (cap, spent, open, place) in grants {
@@ -95,5 +98,5 @@
     QuickCheck::new()
         .rng(Gen::from_size_and_seed(50, SEED))
         .tests(500)
-        .quickcheck(property as fn((u32, u32, Vec<(u16, u16, u16, u8)>)) -> bool);
+        .quickcheck(property as fn((u32, u32, Vec<GrantCase>)) -> bool);
 }
