Untie two circles between modules, and log sends that were held back

The clock of planned stops and the key of a runner's process stood where they made serve and fleet, and catalog and decide, need each other. A send that is held back when its connection is open now says why, told by whom and since when.

--- a/edge/src/catalog/directory.rs
+++ b/edge/src/catalog/directory.rs
@@ -14,10 +14,6 @@
     RunnerId,
     ServiceId, //
 };
-use crate::decide::{
-    RunnerKey,
-    rendezvous_weight, //
-};
 
 /// Whether a runner takes new requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -47,13 +43,6 @@
     pub born: u64,
 }
 
-impl Runner {
-    /// Key by which all daemons recognise this process of the runner.
-    pub fn key(&self) -> RunnerKey {
-        rendezvous_weight(self.born, &self.id) as RunnerKey
-    }
-}
-
 /// Change of one entry.
 #[derive(Clone, Debug)]
 pub enum RunnerChange {
--- a/edge/src/fleet/boot_time.rs
+++ b/edge/src/clock.rs
@@ -12,7 +12,7 @@
 /// # Examples
 ///
 /// ```
-/// use cuminloom_edge::fleet::boot_time;
+/// use cuminloom_edge::clock::boot_time;
 ///
 /// let before = boot_time();
 /// assert!(boot_time() >= before);
--- a/edge/src/decide/availability/mod.rs
+++ b/edge/src/decide/availability/mod.rs
@@ -27,9 +27,18 @@
     FleetTime,
     RunnerKey,
     RunnerLimits,
-    Turn, //
+    Turn,
+    rendezvous_weight, //
 };
-use crate::catalog::RunnerState;
+use crate::catalog::{
+    Runner,
+    RunnerState, //
+};
+
+/// Key by which all daemons recognise this process of `runner`.
+pub fn runner_key(runner: &Runner) -> RunnerKey {
+    rendezvous_weight(runner.born, &runner.id) as RunnerKey
+}
 
 /// Why a runner may or may not be sent a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -51,6 +60,14 @@
 }
 
 impl Standing {
+    /// Who said so: a daemon's name, or `own`.
+    pub fn source(&self) -> &str {
+        match self {
+            Standing::Leaving(Some(source)) => source,
+            _ => "own",
+        }
+    }
+
     /// Name in log lines.
     pub fn as_str(&self) -> &'static str {
         match self {
@@ -147,16 +164,17 @@
         }
     }
 
-    /// Why a request that has its turn at `runner` must not be sent there any more; `None` if it may be.
+    /// What is known of `runner` if a request that has its turn there must not be sent any more; `None` if it
+    /// may be.
     pub fn refuses(
         &self,
         runner: RunnerKey,
         entry: Option<RunnerState>,
         now: Instant,
-    ) -> Option<Standing> {
+    ) -> Option<View> {
         let view = self.view(runner, entry, now);
         let closed = view.excluded || self.pauses.is_closed(runner, now);
-        closed.then_some(view.standing)
+        closed.then_some(view)
     }
 
     /// Requests a second that `runner` is expected to take from this daemon; `None` if nothing limits them.
--- a/edge/src/decide/mod.rs
+++ b/edge/src/decide/mod.rs
@@ -21,7 +21,8 @@
     DownCause,
     LeavingReport,
     Standing,
-    View, //
+    View,
+    runner_key, //
 };
 pub use crash_evidence::{
     Blame,
--- a/edge/src/fleet/mod.rs
+++ b/edge/src/fleet/mod.rs
@@ -1,14 +1,12 @@
 //! Tasks that keep the daemon in step with the others: feeds of the configuration and the runners,
 //! rows of the store, queries between daemons, and the planned stop.
 
-mod boot_time;
 mod feeds;
 mod peers;
 mod rows;
 mod service;
 mod shutdown;
 
-pub use boot_time::boot_time;
 pub use feeds::{
     follow_configs,
     follow_runners, //
--- a/edge/src/fleet/shutdown.rs
+++ b/edge/src/fleet/shutdown.rs
@@ -13,8 +13,10 @@
     time::sleep,
 };
 
-use super::boot_time;
-use crate::serve::Core;
+use crate::{
+    clock::boot_time,
+    serve::Core, //
+};
 
 /// Interval between two checks of the open requests.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
--- a/edge/src/lib.rs
+++ b/edge/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod accept;
 pub mod adapter;
 pub mod catalog;
+pub mod clock;
 pub mod decide;
 pub mod fleet;
 pub mod http;
--- a/edge/src/serve/availability.rs
+++ b/edge/src/serve/availability.rs
@@ -26,9 +26,9 @@
         LeavingReport,
         LimitReport,
         RunnerKey,
-        Standing,
         Turn,
-        View, //
+        View,
+        runner_key, //
     },
 };
 
@@ -108,7 +108,7 @@
         for key in new {
             let directory = self.directory.borrow();
             let mut entries = directory.all();
-            let entry = entries.find(|r| r.key() == key);
+            let entry = entries.find(|r| runner_key(r) == key);
             log::info!(
                 "event=runner_leaving runner={} key={key:08x} source={}",
                 entry.map_or("-", |r| &*r.id),
@@ -147,7 +147,7 @@
         let runners = self.availability.borrow();
         let mut next = None;
         for runner in directory.ready(service, now) {
-            let view = runners.view(runner.key(), Some(runner.state), now);
+            let view = runners.view(runner_key(runner), Some(runner.state), now);
             match view.turn {
                 _ if view.excluded => {}
                 Turn::Never => {}
@@ -158,8 +158,8 @@
         next.map(|at| at.saturating_duration_since(now))
     }
 
-    /// Why a request that is about to be written to the runner of `upstream` must not be sent there.
-    pub(super) fn refuses_send(&self, upstream: &Upstream, now: Instant) -> Option<Standing> {
+    /// What is known of the runner of `upstream` if a request that is about to be written must not be sent there.
+    pub(super) fn refuses_send(&self, upstream: &Upstream, now: Instant) -> Option<View> {
         let entry = self.entry_state(upstream, now);
         self.availability.borrow().refuses(upstream.key, entry, now)
     }
--- a/edge/src/serve/core.rs
+++ b/edge/src/serve/core.rs
@@ -37,14 +37,15 @@
         RunnerId,
         ServiceId, //
     },
+    clock::boot_time,
     decide::{
         Availability,
         CrashEvidence,
         PlannedStop,
         RetryBudget,
-        RouteTimes, //
+        RouteTimes,
+        runner_key, //
     },
-    fleet::boot_time,
     http::LinkActivity,
     peer::PeerLink,
     prepaid::Ledger,
@@ -304,7 +305,7 @@
     pub fn prune_upstreams(&self) {
         let time = self.fleet_time(Instant::now());
         let directory = self.directory.borrow();
-        let present = directory.all().map(|r| r.key()).collect();
+        let present = directory.all().map(|r| runner_key(r)).collect();
         self.availability.borrow_mut().prune(&present, time);
         self.upstreams
             .borrow_mut()
--- a/edge/src/serve/send.rs
+++ b/edge/src/serve/send.rs
@@ -142,8 +142,18 @@
         Some(connection) => connection,
         None => connect(core, upstream).await?,
     };
-    if let Some(standing) = core.refuses_send(upstream, Instant::now()) {
-        return Err(SendError::new(Failure::NotSent, standing.as_str()));
+    let asked = Instant::now();
+    if let Some(view) = core.refuses_send(upstream, asked) {
+        log::info!(
+            "event=send_withheld id={} runner={runner} standing={} source={} since_ms={}",
+            call.meta.id,
+            view.standing.as_str(),
+            view.standing.source(),
+            view.since
+                .map_or(-1, |at| asked.saturating_duration_since(at).as_millis()
+                    as i64)
+        );
+        return Err(SendError::new(Failure::NotSent, view.standing.as_str()));
     }
     if !core.may_send(&call.route) {
         return Err(SendError::new(Failure::NotSent, STOP_CODE));
--- a/edge/src/serve/upstream.rs
+++ b/edge/src/serve/upstream.rs
@@ -21,7 +21,8 @@
         Candidate,
         PromptPart,
         RunnerKey,
-        Turn, //
+        Turn,
+        runner_key, //
     },
     http::{
         Connection,
@@ -136,7 +137,7 @@
     pub fn new(runner: Arc<Runner>, link: Rc<LinkActivity>) -> Upstream {
         Upstream {
             link,
-            key: runner.key(),
+            key: runner_key(&runner),
             runner: RefCell::new(runner),
             idle: RefCell::default(),
             in_flight: Cell::new(0),
--- a/edge/tests/reservations.rs
+++ b/edge/tests/reservations.rs
@@ -185,7 +185,7 @@
         ..request(3, 10)
     };
     assert_eq!(reserve(&core, unknown), ReserveOutcome::Unavailable);
-    core.begin_stop(cuminloom_edge::fleet::boot_time());
+    core.begin_stop(cuminloom_edge::clock::boot_time());
     assert_eq!(reserve(&core, request(4, 10)), ReserveOutcome::Stopping);
 }
 
