Let simulated requests ask their holders as the daemon does

The simulation of holders let a request wait at each holder in turn. It now waits for a write at the first, asks the others for what they have, and waits at one for what others return.

--- a/edge/tests/holder_world/mod.rs
+++ b/edge/tests/holder_world/mod.rs
@@ -56,6 +56,9 @@
 /// Longest wait of a request for tokens.
 const MAX_WAIT_MS: u64 = 1200;
 
+/// Wait of a request at the first holder before the others are asked, as in the daemon.
+const FIRST_WAIT_MS: u64 = 150;
+
 /// Holders that are asked after the first one.
 const MAX_ASKED: usize = 3;
 
@@ -81,8 +84,14 @@
     request: Request,
     since: u64,
     writes_before: u64,
-    /// Daemons that have refused it.
+    /// Time at which it came to the present daemon.
+    here_since: u64,
+    /// Daemons that have refused it in the present round.
     asked: Vec<usize>,
+    /// The first daemon that may have tokens later.
+    later: Option<usize>,
+    /// Whether it waits at that one for what others return: all have been asked for what they have.
+    patient: bool,
     /// Time at which the reserves of others were reclaimed for it.
     reclaimed_at: Option<u64>,
 }
--- a/edge/tests/holder_world/requests.rs
+++ b/edge/tests/holder_world/requests.rs
@@ -25,7 +25,16 @@
             return self.refuse(&request);
         };
         let admission = ledger.admit(&request.customer, request.cost, instant);
+        if first {
+            waiting.here_since = now;
+        }
         let waited = now - waiting.since;
+        let here = now - waiting.here_since;
+        let most = match waiting.asked.is_empty() {
+            true if waiting.patient || self.mechanism == Mechanism::Everyone => MAX_WAIT_MS,
+            true => FIRST_WAIT_MS,
+            false => 0,
+        };
         let waits = match admission {
             Admission::Grant => {
                 let known = ledger.accepted_writes() - waiting.writes_before >= 2;
@@ -36,9 +45,9 @@
                 let in_vain = waiting
                     .reclaimed_at
                     .is_none_or(|at| now > at + RECLAIM_WAIT_MS);
-                waited < MAX_WAIT_MS && !(short && in_vain)
+                here < most && !(short && in_vain)
             }
-            Admission::Release(time) => waited + time.as_millis() as u64 <= 3 * MAX_WAIT_MS,
+            Admission::Release(time) => here + time.as_millis() as u64 <= 3 * most,
             Admission::Taken | Admission::Refused | Admission::Exhausted => false,
         };
         if waits && first {
@@ -95,8 +104,16 @@
     /// Offers a request that holder `h` refused to another one.
     pub(super) fn ask_next(&mut self, h: usize, mut waiting: Waiting, admission: Admission) {
         waiting.asked.push(h);
+        if matches!(admission, Admission::Grant | Admission::Release(_)) {
+            waiting.later.get_or_insert(h);
+        }
         let late = self.now - waiting.since > 3 * MAX_WAIT_MS;
-        let next = self.other_holder(&waiting);
+        let mut next = self.other_holder(&waiting);
+        if next.is_none() && !waiting.patient {
+            waiting.patient = true;
+            waiting.asked.clear();
+            next = waiting.later;
+        }
         let Some(next) = next.filter(|_| admission != Admission::Exhausted && !late) else {
             return self.refuse(&waiting.request);
         };
@@ -155,6 +172,9 @@
             let waiting = Waiting {
                 request,
                 since: self.now,
+                here_since: self.now,
+                later: None,
+                patient: false,
                 writes_before: writes.map_or(0, Ledger::accepted_writes),
                 asked: Vec::new(),
                 reclaimed_at: None,
