--- a/review/standins/fleet.rs
+++ b/review/standins/fleet.rs
@@ -11,7 +11,10 @@
     time::{Duration, Instant},
 };
 
-use crate::{record::Record, store::Store};
+use crate::{
+    record::Record,
+    store::{Endpoint, Store},
+};
 
 /// Ports of each daemon, on an address of its own.
 const CALLERS: u16 = 8227;
@@ -24,6 +27,8 @@
     ip: IpAddr,
     settings: PathBuf,
     log: PathBuf,
+    /// Its address of the store.
+    endpoint: Endpoint,
     child: Option<Child>,
     /// Readiness checks in a row that failed, as the balancer counts them.
     misses: u32,
@@ -45,26 +50,54 @@
     Some(command.split(' ').map(str::to_owned).collect())
 }
 
+/// Loopback addresses that belong to this process alone; `group` is a number below 100.
+fn addresses(group: u8, count: usize) -> Vec<IpAddr> {
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let second = 1 + (high.wrapping_mul(101).wrapping_add(group)) % 126;
+    let ip = |n| Ipv4Addr::new(127, second, low, n).into();
+    (1..=count as u8).map(ip).collect()
+}
+
 impl Fleet {
-    /// Starts a daemon in each of `zones`; fails if the case can't run here.
+    /// Starts a daemon in each of `zones`, with an address of the store of its own, and waits until all are
+    /// ready; fails if the case can't run here.
     pub fn start(
         zones: &[&str],
-        store: &Store,
+        store: &Arc<Store>,
+        record: &Arc<Record>,
+    ) -> Result<Arc<Fleet>, String> {
+        let fleet = Fleet::spawn("edge", 0, zones, store, record)?;
+        let balancer = Arc::clone(&fleet);
+        thread::spawn(move || balancer.check_readiness());
+        let end = Instant::now() + Duration::from_secs(15);
+        while fleet.in_rotation().len() < zones.len() {
+            if Instant::now() > end {
+                fleet.stop();
+                return Err("the daemons are not ready in time".to_owned());
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+        Ok(fleet)
+    }
+
+    /// Starts a daemon in each of `zones`. Fleets with different `group`s have different addresses.
+    pub fn spawn(
+        prefix: &str,
+        group: u8,
+        zones: &[&str],
+        store: &Arc<Store>,
         record: &Arc<Record>,
     ) -> Result<Arc<Fleet>, String> {
         let program = deployed_command().ok_or("no command in deploy/system.toml")?;
         if !Path::new(&program[0]).exists() {
             return Err(format!("{} is not built", program[0]));
         }
-        let [.., high, low] = std::process::id().to_be_bytes();
-        let folder = std::env::temp_dir().join(format!("cuminloom-review-{}", std::process::id()));
+        let process = std::process::id();
+        let folder = std::env::temp_dir().join(format!("cuminloom-review-{process}-{prefix}"));
         fs::create_dir_all(&folder).map_err(|e| e.to_string())?;
-        let ips: Vec<IpAddr> = (1..=zones.len() as u8)
-            .map(|n| Ipv4Addr::new(127, 1 + high % 126, low, n).into())
-            .collect();
-        let seeds: Vec<String> = ips
+        let ips = addresses(group, zones.len());
+        let seeds: Vec<String> = addresses(0, 3)
             .iter()
-            .take(3)
             .map(|ip| format!("\"{}\"", SocketAddr::new(*ip, CONTROL)))
             .collect();
         let mut names: Vec<&str> = zones.to_vec();
@@ -75,7 +108,8 @@
             for port in [CALLERS, READY, CONTROL, FIRST_FREE, FIRST_FREE + 1] {
                 TcpListener::bind((*ip, port)).map_err(|e| format!("{ip}:{port}: {e}"))?;
             }
-            let name = format!("edge-{}", i + 1);
+            let name = format!("{prefix}-{}", i + 1);
+            let endpoint = store.open();
             let settings = folder.join(format!("{name}.json"));
             let text = format!(
                 "{{\"nodeName\":\"{name}\",\"role\":\"router\",\"machineClass\":\"edge\",\
@@ -98,7 +132,7 @@
                 places.join(","),
                 FIRST_FREE + 15,
                 seeds.join(","),
-                store.address
+                endpoint.address
             );
             fs::write(&settings, text).map_err(|e| e.to_string())?;
             let log = folder.join(format!("{name}.log"));
@@ -107,6 +141,7 @@
                 ip: *ip,
                 settings,
                 log,
+                endpoint,
                 child: None,
                 misses: 2,
             });
@@ -120,16 +155,6 @@
         for i in 0..zones.len() {
             fleet.start_daemon(i);
         }
-        let balancer = Arc::clone(&fleet);
-        thread::spawn(move || balancer.check_readiness());
-        let end = Instant::now() + Duration::from_secs(15);
-        while fleet.in_rotation().len() < zones.len() {
-            if Instant::now() > end {
-                fleet.stop();
-                return Err("the daemons are not ready in time".to_owned());
-            }
-            thread::sleep(Duration::from_millis(50));
-        }
         Ok(fleet)
     }
 
@@ -201,6 +226,16 @@
         SocketAddr::new(self.daemons.lock().unwrap()[i].ip, CONTROL)
     }
 
+    /// Address of the store that daemon `i` uses.
+    pub fn endpoint(&self, i: usize) -> Endpoint {
+        self.daemons.lock().unwrap()[i].endpoint.clone()
+    }
+
+    /// Name of daemon `i`.
+    pub fn name(&self, i: usize) -> String {
+        self.daemons.lock().unwrap()[i].name.clone()
+    }
+
     /// Number of daemons.
     pub fn len(&self) -> usize {
         self.daemons.lock().unwrap().len()
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -8,6 +8,7 @@
 mod poison;
 mod power_loss;
 mod record;
+mod replaced;
 mod retries;
 mod runner;
 mod store;
@@ -36,6 +37,7 @@
     record.say(format!("case {case}, disruption {trouble}"));
     let outcome = match case.as_str() {
         "power-loss" => power_loss::run(&record, trouble),
+        "replaced" => replaced::run(&record, trouble),
         "retries" => retries::run(&record, trouble),
         "poison" => poison::run(&record, trouble),
         _ => Err("no such case".to_owned()),
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -4,7 +4,10 @@
     collections::BTreeMap,
     io::{BufReader, Write},
     net::{SocketAddr, TcpListener, TcpStream},
-    sync::{Arc, Condvar, Mutex},
+    sync::{
+        Arc, Condvar, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -32,30 +35,63 @@
 
 /// A running store.
 pub struct Store {
-    pub address: SocketAddr,
     start: Instant,
     state: Mutex<State>,
     changed: Condvar,
 }
 
+/// An address of the store, which may turn all calls away.
+#[derive(Clone)]
+pub struct Endpoint {
+    pub address: SocketAddr,
+    store: Arc<Store>,
+    turns_away: Arc<AtomicBool>,
+}
+
+impl Endpoint {
+    /// Begins or ends a time in which all calls at this address are answered with 503 and nothing is done.
+    pub fn turn_away(&self, turns_away: bool) {
+        self.turns_away.store(turns_away, Ordering::SeqCst);
+        self.store.changed.notify_all();
+    }
+}
+
 impl Store {
-    /// Starts a store on a free port of loopback.
+    /// Starts a store.
     pub fn start() -> Arc<Store> {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let store = Arc::new(Store {
-            address: listener.local_addr().expect("an address"),
+        Arc::new(Store {
             start: Instant::now(),
             state: Mutex::default(),
             changed: Condvar::new(),
-        });
-        let serving = Arc::clone(&store);
+        })
+    }
+
+    /// Opens an address of the store, on a free port of loopback.
+    pub fn open(self: &Arc<Self>) -> Endpoint {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let endpoint = Endpoint {
+            address: listener.local_addr().expect("an address"),
+            store: Arc::clone(self),
+            turns_away: Arc::default(),
+        };
+        let serving = endpoint.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let store = Arc::clone(&serving);
-                thread::spawn(move || store.serve(stream));
+                let endpoint = serving.clone();
+                thread::spawn(move || endpoint.store.serve(stream, &endpoint.turns_away));
             }
         });
-        store
+        endpoint
+    }
+
+    /// Whether the store has this row.
+    pub fn has(&self, table: &str, key: &str) -> bool {
+        let state = self.state.lock().unwrap();
+        let key = (table.to_owned(), String::new(), key.to_owned());
+        state
+            .rows
+            .get(&key)
+            .is_some_and(|(_, value)| value.is_some())
     }
 
     /// Writes a row, or removes it, as the operator or a runner does.
@@ -69,7 +105,7 @@
         self.changed.notify_all();
     }
 
-    fn serve(&self, stream: TcpStream) {
+    fn serve(&self, stream: TcpStream, turns_away: &AtomicBool) {
         let _ = stream.set_nodelay(true);
         let Ok(mut out) = stream.try_clone() else {
             return;
@@ -77,7 +113,10 @@
         let mut reader = BufReader::new(stream);
         while let Some(request) = read_request(&mut reader) {
             thread::sleep(CALL_TIME);
-            let (status, body) = self.answer(&request);
+            let (status, body) = match turns_away.load(Ordering::SeqCst) {
+                true => (503, "{}".to_owned()),
+                false => self.answer(&request, turns_away),
+            };
             let text = format!(
                 "HTTP/1.1 {status} Answer\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
                 body.len()
@@ -88,7 +127,7 @@
         }
     }
 
-    fn answer(&self, request: &Request) -> (u16, String) {
+    fn answer(&self, request: &Request, turns_away: &AtomicBool) -> (u16, String) {
         let (path, query) = request.query();
         match (request.method.as_str(), path.as_str()) {
             ("POST", "/rows-tx") => {
@@ -99,7 +138,7 @@
                 }
             }
             ("GET", "/rows-get") => (200, self.read(&query)),
-            ("GET", "/rows-feed") => self.feed(&query),
+            ("GET", "/rows-feed") => self.feed(&query, turns_away),
             _ => (404, "{}".to_owned()),
         }
     }
@@ -173,7 +212,7 @@
         self.page(&state, &rows[..rows.len().min(limit)], rows.len() > limit)
     }
 
-    fn feed(&self, query: &BTreeMap<String, String>) -> (u16, String) {
+    fn feed(&self, query: &BTreeMap<String, String>, turns_away: &AtomicBool) -> (u16, String) {
         let number = |name: &str| query.get(name).and_then(|v| v.parse::<u64>().ok());
         let since = number("sinceRevision").unwrap_or(0);
         let wait = Duration::from_millis(number("waitMs").unwrap_or(0).min(30_000));
@@ -181,6 +220,9 @@
         let end = Instant::now() + wait;
         let mut state = self.state.lock().unwrap();
         loop {
+            if turns_away.load(Ordering::SeqCst) {
+                return (503, "{}".to_owned());
+            }
             let mut rows: Vec<_> = state
                 .rows
                 .iter()
