--- a/review/standins/fleet.rs
+++ b/review/standins/fleet.rs
@@ -53,8 +53,8 @@
 /// Loopback addresses that belong to this process alone; `group` is a number below 100.
 fn addresses(group: u8, count: usize) -> Vec<IpAddr> {
     let [.., high, low] = std::process::id().to_be_bytes();
-    let second = 1 + (high.wrapping_mul(101).wrapping_add(group)) % 126;
-    let ip = |n| Ipv4Addr::new(127, second, low, n).into();
+    let second = 1 + (u16::from(high) * 17 + u16::from(group)) % 126;
+    let ip = |n| Ipv4Addr::new(127, second as u8, low, n).into();
     (1..=count as u8).map(ip).collect()
 }
 
