--- a/review/standins/fleet.rs
+++ b/review/standins/fleet.rs
@@ -66,7 +66,8 @@
         store: &Arc<Store>,
         record: &Arc<Record>,
     ) -> Result<Arc<Fleet>, String> {
-        let fleet = Fleet::spawn("edge", 0, zones, store, record)?;
+        let endpoints = zones.iter().map(|_| store.open()).collect();
+        let fleet = Fleet::spawn("edge", 0, zones, endpoints, record)?;
         let balancer = Arc::clone(&fleet);
         thread::spawn(move || balancer.check_readiness());
         let end = Instant::now() + Duration::from_secs(15);
@@ -80,12 +81,13 @@
         Ok(fleet)
     }
 
-    /// Starts a daemon in each of `zones`. Fleets with different `group`s have different addresses.
+    /// Starts a daemon in each of `zones`, which uses the address of the store at the same place in `endpoints`.
+    /// Fleets with different `group`s have different addresses.
     pub fn spawn(
         prefix: &str,
         group: u8,
         zones: &[&str],
-        store: &Arc<Store>,
+        endpoints: Vec<Endpoint>,
         record: &Arc<Record>,
     ) -> Result<Arc<Fleet>, String> {
         let program = deployed_command().ok_or("no command in deploy/system.toml")?;
@@ -104,12 +106,11 @@
         names.dedup();
         let places: Vec<String> = names.iter().map(|z| format!("\"{z}\":\"r-1\"")).collect();
         let mut daemons = Vec::new();
-        for (i, (ip, zone)) in ips.iter().zip(zones).enumerate() {
+        for (i, ((ip, zone), endpoint)) in ips.iter().zip(zones).zip(endpoints).enumerate() {
             for port in [CALLERS, READY, CONTROL, FIRST_FREE, FIRST_FREE + 1] {
                 TcpListener::bind((*ip, port)).map_err(|e| format!("{ip}:{port}: {e}"))?;
             }
             let name = format!("{prefix}-{}", i + 1);
-            let endpoint = store.open();
             let settings = folder.join(format!("{name}.json"));
             let text = format!(
                 "{{\"nodeName\":\"{name}\",\"role\":\"router\",\"machineClass\":\"edge\",\
--- a/review/standins/replaced.rs
+++ b/review/standins/replaced.rs
@@ -17,19 +17,19 @@
     fleet::{Fleet, clean_up},
     record::Record,
     runner::{Behaviour, Runner, Seen},
-    store::Store,
+    store::{Endpoint, Store},
 };
 
 /// Generations of lost machines, and machines in each.
-const GENERATIONS: u8 = 16;
-const MACHINES: usize = 36;
+const GENERATIONS: u8 = 28;
+const MACHINES: usize = 26;
 
 /// Daemons that the store turns away, of six, and for how long.
 const TURNED_AWAY: usize = 2;
 const AWAY_S: f64 = 9.0;
 
 /// Time from then to the change of the configuration.
-const CHANGE_AFTER_S: f64 = 0.5;
+const CHANGE_AFTER_S: f64 = 0.1;
 
 /// `configApplyMs` and `partitionMaxMs`.
 const APPLY_S: f64 = 2.0;
@@ -65,8 +65,9 @@
     }
     let mut dark = Vec::new();
     if lost {
+        let endpoint = store.open();
         for generation in 1..=GENERATIONS {
-            dark.extend(lose_machines(generation, &store, record)?);
+            dark.extend(lose_machines(generation, &store, &endpoint, record)?);
         }
         record.say(format!("{} machines were lost and replaced", dark.len()));
     }
@@ -154,6 +155,7 @@
 fn lose_machines(
     generation: u8,
     store: &Arc<Store>,
+    endpoint: &Endpoint,
     record: &Arc<Record>,
 ) -> Result<Vec<TcpListener>, String> {
     let zones: Vec<&str> = (0..MACHINES)
@@ -163,7 +165,7 @@
         &format!("old{generation}"),
         generation,
         &zones,
-        store,
+        vec![endpoint.clone(); MACHINES],
         record,
     )?;
     let end = Instant::now() + Duration::from_secs(10);
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -107,9 +107,6 @@
 
     fn serve(&self, stream: TcpStream, turns_away: &AtomicBool) {
         let _ = stream.set_nodelay(true);
-        let Ok(mut out) = stream.try_clone() else {
-            return;
-        };
         let mut reader = BufReader::new(stream);
         while let Some(request) = read_request(&mut reader) {
             thread::sleep(CALL_TIME);
@@ -121,7 +118,7 @@
                 "HTTP/1.1 {status} Answer\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
                 body.len()
             );
-            if out.write_all(text.as_bytes()).is_err() {
+            if reader.get_mut().write_all(text.as_bytes()).is_err() {
                 return;
             }
         }
