--- a/review/standins/fleet.rs
+++ b/review/standins/fleet.rs
@@ -188,6 +188,7 @@
             daemon.name,
             child.id()
         ));
+        self.record.flush();
         daemon.child = Some(child);
     }
 
--- a/review/standins/record.rs
+++ b/review/standins/record.rs
@@ -37,10 +37,15 @@
         let _ = writeln!(file, "{now:9.3} {text}");
     }
 
+    /// Writes all lines to the file.
+    pub fn flush(&self) {
+        let _ = self.file.lock().unwrap().flush();
+    }
+
     /// Adds a line and prints it.
     pub fn say(&self, text: impl Display) {
         println!("{text}");
         self.line(&text);
-        let _ = self.file.lock().unwrap().flush();
+        self.flush();
     }
 }
--- a/review/standins/replaced.rs
+++ b/review/standins/replaced.rs
@@ -1,7 +1,7 @@
 //! CONFIG: a daemon that the store turns away asks machines for the configuration that left long ago.
 //!
-//! Many machines are lost for good and replaced, one generation after the other. Then the store turns away two of the
-//! six daemons that are left, and a key is taken away.
+//! Many machines are lost for good and replaced, one generation after the other. Then the store twice turns away two
+//! of the six daemons that are left, and each time a key is taken away.
 
 use std::{
     collections::HashSet,
@@ -35,6 +35,10 @@
 const APPLY_S: f64 = 2.0;
 const PARTITION_S: f64 = 5.0;
 
+/// Keys, of which one is taken away each time, and the pause between two times.
+const KEYS: [&str; 2] = ["key-one", "key-two"];
+const BETWEEN_S: f64 = 5.0;
+
 /// Time between two requests with the key that was taken away, at each daemon.
 const PAUSE: Duration = Duration::from_millis(100);
 
@@ -42,7 +46,7 @@
     // With LOST=0 the store turns the daemons away, but no machine was lost before.
     let lost = trouble && std::env::var("LOST").map_or(true, |v| v != "0");
     let store = Store::start();
-    store.put("op", "config", Some(&config(7, true)));
+    store.put("op", "config", Some(&config(7, &KEYS)));
     let seen: Arc<Mutex<Seen>> = Arc::default();
     let behaviour = Behaviour {
         step: Duration::from_millis(15),
@@ -75,54 +79,53 @@
     thread::sleep(Duration::from_secs(6));
     let addresses = fleet.addresses();
     let mut number = 0_u32;
-    let mut ask = |i: usize| {
+    let mut ask = |i: usize, key: &str| {
         number += 1;
         let id = format!("{number:016x}");
         let path = format!("/stock/{number}");
-        let answer = get(
-            addresses[i],
-            &path,
-            &id,
-            "key-gone",
-            Duration::from_millis(1500),
-        );
+        let answer = get(addresses[i], &path, &id, key, Duration::from_millis(1500));
         record.line(format!(
-            "caller {id} at {}: status {}",
+            "caller {id} at {} with {key}: status {}",
             fleet.name(i),
             answer.status
         ));
         (id, answer.status)
     };
-    let before: Vec<u16> = (0..fleet.len()).map(|i| ask(i).1).collect();
-    record.say(format!("statuses with the key before: {before:?}"));
-    if before.iter().any(|status| *status != 200) {
-        clean_up(&fleet);
-        return Err("the daemons do not serve".to_owned());
-    }
-    let begun = record.now();
-    if trouble {
-        (0..TURNED_AWAY).for_each(|i| fleet.endpoint(i).turn_away(true));
-        record.say(format!(
-            "the store turns away {TURNED_AWAY} of {} daemons",
-            fleet.len()
-        ));
-    }
-    sleep_until(record, begun + CHANGE_AFTER_S);
-    store.put("op", "config", Some(&config(8, false)));
-    let taken = record.now();
-    record.say("the key is taken away");
-    sleep_until(record, taken + APPLY_S + PARTITION_S + 0.1);
     let mut late = HashSet::new();
     let mut statuses = Vec::new();
-    while record.now() < begun + AWAY_S - 0.2 {
-        for i in 0..fleet.len() {
-            let (id, status) = ask(i);
-            late.insert(id);
-            statuses.push(status);
+    for (event, key) in KEYS.iter().enumerate() {
+        let before: Vec<u16> = (0..fleet.len()).map(|i| ask(i, key).1).collect();
+        record.say(format!("statuses with {key} before: {before:?}"));
+        if before.iter().any(|status| *status != 200) {
+            clean_up(&fleet);
+            return Err("the daemons do not serve".to_owned());
         }
-        thread::sleep(PAUSE);
+        let begun = record.now();
+        if trouble {
+            (0..TURNED_AWAY).for_each(|i| fleet.endpoint(i).turn_away(true));
+            record.say(format!(
+                "the store turns away {TURNED_AWAY} of {} daemons",
+                fleet.len()
+            ));
+        }
+        sleep_until(record, begun + CHANGE_AFTER_S);
+        let left = &KEYS[event + 1..];
+        store.put("op", "config", Some(&config(8 + event, left)));
+        let taken = record.now();
+        record.say(format!("{key} is taken away"));
+        sleep_until(record, taken + APPLY_S + PARTITION_S + 0.1);
+        while record.now() < begun + AWAY_S - 0.2 {
+            for i in 0..fleet.len() {
+                let (id, status) = ask(i, key);
+                late.insert(id);
+                statuses.push(status);
+            }
+            thread::sleep(PAUSE);
+        }
+        (0..TURNED_AWAY).for_each(|i| fleet.endpoint(i).turn_away(false));
+        record.line("the store serves all daemons");
+        thread::sleep(Duration::from_secs_f64(BETWEEN_S));
     }
-    (0..TURNED_AWAY).for_each(|i| fleet.endpoint(i).turn_away(false));
     let ended = fleet.any_ended();
     for text in ["event=config_in_force", "event=peers_", "event=feed_"] {
         fleet
@@ -143,7 +146,7 @@
         .count();
     let refused = statuses.iter().filter(|s| [401, 503].contains(*s)).count();
     record.say(format!(
-        "sent with the key later than {} s after that: {}, of which {ran} ran and {refused} were refused",
+        "sent with a key later than {} s after that: {}, of which {ran} ran and {refused} were refused",
         APPLY_S + PARTITION_S,
         statuses.len()
     ));
@@ -187,13 +190,13 @@
     dark
 }
 
-fn config(version: u32, has_key: bool) -> String {
-    let gone = match has_key {
-        true => {
-            ",{\"name\":\"gone\",\"apiKeys\":[\"key-gone\"],\"priority\":1,\"prepaid\":1000000}"
-        }
-        false => "",
+fn config(version: usize, keys: &[&str]) -> String {
+    let tenant = |key: &&str| {
+        format!(
+            ",{{\"name\":\"t-{key}\",\"apiKeys\":[\"{key}\"],\"priority\":1,\"prepaid\":1000000}}"
+        )
     };
+    let tenants: String = keys.iter().map(tenant).collect();
     format!(
         "{{\"version\":{version},\"routes\":[{{\"name\":\"r-1\",\"hostname\":\"shop.example\",\
          \"prefix\":\"/stock/\",\"type\":\"idempotent\",\"timeoutMs\":800,\"sloMs\":150,\"priority\":0,\
@@ -201,7 +204,7 @@
          \"services\":[{{\"name\":\"desk\",\"healthPath\":\"/healthz\",\"maxConns\":100,\"protocol\":\"h1\",\
          \"tls\":false}}],\"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\
          \"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}},\"tenants\":[{{\"name\":\"coop\",\
-         \"apiKeys\":[\"key-coop\"],\"priority\":1,\"prepaid\":1000000}}{gone}]}}"
+         \"apiKeys\":[\"key-coop\"],\"priority\":1,\"prepaid\":1000000}}{tenants}]}}"
     )
 }
 
