--- a/edge/src/adapter.rs
+++ b/edge/src/adapter.rs
@@ -75,6 +75,8 @@
     pub waiting: u32,
     /// Maximum number of requests running at once.
     pub slots: u32,
+    /// Time that work takes there at this moment, in percent of the usual time.
+    pub percent: Option<u32>,
 }
 
 /// What a response says in a field that may be missing or odd.
@@ -114,6 +116,8 @@
     pub retry_after: RetryField,
     /// Whether the runner says that it leaves.
     pub leaving: bool,
+    /// Time for which the runner stays cold, if it says so.
+    pub cold_time: Option<Duration>,
 }
 
 /// Header field of a request that is missing or can't be decoded.
--- a/edge/src/catalog/config.rs
+++ b/edge/src/catalog/config.rs
@@ -8,6 +8,7 @@
 
 use super::{
     CustomerId,
+    RegionId,
     ServiceId, //
 };
 
@@ -62,6 +63,8 @@
     pub max_attempts: u32,
     /// Whether requests without a valid key are allowed.
     pub public: bool,
+    /// Regions in which requests may be handled; empty for all.
+    pub homes: Vec<RegionId>,
 }
 
 /// One service, which is a group of interchangeable runners.
@@ -73,6 +76,12 @@
     pub max_connections: u32,
     /// Most tokens that one event of a stream contains.
     pub event_tokens: u64,
+    /// Tokens that fit into the memory of one runner; `None` for a service that is no engine.
+    pub memory_tokens: Option<u64>,
+    /// Time for which a runner is cold after its start.
+    pub cold_time: Duration,
+    /// Requests a second that a cold runner tolerates; `None` if cold runners need no protection.
+    pub cold_rate: Option<f64>,
 }
 
 /// Limits on the requests and connections of callers.
@@ -116,6 +125,8 @@
     pub rank: Option<u8>,
     /// Total of the tokens that the customer may consume; `None` without a prepaid budget.
     pub prepaid: Option<u64>,
+    /// Regions in which requests may be handled; empty for all.
+    pub homes: Vec<RegionId>,
 }
 
 /// One version of the operator's configuration.
--- a/edge/src/catalog/directory.rs
+++ b/edge/src/catalog/directory.rs
@@ -41,6 +41,8 @@
     pub state: RunnerState,
     /// Unix time of its start, in milliseconds; distinguishes two processes with the same id.
     pub born: u64,
+    /// Time for which it stayed cold when it wrote the entry.
+    pub cold_time: Duration,
 }
 
 /// Change of one entry.
@@ -72,6 +74,7 @@
 ///     slots: 8,
 ///     state: RunnerState::Ready,
 ///     born: 1_700_000_000_000,
+///     cold_time: Duration::ZERO,
 /// };
 /// let mut directory = Directory::default();
 /// directory.apply(RunnerChange::Put(runner), now);
--- a/edge/src/catalog/mod.rs
+++ b/edge/src/catalog/mod.rs
@@ -25,5 +25,7 @@
 pub type ServiceId = Arc<str>;
 /// Name of a customer.
 pub type CustomerId = Arc<str>;
+/// Name of a region, a group of data centres.
+pub type RegionId = Arc<str>;
 /// Id of one incarnation of a runner process.
 pub type RunnerId = Arc<str>;
--- a/edge/src/peer/message.rs
+++ b/edge/src/peer/message.rs
@@ -174,6 +174,9 @@
     slots: u32,
     ready: bool,
     born: u64,
+    /// Time for which it stays cold, in milliseconds; daemons of the earlier version leave it out.
+    #[serde(default)]
+    cold_ms: u64,
 }
 
 impl From<&Runner> for PeerRunner {
@@ -186,6 +189,7 @@
             slots: runner.slots,
             ready: runner.state == RunnerState::Ready,
             born: runner.born,
+            cold_ms: runner.cold_time.as_millis() as u64,
         }
     }
 }
@@ -204,6 +208,7 @@
                 RunnerState::Draining
             },
             born: peer.born,
+            cold_time: Duration::from_millis(peer.cold_ms),
         }
     }
 }
--- a/edge/src/serve/core.rs
+++ b/edge/src/serve/core.rs
@@ -73,6 +73,14 @@
     pub store_writes: f64,
     /// Time for which entries that expired during a store outage may be missing after it.
     pub lapse_grace: Duration,
+    /// Factor on the requests a second that a cold runner tolerates, for any one second.
+    pub cold_overshoot: f64,
+    /// Requests that a cold runner may get in any one second beyond that.
+    pub cold_tolerance: f64,
+    /// Time after which an evacuation is in force.
+    pub evacuation: Duration,
+    /// Time for which a machine must be undisturbed to count as in contact.
+    pub contact: Duration,
 }
 
 impl Default for Bounds {
@@ -86,6 +94,10 @@
             // Entries reappear about 2 s after the end of a store outage. A runner whose entry is removed
             // just before this daemon sees the end must get no requests 2 s later.
             lapse_grace: Duration::from_millis(1800),
+            cold_overshoot: 1.0,
+            cold_tolerance: 0.0,
+            evacuation: Duration::from_secs(5),
+            contact: Duration::from_secs(3),
         }
     }
 }
--- a/edge/tests/decisions.rs
+++ b/edge/tests/decisions.rs
@@ -228,6 +228,7 @@
         slots: 1,
         state,
         born: 0,
+        cold_time: Duration::ZERO,
     }
 }
 
--- a/edge/tests/silence.rs
+++ b/edge/tests/silence.rs
@@ -45,6 +45,7 @@
         slots: 8,
         state: RunnerState::Ready,
         born: 1,
+        cold_time: Duration::ZERO,
     };
     let upstream = Upstream::new(Arc::new(runner), Rc::clone(&link));
     link.record(now.checked_sub(quiet).unwrap());
--- a/edge/tests/test_core/mod.rs
+++ b/edge/tests/test_core/mod.rs
@@ -31,6 +31,7 @@
         name: "ann".into(),
         rank: None,
         prepaid: Some(limit),
+        homes: Vec::new(),
     };
     let config = Config {
         version: CONFIG_VERSION,
