Count runners that end after the first event as evidence

A runner that ended later than 100 ms after the first event was no evidence against the request, and an answer that went on for 250 ms cleared what was known. A request that crashes its runner 300 ms after the first event was never blocked.

Ends after the first event are now kept apart as late ends, and only a complete answer clears them. A request is blocked from its third such end (its second before an answer, as before), a prompt part from its third of either kind. A request that shares its lost runners with a request that ended more is not refused. Rows and replies carry late ends and the time of the last complete answer as optional fields.

--- a/edge/src/decide/crash_evidence/mod.rs
+++ b/edge/src/decide/crash_evidence/mod.rs
@@ -1,8 +1,8 @@
 //! Which requests crash runners, against prompts and requests that end one runner after the other.
 //!
 //! Each end of a runner makes all that it was about to answer suspect: the request itself and the parts of
-//! its prompt that other requests share. A later answer clears a suspect. One that only ends runners is
-//! blocked. All daemons add up what each of them has seen: an end is identified by the runner, so it counts
+//! its prompt that other requests share. A later answer clears a suspect: one that goes on for a while of the
+//! ends before an answer, a complete one of all. One that only ends runners is blocked. All daemons add up what each of them has seen: an end is identified by the runner, so it counts
 //! once however many report it.
 
 mod record;
@@ -26,6 +26,7 @@
 };
 
 use record::{
+    Answers,
     End,
     MAX_ENDS,
     Record, //
@@ -98,8 +99,8 @@
 #[derive(Debug, Default)]
 pub struct CrashEvidence {
     records: HashMap<Suspect, Record>,
-    /// Time of the last answer of this daemon, by prompt part.
-    answers: HashMap<u64, FleetTime>,
+    /// Last answers of this daemon, by prompt part.
+    answers: HashMap<u64, Answers>,
     blocked: HashSet<Suspect>,
     changes: Vec<BlockChange>,
 }
@@ -107,28 +108,57 @@
 impl CrashEvidence {
     /// Records that a runner ended before it had begun to answer a request of `suspects`.
     pub fn record_end(&mut self, suspects: &[Suspect], runner: RunnerKey, now: FleetTime) {
+        self.add_ends(suspects, runner, now, false);
+    }
+
+    /// As [`record_end`](Self::record_end), after the answer had begun.
+    pub fn record_late_end(&mut self, suspects: &[Suspect], runner: RunnerKey, now: FleetTime) {
+        self.add_ends(suspects, runner, now, true);
+    }
+
+    fn add_ends(&mut self, suspects: &[Suspect], runner: RunnerKey, now: FleetTime, late: bool) {
         for suspect in suspects {
             self.make_room();
             let answered = self.own_answer(*suspect);
             let record = self.records.entry(*suspect).or_default();
-            record.answered = record.answered.max(answered);
+            record.set_answered(answered);
             record.add_end(End {
                 runner,
                 at: now,
+                late,
                 source: None,
             });
             self.update_block(*suspect);
         }
     }
 
-    /// Records that a runner has begun to answer a request of `suspects`, and did not end.
+    /// Records that a runner has answered a request of `suspects` completely.
     pub fn record_answer(&mut self, suspects: &[Suspect], now: FleetTime) {
+        let complete = Answers {
+            begun: now,
+            complete: now,
+        };
+        self.add_answers(suspects, complete, now);
+    }
+
+    /// Records that a runner has begun to answer a request of `suspects` and has gone on for a while. It may
+    /// still end because of it.
+    pub fn record_progress(&mut self, suspects: &[Suspect], now: FleetTime) {
+        let begun = Answers {
+            begun: now,
+            complete: 0,
+        };
+        self.add_answers(suspects, begun, now);
+    }
+
+    fn add_answers(&mut self, suspects: &[Suspect], answers: Answers, now: FleetTime) {
         for suspect in suspects {
             if let Suspect::Part(part) = suspect {
-                self.answers.insert(*part, now);
+                let known = self.answers.entry(*part).or_default();
+                *known = known.max(answers);
             }
             if let Some(record) = self.records.get_mut(suspect) {
-                record.set_answered(now);
+                record.set_answered(answers);
                 if self.blocked.contains(suspect) {
                     record.vouch_until = now + VOUCH_MS;
                 }
@@ -136,11 +166,11 @@
             }
         }
         if self.answers.len() > MAX_ANSWERS {
-            let mut times: Vec<FleetTime> = self.answers.values().copied().collect();
+            let mut times: Vec<FleetTime> = self.answers.values().map(|a| a.begun).collect();
             let middle = times.len() / 2;
             let (_, median, _) = times.select_nth_unstable(middle);
             let median = *median;
-            self.answers.retain(|_, at| *at > median);
+            self.answers.retain(|_, a| a.begun > median);
         }
     }
 
@@ -169,8 +199,8 @@
         now: FleetTime,
     ) -> bool {
         let suspect = report.suspect;
-        let newest = report.ends.iter().map(|(_, at)| *at).max().unwrap_or(0);
-        let newest = newest.max(report.refused).max(report.answered);
+        let newest = report.newest_end().max(report.refused);
+        let newest = newest.max(report.answered).max(report.completed);
         if newest.saturating_add(EVIDENCE_TTL_MS) < now {
             return false;
         }
@@ -178,15 +208,23 @@
         let own_answer = self.own_answer(suspect);
         let record = self.records.entry(suspect).or_default();
         record.refused = record.refused.max(report.refused.min(now));
-        record.set_answered(report.answered.min(now).max(own_answer));
+        let reported = Answers {
+            begun: report.answered.max(report.completed).min(now),
+            complete: report.completed.min(now),
+        };
+        record.set_answered(reported.max(own_answer));
         let mut cleared = 0;
-        for (runner, at) in report.ends.iter().rev().take(MAX_ENDS) {
+        let early = report.ends.iter().rev().take(MAX_ENDS);
+        let late = report.late_ends.iter().rev().take(MAX_ENDS);
+        let ends = early.map(|e| (e, false)).chain(late.map(|e| (e, true)));
+        for ((runner, at), late) in ends {
             // An end in the future was dated by a daemon whose estimate of the store's clock is ahead.
             let at = (*at).min(now);
-            cleared += usize::from(at <= own_answer);
+            cleared += usize::from(own_answer.clear(at, late));
             record.add_end(End {
                 runner: *runner,
                 at,
+                late,
                 source: source.cloned(),
             });
         }
@@ -199,11 +237,11 @@
         first && cleared + 1 >= suspect.min_ends()
     }
 
-    /// Time of the last answer of this daemon for a prompt part; 0 for none.
-    fn own_answer(&self, suspect: Suspect) -> FleetTime {
+    /// Last answers of this daemon for a prompt part.
+    fn own_answer(&self, suspect: Suspect) -> Answers {
         match suspect {
-            Suspect::Part(part) => self.answers.get(&part).copied().unwrap_or(0),
-            Suspect::Request(_) => 0,
+            Suspect::Part(part) => self.answers.get(&part).copied().unwrap_or_default(),
+            Suspect::Request(_) => Answers::default(),
         }
     }
 
@@ -228,7 +266,7 @@
     pub fn expire(&mut self, now: FleetTime) {
         let mut expired = Vec::new();
         for (suspect, record) in &self.records {
-            let cleared_at = record.answered.max(record.vouch_until);
+            let cleared_at = record.answered.begun.max(record.vouch_until);
             let idle = record.ends.is_empty() && cleared_at + CLEARED_TTL_MS < now;
             if idle || record.fresh_at() + EVIDENCE_TTL_MS < now {
                 expired.push(*suspect);
@@ -243,7 +281,7 @@
     /// Blocks or unblocks a suspect by its record.
     fn update_block(&mut self, suspect: Suspect) {
         let ends = self.records.get(&suspect).map_or(&[][..], |r| &r.ends);
-        let blocked = suspect.count_ends(ends.iter()) >= suspect.min_ends();
+        let blocked = suspect.is_blocked_by(ends.iter());
         let changed = match blocked {
             true => self.blocked.insert(suspect),
             false => self.blocked.remove(&suspect),
@@ -263,7 +301,8 @@
     }
 
     /// Whether a request of `suspects` is refused, and why. A part that was always beside another blocked
-    /// one is not held against requests without that other one.
+    /// one is not held against requests without that other one, and a request that lost its runners to a
+    /// worse one beside it is not refused.
     pub fn find_blocked(&self, suspects: &[Suspect], now: FleetTime) -> Option<Blame> {
         if self.blocked.is_empty() {
             return None;
@@ -271,7 +310,7 @@
         let suspect = suspects
             .iter()
             .filter(|s| self.blocked.contains(s))
-            .find(|s| self.unexplained(**s, suspects) >= s.min_ends())?;
+            .find(|s| s.is_blocked_by(self.unexplained(**s, suspects).into_iter()))?;
         let record = &self.records[suspect];
         let own: Arc<str> = Arc::from("own");
         let mut sources: Vec<Arc<str>> = record
@@ -285,29 +324,38 @@
             suspect: *suspect,
             ends: record.ends.len(),
             age_ms: now.saturating_sub(record.last_end()),
-            answer_age_ms: (record.answered > 0).then(|| now.saturating_sub(record.answered)),
+            answer_age_ms: (record.answered.begun > 0)
+                .then(|| now.saturating_sub(record.answered.begun)),
             sources,
         })
     }
 
-    /// Ends of runners under `suspect` that no other blocked part explains: one that the
-    /// request of `suspects` does not have.
-    fn unexplained(&self, suspect: Suspect, suspects: &[Suspect]) -> usize {
+    /// Ends of runners under `suspect` that no other blocked suspect explains: one that the
+    /// request of `suspects` does not have. Requests explain only ends of requests: each request with a bad part
+    /// may be blocked by itself.
+    fn unexplained(&self, suspect: Suspect, suspects: &[Suspect]) -> Vec<&End> {
         let record = &self.records[&suspect];
         let others: Vec<&Record> = self
             .blocked
             .iter()
-            .filter(|s| matches!(s, Suspect::Part(_)) && !suspects.contains(s))
+            .filter(|s| !suspects.contains(s))
+            .filter(|s| match s {
+                // A part that was answered once is a worse explanation than one that never was.
+                Suspect::Part(_) => self.records[s].soundness() <= record.soundness(),
+                // Of two requests, at most one explains the other.
+                Suspect::Request(_) => {
+                    matches!(suspect, Suspect::Request(_))
+                        && self.records[s].ends.len() > record.ends.len()
+                }
+            })
             .map(|s| &self.records[s])
-            // A part that was answered once is a worse explanation than one that never was.
-            .filter(|other| other.answered == 0 || record.answered > 0)
             .collect();
         let explained = |end: &End| {
             others
                 .iter()
                 .any(|o| o.ends.iter().any(|e| e.runner == end.runner))
         };
-        suspect.count_ends(record.ends.iter().filter(|e| !explained(e)))
+        record.ends.iter().filter(|e| !explained(e)).collect()
     }
 
     /// Records that a request of `suspect` was refused.
--- a/edge/src/decide/crash_evidence/reports.rs
+++ b/edge/src/decide/crash_evidence/reports.rs
@@ -18,12 +18,18 @@
     /// What this daemon has seen itself, to write to its row.
     pub fn own_reports(&self, now: FleetTime) -> Vec<SuspectReport> {
         self.reports(now, |record, suspect| {
-            let own = record.ends.iter().filter(|e| e.source.is_none());
+            let own = |late| {
+                let ends = record.ends.iter();
+                let own = ends.filter(move |e| e.source.is_none() && e.late == late);
+                own.map(|e| (e.runner, e.at)).collect()
+            };
             let vouches = now < record.vouch_until;
             SuspectReport {
                 suspect,
-                ends: own.map(|e| (e.runner, e.at)).collect(),
-                answered: if vouches { record.answered } else { 0 },
+                ends: own(false),
+                late_ends: own(true),
+                answered: if vouches { record.answered.begun } else { 0 },
+                completed: if vouches { record.answered.complete } else { 0 },
                 // Refreshes evidence that would expire; not with every refusal.
                 refused: match record.own_refused > record.last_end() + EVIDENCE_TTL_MS / 4 {
                     true => record.own_refused,
@@ -35,11 +41,19 @@
 
     /// What this daemon knows from all daemons, for others that can't read the rows.
     pub fn all_reports(&self, now: FleetTime) -> Vec<SuspectReport> {
-        self.reports(now, |record, suspect| SuspectReport {
-            suspect,
-            ends: record.ends.iter().map(|e| (e.runner, e.at)).collect(),
-            answered: record.answered,
-            refused: record.refused,
+        self.reports(now, |record, suspect| {
+            let ends = |late| {
+                let ends = record.ends.iter().filter(move |e| e.late == late);
+                ends.map(|e| (e.runner, e.at)).collect()
+            };
+            SuspectReport {
+                suspect,
+                ends: ends(false),
+                late_ends: ends(true),
+                answered: record.answered.begun,
+                completed: record.answered.complete,
+                refused: record.refused,
+            }
         })
     }
 
@@ -54,10 +68,9 @@
             .iter()
             .filter(|(_, r)| r.fresh_at() + EVIDENCE_TTL_MS >= now)
             .map(|(s, r)| (self.blocked.contains(s), report(r, *s)))
-            .filter(|(_, r)| !r.ends.is_empty() || r.answered > 0 || r.refused > 0)
+            .filter(|(_, r)| r.count_ends() > 0 || r.answered > 0 || r.refused > 0)
             .collect();
-        let newest = |r: &SuspectReport| r.ends.last().map_or(0, |(_, at)| *at);
-        list.sort_by_key(|(b, r)| (Reverse((*b, r.ends.len(), newest(r))), r.suspect));
+        list.sort_by_key(|(b, r)| (Reverse((*b, r.count_ends(), r.newest_end())), r.suspect));
         let mut counts = [0; 2];
         list.retain(|(_, r)| {
             let kind = usize::from(matches!(r.suspect, Suspect::Part(_)));
--- a/edge/src/decide/crash_evidence/suspect.rs
+++ b/edge/src/decide/crash_evidence/suspect.rs
@@ -14,8 +14,12 @@
 /// blocked. Runners also end for other reasons while they have a request with a rare part.
 const MIN_PART_ENDS: usize = 3;
 
-/// As [`MIN_PART_ENDS`], for a whole request. Sound requests are rarely repeated.
-const MIN_REQUEST_ENDS: usize = 2;
+/// As [`MIN_PART_ENDS`], for a whole request that was not yet answered. Sound requests are rarely repeated.
+pub(super) const MIN_REQUEST_ENDS: usize = 2;
+
+/// As [`MIN_REQUEST_ENDS`], including ends after the answer had begun. A long stream loses its runner more
+/// often to other requests than one that has just been sent.
+const MIN_LATE_REQUEST_ENDS: usize = 3;
 
 /// Milliseconds on the clock of the store, which all daemons know.
 pub type FleetTime = u64;
@@ -35,10 +39,10 @@
 }
 
 impl Suspect {
-    /// Ends from which the suspect is blocked.
+    /// Ends from which the suspect is blocked, whenever they were.
     pub(super) fn min_ends(self) -> usize {
         match self {
-            Suspect::Request(_) => MIN_REQUEST_ENDS,
+            Suspect::Request(_) => MIN_LATE_REQUEST_ENDS,
             Suspect::Part(_) => MIN_PART_ENDS,
         }
     }
@@ -78,10 +82,33 @@
     /// Runners that ended, with the times.
     #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
     pub ends: Vec<(RunnerKey, FleetTime)>,
-    /// Time of the last answer; 0 for none.
+    /// As `ends`, for runners whose answer had begun. Daemons of earlier versions don't read them.
+    #[serde(rename = "l", default, skip_serializing_if = "Vec::is_empty")]
+    pub late_ends: Vec<(RunnerKey, FleetTime)>,
+    /// Time of the last answer that went on for a while; 0 for none.
     #[serde(rename = "a", default)]
     pub answered: FleetTime,
+    /// Time of the last complete answer; 0 for none.
+    #[serde(rename = "c", default, skip_serializing_if = "is_zero")]
+    pub completed: FleetTime,
     /// Time of the last request that was refused; 0 for none.
     #[serde(rename = "q", default)]
     pub refused: FleetTime,
 }
+
+impl SuspectReport {
+    /// Number of ends.
+    pub(super) fn count_ends(&self) -> usize {
+        self.ends.len() + self.late_ends.len()
+    }
+
+    /// Time of the last end; 0 for none.
+    pub(super) fn newest_end(&self) -> FleetTime {
+        let ends = self.ends.iter().chain(&self.late_ends);
+        ends.map(|(_, at)| *at).max().unwrap_or(0)
+    }
+}
+
+fn is_zero(time: &FleetTime) -> bool {
+    *time == 0
+}
--- a/edge/src/serve/relay.rs
+++ b/edge/src/serve/relay.rs
@@ -40,10 +40,10 @@
 /// what the caller has.
 const MAX_EXTRA_EVENTS: u64 = 1000;
 
-/// Time after its first event for which a runner that ends may still have been ended by the request.
+/// Time after its first event from which only a complete answer clears the request of the runner's end.
 const BEGUN_AFTER: Duration = Duration::from_millis(100);
 
-/// Time after its first event at which a runner is known to survive the request.
+/// Time after its first event at which a runner has survived the start of the request.
 const ANSWERED_AFTER: Duration = Duration::from_millis(250);
 
 /// State of a streamed response, over all runners that send a part of it.
@@ -67,7 +67,7 @@
     begun_at: Option<Instant>,
     /// Time of the last event that was new to the caller, or of the begin of the present attempt.
     progress_at: Option<Instant>,
-    /// Whether the answer of the present runner is recorded as evidence for the request.
+    /// Whether the start of the answer of the present runner is recorded as evidence for the request.
     answered: bool,
 }
 
@@ -99,13 +99,13 @@
         begun.is_some_and(|at| now.saturating_duration_since(at) >= time)
     }
 
-    /// Records the answer as evidence for the request once the present runner has gone on for long enough, or
-    /// has `ended` it.
-    fn record_answer<D>(&mut self, attempt: &Attempt<'_, D>, ended: bool) {
+    /// Records the start of the answer as evidence for the request once the present runner has gone on for long
+    /// enough.
+    fn record_progress<D>(&mut self, attempt: &Attempt<'_, D>) {
         let now = Instant::now();
-        if !self.answered && (ended || self.runs_for(ANSWERED_AFTER, now)) {
+        if !self.answered && self.runs_for(ANSWERED_AFTER, now) {
             self.answered = true;
-            attempt.core.record_answer(attempt.call, now);
+            attempt.core.record_progress(attempt.call, now);
         }
     }
 
@@ -138,7 +138,7 @@
             if let Some(error) = gap {
                 return Err(RelayError::Runner(error));
             }
-            self.record_answer(attempt, false);
+            self.record_progress(attempt);
             if done {
                 return self.finish(attempt, reply, &events, out).await;
             }
@@ -217,7 +217,7 @@
             let detail = "stream ends within an event, or before the first one";
             return Err(RelayError::Runner(SendError::new(Failure::Broken, detail)));
         }
-        self.record_answer(attempt, true);
+        attempt.core.record_answer(attempt.call, Instant::now());
         let mut bytes = Vec::new();
         if !self.head_sent {
             self.push_head(attempt.call, reply, &mut bytes);
--- a/edge/src/serve/suspects.rs
+++ b/edge/src/serve/suspects.rs
@@ -35,7 +35,7 @@
 }
 
 impl<D> Core<D> {
-    /// Records that a runner has begun to answer `call`, and did not end.
+    /// Records that a runner has answered `call` completely.
     pub(super) fn record_answer(&self, call: &Call, now: Instant) {
         let time = self.fleet_time(now);
         self.evidence
@@ -44,6 +44,15 @@
         self.log_block_changes();
     }
 
+    /// Records that a runner has begun to answer `call` and has gone on for a while.
+    pub(super) fn record_progress(&self, call: &Call, now: Instant) {
+        let time = self.fleet_time(now);
+        self.evidence
+            .borrow_mut()
+            .record_progress(&call.suspects, time);
+        self.log_block_changes();
+    }
+
     /// Records that the runner of `upstream` ended while it had `call`; `begun` says that its answer had
     /// begun.
     pub(super) fn record_crash(&self, call: &Call, upstream: &Upstream, begun: bool, now: Instant) {
@@ -60,14 +69,18 @@
             call.fingerprint,
             parts.join(",")
         );
-        if begun || planned {
+        if planned {
             return;
         }
         let time = self.fleet_time(now);
         let key = upstream.key;
-        self.evidence
-            .borrow_mut()
-            .record_end(&call.suspects, key, time);
+        let mut evidence = self.evidence.borrow_mut();
+        if begun {
+            evidence.record_late_end(&call.suspects, key, time);
+        } else {
+            evidence.record_end(&call.suspects, key, time);
+        }
+        drop(evidence);
         self.log_block_changes();
         self.writer_wake.notify_one();
         self.state_changed.notify_waiters();
--- a/edge/tests/crash_evidence.rs
+++ b/edge/tests/crash_evidence.rs
@@ -312,3 +312,51 @@
         .tests(500)
         .quickcheck(agree as fn(Ends, bool) -> bool);
 }
+
+/// A request crashes its runners 300 ms after the first event, and the start of its answers clears it.
+#[test]
+fn a_request_that_crashes_runners_late_is_blocked() {
+    let mut evidence = CrashEvidence::default();
+    for runner in 1..=3 {
+        let at = u64::from(runner) * 1500;
+        assert!(!is_refused(&evidence, &[Request(7), FIRST], at));
+        evidence.record_progress(&[Request(7), FIRST], at + 250);
+        evidence.record_late_end(&[Request(7), FIRST], runner, at + 300);
+        evidence.record_answer(&[Request(8), FIRST], at + 600);
+    }
+    assert!(is_refused(&evidence, &[Request(7), FIRST], 6000));
+    assert!(!is_refused(&evidence, &[Request(9), FIRST], 6000));
+    let mut other = CrashEvidence::default();
+    other.merge("vm-2", &evidence.own_reports(6000), 6000);
+    assert!(is_refused(&other, &[Request(7), FIRST], 6100));
+}
+
+/// As above, for a part in different requests.
+#[test]
+fn a_part_that_crashes_runners_late_is_blocked() {
+    let mut evidence = CrashEvidence::default();
+    for runner in 1..=3 {
+        let at = u64::from(runner) * 1500;
+        let request = [Request(at), FIRST, BAD];
+        evidence.record_progress(&request, at + 250);
+        evidence.record_late_end(&request, runner, at + 300);
+        evidence.record_answer(&[FIRST], at + 600);
+    }
+    assert!(is_refused(&evidence, &[Request(9), FIRST, BAD], 6000));
+    assert!(!is_refused(&evidence, &[Request(9), FIRST], 6000));
+}
+
+/// A long stream that lost three runners to a crashing request beside it is refused its fourth.
+#[test]
+fn a_long_stream_beside_a_crashing_request_goes_on() {
+    let mut evidence = CrashEvidence::default();
+    for runner in 1..=4 {
+        let at = u64::from(runner) * 1500;
+        evidence.record_late_end(&[Request(7)], runner, at);
+        if runner > 1 {
+            evidence.record_late_end(&[Request(8)], runner, at);
+        }
+    }
+    assert!(is_refused(&evidence, &[Request(7)], 7000));
+    assert!(!is_refused(&evidence, &[Request(8)], 7000));
+}
