Keep the retry budgets when the settings change

Core::set_bounds dropped the retry budget of each service, so that any change of the settings file allowed all retries of the window again.

The budgets keep their counts and get the changed limits. Counts that have left a shorter window don't come back when the window is made longer.

--- a/edge/src/decide/retry_budget.rs
+++ b/edge/src/decide/retry_budget.rs
@@ -54,6 +54,28 @@
         }
     }
 
+    /// Changes the limits, as [`new`](Self::new) takes them. What was counted stays, as far as the slots reach
+    /// back: after a longer `window` the counts of the shorter one are in it.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    /// use cuminloom_edge::decide::RetryBudget;
+    ///
+    /// let (now, window) = (Instant::now(), Duration::from_secs(10));
+    /// let mut budget = RetryBudget::new(0.2, 1.0, window);
+    /// assert!(budget.try_retry(now, 1, true));
+    /// budget.set_limits(0.2, 2.0, window);
+    /// assert!(budget.try_retry(now, 1, true));
+    /// assert!(!budget.try_retry(now, 1, true));
+    /// ```
+    pub fn set_limits(&mut self, ratio: f64, extra: f64, window: Duration) {
+        self.ratio = ratio;
+        self.extra = extra;
+        self.window = window;
+    }
+
     /// Returns the slot of `now`, and drops slots that have left the window.
     fn current_slot(&mut self, now: Instant) -> &mut (Instant, u32, u32) {
         let is_current = self
--- a/edge/src/serve/core.rs
+++ b/edge/src/serve/core.rs
@@ -283,10 +283,13 @@
             .is_some_and(|at| now.duration_since(at) < MAX_CONFIRMATION_AGE)
     }
 
-    /// Replaces the settings and resets the retry budgets, which depend on them.
+    /// Replaces the settings. The retry budgets keep what they have counted.
     pub fn set_bounds(&self, bounds: Bounds) {
         self.bounds.set(bounds);
-        self.retry_budgets.borrow_mut().clear();
+        let mut budgets = self.retry_budgets.borrow_mut();
+        for budget in budgets.values_mut() {
+            budget.set_limits(bounds.retry_ratio, bounds.retry_extra, bounds.retry_window);
+        }
     }
 
     /// Time since the configuration was last known to be the newest, in milliseconds.
