Ask daemons that run before machines that are gone

The daemons asked by one that lost the store were drawn from all rows, with the round as the only key. With 728 rows of machines that are gone, rounds rarely reached one that runs, each waited 400 ms for those that hang, and daemons that lost the store together missed in the same rounds.

Daemons whose rows were written within 20 s of the newest one, and the seeds, are asked first, in turn, from a different start at each daemon. One that did not reply comes last for three rounds. A round ends 60 ms after its first reply.

--- a/edge/src/decide/mod.rs
+++ b/edge/src/decide/mod.rs
@@ -8,6 +8,7 @@
 mod fingerprint;
 mod observations;
 mod patience;
+mod peer_choice;
 mod placement;
 mod planned_stop;
 mod retry;
@@ -40,6 +41,10 @@
 };
 pub use observations::Observations;
 pub use patience::stall_limit;
+pub use peer_choice::{
+    PeerChoice,
+    PeerStanding, //
+};
 pub use placement::{
     Candidate,
     PromptPart,
--- a/edge/src/fleet/peers.rs
+++ b/edge/src/fleet/peers.rs
@@ -4,7 +4,7 @@
 //! runners and what crashes runners. Daemons without grants reserve tokens at the holders.
 
 use std::{
-    cell::Cell,
+    cell::RefCell,
     cmp::Reverse,
     io,
     net::SocketAddr,
@@ -18,7 +18,8 @@
 
 use futures_util::{
     SinkExt,
-    StreamExt, //
+    StreamExt,
+    stream::FuturesUnordered, //
 };
 use tokio::{
     net::{
@@ -28,7 +29,8 @@
     task::spawn_local,
     time::{
         sleep,
-        timeout, //
+        timeout,
+        timeout_at, //
     },
 };
 use tokio_tungstenite::{
@@ -43,7 +45,10 @@
         Store, //
     },
     catalog::Runner,
-    decide::rendezvous_weight,
+    decide::{
+        PeerChoice,
+        PeerStanding, //
+    },
     http::configure_stream,
     peer::{
         PeerMessage,
@@ -68,6 +73,14 @@
 /// Maximum number of daemons that are queried in one round.
 const MAX_QUERIED: usize = 3;
 
+/// Time after the first reply of a round for which further ones are awaited: daemons that do not answer must
+/// not delay those that do.
+const LATER_REPLIES: Duration = Duration::from_millis(60);
+
+/// Age of a row, in milliseconds before the newest one, up to which its daemon counts as running. Rows are
+/// written every 7.5 s or more often.
+const MAX_ROW_AGE_MS: u64 = 20_000;
+
 /// Age of the replying daemon's own confirmation up to which its reply confirms the configuration.
 const MAX_CONFIRM_AGE: Duration = Duration::from_millis(1500);
 
@@ -189,7 +202,7 @@
     seeds: Vec<SocketAddr>,
     own: SocketAddr,
 ) {
-    let round = Cell::new(0_u64);
+    let choice = Rc::new(RefCell::new(PeerChoice::default()));
     let mut reached = true;
     loop {
         sleep(QUERY_PAUSE).await;
@@ -197,10 +210,10 @@
         if age < QUERY_AFTER.as_millis() as u64 {
             continue;
         }
-        round.set(round.get() + 1);
-        let chosen = choose_peers(&core, &seeds, own, round.get());
+        let known = known_peers(&core, &seeds);
+        let chosen = choice.borrow_mut().choose(own, &known, MAX_QUERIED);
         let asked = chosen.len();
-        let replies = query_all(&core, chosen).await;
+        let replies = query_all(&core, &choice, chosen).await;
         if reached == replies.is_empty() {
             reached = !reached;
             log::info!(
@@ -217,12 +230,21 @@
 
 /// Queries the daemons at `addresses` at the same time. Returns their replies, the newest configuration first,
 /// so that an older one never comes into force before it.
-async fn query_all<D: 'static>(core: &Rc<Core<D>>, addresses: Vec<SocketAddr>) -> Vec<PeerReply> {
+async fn query_all<D: 'static>(
+    core: &Rc<Core<D>>,
+    choice: &Rc<RefCell<PeerChoice>>,
+    addresses: Vec<SocketAddr>,
+) -> Vec<PeerReply> {
     let query = |address| {
-        let core = Rc::clone(core);
+        let (core, choice) = (Rc::clone(core), Rc::clone(choice));
+        // Goes on after the end of the round, and so learns whether the daemon replies.
         spawn_local(async move {
             let limit = QUERY_TIMEOUT + core.link.allowance(Instant::now());
-            match timeout(limit, query_peer(&core, address)).await {
+            let result = timeout(limit, query_peer(&core, address)).await;
+            choice
+                .borrow_mut()
+                .record(address, matches!(result, Ok(Ok(_))));
+            match result {
                 Ok(Ok(reply)) => return Some(reply),
                 Ok(Err(e)) => log::debug!("event=peer_unreachable peer={address} error=\"{e}\""),
                 Err(_) => log::debug!("event=peer_unreachable peer={address} error=timeout"),
@@ -230,10 +252,22 @@
             None
         })
     };
-    let tasks: Vec<_> = addresses.into_iter().map(query).collect();
+    let mut tasks: FuturesUnordered<_> = addresses.into_iter().map(query).collect();
     let mut replies = Vec::new();
-    for task in tasks {
-        match task.await {
+    // Each query ends by itself, so that the wait for the first reply needs no further limit.
+    while let Some(ended) = tasks.next().await {
+        match ended {
+            Ok(Some(reply)) => {
+                replies.push(reply);
+                break;
+            }
+            Ok(None) => {}
+            Err(e) => log::warn!("event=task_failed task=query error=\"{e}\""),
+        }
+    }
+    let end = tokio::time::Instant::now() + LATER_REPLIES;
+    while let Ok(Some(ended)) = timeout_at(end, tasks.next()).await {
+        match ended {
             Ok(reply) => replies.extend(reply),
             Err(e) => log::warn!("event=task_failed task=query error=\"{e}\""),
         }
@@ -242,23 +276,24 @@
     replies
 }
 
-/// Chooses the daemons to query in this round, from the other daemons' rows and the seeds; each
-/// round prefers different ones.
-fn choose_peers<D>(
-    core: &Core<D>,
-    seeds: &[SocketAddr],
-    own: SocketAddr,
-    round: u64,
-) -> Vec<SocketAddr> {
+/// The daemons of all rows and the seeds. Ages of rows are counted from the newest one, because this daemon may
+/// have read none for long.
+fn known_peers<D>(core: &Core<D>, seeds: &[SocketAddr]) -> Vec<(SocketAddr, PeerStanding)> {
     let ledger = core.ledger.borrow();
-    let mut list: Vec<SocketAddr> = ledger.peer_rows().filter_map(|(_, row)| row.peer).collect();
-    list.extend_from_slice(seeds);
-    list.sort_unstable();
-    list.dedup();
-    list.retain(|a| *a != own);
-    list.sort_by_key(|a| rendezvous_weight(round, &a.to_string()));
-    list.truncate(MAX_QUERIED);
-    list
+    // No row was written later than now.
+    let now = ledger.store_now(Instant::now()).unwrap_or(u64::MAX);
+    let seen = ledger.peer_rows().map(|(_, row)| row.seen);
+    let newest = seen.filter(|seen| *seen <= now).max().unwrap_or(0);
+    let rows = ledger.peer_rows().filter_map(|(_, row)| {
+        let recent = row.seen.saturating_add(MAX_ROW_AGE_MS) >= newest;
+        let standing = match recent && !row.leaving {
+            true => PeerStanding::Running,
+            false => PeerStanding::Gone,
+        };
+        Some((row.peer?, standing))
+    });
+    let seeds = seeds.iter().map(|a| (*a, PeerStanding::Seed));
+    rows.chain(seeds).collect()
 }
 
 /// Sends one query to the daemon at `address` and returns its reply.
