Release reserves linearly, so that a downtime costs its length of demand

Cause: a successor charges what the process before can have released by the age of its row, downtime included.

It never exceeds the quadratic rule, by which rows without it are still read and by which a daemon of the version before charges rows that have it.

--- a/edge/src/prepaid/grant.rs
+++ b/edge/src/prepaid/grant.rs
@@ -7,7 +7,11 @@
     Serialize, //
 };
 
-use super::DemandRate;
+use super::{
+    DemandRate,
+    LinearRelease,
+    release::RELEASE_DELAY_S, //
+};
 
 /// Share of a customer's tokens that a daemon holds; the figures are cumulative tokens, except
 /// `open`, `rate` and `pace`.
@@ -27,6 +31,10 @@
     /// Most tokens of the reserve that are released in the first second of the release.
     #[serde(default = "unpaced", skip_serializing_if = "is_unpaced")]
     pub pace: u64,
+    /// Linear release of the reserve, which bounds the quadratic one. Earlier versions neither write nor read it:
+    /// their rows are released by the quadratic rule alone, and they charge no less for a row that has it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub release: Option<LinearRelease>,
 }
 
 /// Value of [`Grant::pace`] that sets no limit: the release does not depend on demand.
@@ -42,11 +50,7 @@
     *pace == UNPACED
 }
 
-/// Time since the last accepted write at which the release of the reserve starts, in seconds: two
-/// write intervals and the response time of a slow store.
-const RELEASE_DELAY_S: f64 = 0.7;
-
-/// Duration of the release of the whole reserve, in seconds. The released amount grows with the
+/// Duration of the quadratic release of the whole reserve, in seconds. The released amount grows with the
 /// square of the time, so that a VM that restarts within two seconds strands little of the reserve.
 const RELEASE_DURATION_S: f64 = 3.3;
 
@@ -63,7 +67,8 @@
         let seconds =
             elapsed.min(RELEASE_DURATION_S).powi(2) + (elapsed - RELEASE_DURATION_S).max(0.0);
         let by_pace = (self.pace as f64 * seconds) as u64;
-        self.issued + by_time.min(by_pace)
+        let linear = self.release.map_or(u64::MAX, |rule| rule.released(age));
+        self.issued + by_time.min(by_pace).min(linear)
     }
 
     /// Whether nothing is committed to the daemon and nothing was consumed.
@@ -78,7 +83,7 @@
     }
 
     /// Seconds after the last accepted write from which `tokens` may be spent in total; `None` if
-    /// the grant does not cover them.
+    /// the grant never covers them.
     pub fn release_time(&self, tokens: u64) -> Option<f64> {
         let shortfall = tokens.saturating_sub(self.issued) as f64;
         let reserve = self.cap.saturating_sub(self.issued) as f64;
@@ -91,7 +96,11 @@
             rest if rest > 0.0 => RELEASE_DURATION_S + rest,
             _ => seconds.sqrt(),
         };
-        Some(RELEASE_DELAY_S + by_time.max(by_pace))
+        let quadratic = RELEASE_DELAY_S + by_time.max(by_pace);
+        let linear = self
+            .release
+            .map_or(0.0, |rule| rule.release_age(shortfall as u64));
+        Some(quadratic.max(linear)).filter(|age| age.is_finite())
     }
 }
 
--- a/edge/src/prepaid/ledger/membership.rs
+++ b/edge/src/prepaid/ledger/membership.rs
@@ -62,6 +62,15 @@
         order
     }
 
+    /// Whether this daemon is the holder that the daemons of its data centre ask first for `customer`. Without
+    /// addresses none can be asked, and each holder counts as the first.
+    pub(super) fn is_preferred_for(&self, customer: &str) -> bool {
+        let order = rank_holders(&self.holders, &self.zone, customer);
+        order
+            .first()
+            .is_none_or(|address| Some(*address) == self.peer)
+    }
+
     /// Whether this daemon has grants, so that the age of its row matters.
     pub fn holds_tokens(&self) -> bool {
         self.accounts
--- a/edge/src/prepaid/ledger/sizing.rs
+++ b/edge/src/prepaid/ledger/sizing.rs
@@ -5,7 +5,8 @@
 use super::{
     super::{
         Account,
-        Grant, //
+        Grant,
+        LinearRelease, //
     },
     Ledger,
 };
@@ -43,6 +44,21 @@
 /// enough for the largest request of the users, with a prompt of 54,600 tokens.
 const MIN_PACE_TOKENS: f64 = 5200.0;
 
+/// Multiple of a daemon's own demand that the linear release brings in each second: a downtime costs about its
+/// length of demand, and what a partitioned daemon serves may vary a little.
+const DRIP_FACTOR: f64 = 1.1;
+
+/// Part of the demand at all daemons that the linear releases of all holders together bring at least, for
+/// callers that move between them.
+const DRIP_FRACTION: f64 = 0.5;
+
+/// Minimum of the linear release, in tokens per second, for a customer without demand.
+const MIN_DRIP_TOKENS: f64 = 500.0;
+
+/// Tokens that the release adds for one large request once the store has been unreachable for long. The
+/// users' largest request takes about that many.
+const ROOM_TOKENS: u64 = 70_000;
+
 /// Surplus or shortfall of a small grant that is not worth changing the customer's row, in tokens.
 const MIN_SLACK_TOKENS: u64 = 3000;
 
@@ -131,9 +147,26 @@
         let demand = (rate * PACE_FACTOR).max(total * PACE_FRACTION);
         let pace = demand + account.mean_cost * PACE_REQUESTS;
         grant.pace = pace.max(MIN_PACE_TOKENS) as u64;
+        grant.release = Some(self.linear_release(name, rate, total));
         grant
     }
 
+    /// Linear release of the reserve of `name` with the demand `rate` here and `total` at all daemons, in tokens
+    /// per second. Only the holder that its data centre asks first has room for a large request: the others ask
+    /// it, and a loss of all processes charges the room once for each data centre.
+    fn linear_release(&self, name: &str, rate: f64, total: f64) -> LinearRelease {
+        let elsewhere = total * DRIP_FRACTION / self.holder_count() as f64;
+        let drip = (rate * DRIP_FACTOR).max(elsewhere).max(MIN_DRIP_TOKENS);
+        LinearRelease {
+            drip: drip as u64,
+            room: if self.is_preferred_for(name) {
+                ROOM_TOKENS
+            } else {
+                0
+            },
+        }
+    }
+
     /// Demand for `name` at the other daemons, in tokens per second.
     fn peer_rate(&self, name: &str) -> f64 {
         self.peer_rows
--- a/edge/src/prepaid/mod.rs
+++ b/edge/src/prepaid/mod.rs
@@ -3,7 +3,7 @@
 //! The store holds one row per customer with the total of the tokens committed to daemons, and one
 //! row per daemon with its [`Grant`] of each customer. While the store accepts its writes, a daemon
 //! spends only what its row has *issued*. The rest of its grant, the *reserve*, is released to it
-//! with the time since the last accepted write, slowly at first. The successor process on the same
+//! with the time since the last accepted write, linearly with its demand. The successor process on the same
 //! VM can therefore tell from the age of the row how much of the reserve can have been spent at
 //! most.
 
@@ -13,6 +13,7 @@
 mod ledger;
 mod pacing;
 mod rate;
+mod release;
 mod row;
 mod whereabouts;
 
@@ -44,6 +45,7 @@
     write_interval, //
 };
 pub use rate::DemandRate;
+pub use release::LinearRelease;
 pub use row::{
     Batch,
     CommitOutcome,
