Let holders take turns in changing customers' rows

Cause: a daemon learns the versions of customers' rows when it reads all rows, once a second, but changed them with any of its writes. All holders did so at the same moments, above all after a restart of all.

Change: in rounds of a second by the store's clock, in the order in which all know them, each holder reads all rows and then may change rows of customers. Out of its turn it changes only rows for which requests wait. The simulation calls the same functions as before, with the time they now need.

--- a/edge/src/fleet/rows.rs
+++ b/edge/src/fleet/rows.rs
@@ -80,7 +80,7 @@
     if ledger.is_holder() || ledger.has_waiting() {
         core.writer_wake.notify_one();
     }
-    read_interval(&ledger, rand::random())
+    read_interval(&ledger, Instant::now(), rand::random())
 }
 
 /// Merges what the other daemons report, and takes over what the previous process on this VM has reported.
@@ -206,7 +206,7 @@
     async fn write_once<D, S: Store>(&mut self, core: &Core<D>, store: &S) -> WriteResult {
         let now = Instant::now();
         let observed = core.own_observations(now);
-        let scope = self.pacing.scope();
+        let scope = self.pacing.scope(&core.ledger.borrow(), now);
         self.pacing.record_write(now);
         let plan = core.ledger.borrow_mut().plan_scoped(now, observed, scope);
         let Some(plan) = plan else {
--- a/edge/src/prepaid/ledger/mod.rs
+++ b/edge/src/prepaid/ledger/mod.rs
@@ -4,6 +4,7 @@
 mod membership;
 mod sizing;
 mod takeover;
+mod turns;
 mod writes;
 
 use std::{
@@ -133,6 +134,8 @@
     peer_rows: HashMap<String, (u64, DaemonRow)>,
     /// Time of the newest read of all rows.
     last_read: Option<Instant>,
+    /// Time at which it was received.
+    read_at: Option<Instant>,
     /// Time of the read that first returned the current version of each other daemon's row, later by the
     /// times without a read since.
     changed_at: HashMap<String, Instant>,
@@ -169,6 +172,7 @@
             customer_rows: HashMap::new(),
             peer_rows: HashMap::new(),
             last_read: None,
+            read_at: None,
             changed_at: HashMap::new(),
             audits: BTreeMap::new(),
             limits: HashMap::new(),
@@ -418,6 +422,7 @@
         self.record_store_time(now, received);
         if whole {
             self.rows_read = true;
+            self.read_at = Some(received);
             self.skip_unread_time(asked);
             self.audits = audit(&rows, &self.limits, |name| self.is_silent(name, asked));
         }
--- a/edge/src/prepaid/ledger/writes.rs
+++ b/edge/src/prepaid/ledger/writes.rs
@@ -26,6 +26,8 @@
     /// Only the daemon's own row, which no other daemon writes, so that it can't conflict: what the
     /// daemon has consumed, and that it still runs.
     OwnRow,
+    /// Also the rows of up to this number of customers for whom requests wait, here or at other daemons.
+    Waiting(usize),
     /// Also the rows of up to this number of customers whose committed tokens should change; those for
     /// whom requests wait come first, here and then at other daemons. With fewer rows, a write conflicts less often.
     Customers(usize),
@@ -45,6 +47,13 @@
     new_cap: u64,
 }
 
+impl GrantChange {
+    /// Whether requests wait for the change, here or at another daemon.
+    fn is_awaited(&self) -> bool {
+        self.urgency.0 || self.urgency.1
+    }
+}
+
 /// A planned write of the daemon's row, to be passed back with its outcome.
 #[derive(Clone, Debug)]
 pub struct WritePlan {
@@ -81,11 +90,15 @@
             ..Batch::default()
         };
         let (mut grants, mut changes) = self.next_grants(now);
+        changes.sort_by_key(|change| Reverse(change.urgency));
         let most = match scope {
             WriteScope::OwnRow => 0,
+            WriteScope::Waiting(most) => {
+                let awaited = changes.iter().filter(|change| change.is_awaited());
+                awaited.count().min(most).min(MAX_CUSTOMER_ROWS)
+            }
             WriteScope::Customers(most) => most.min(MAX_CUSTOMER_ROWS),
         };
-        changes.sort_by_key(|change| Reverse(change.urgency));
         for kept in changes.split_off(most.min(changes.len())) {
             if let Some(grant) = grants.get_mut(&kept.customer) {
                 grant.keep_cap(kept.old_cap);
--- a/edge/src/prepaid/pacing.rs
+++ b/edge/src/prepaid/pacing.rs
@@ -14,6 +14,9 @@
 /// Interval between two reads of all rows by a daemon that holds grants.
 const READ_INTERVAL: Duration = Duration::from_millis(1000);
 
+/// Least part of [`READ_INTERVAL`] between two reads: a turn that is nearer is left to the next round.
+const MIN_READ_FRACTION: f64 = 0.3;
+
 /// Longest interval between two reads of all rows by any other daemon, which needs them only for the members
 /// and what crashes runners. These must be known to all daemons within 3 s.
 const MEMBER_READ_INTERVAL: Duration = Duration::from_millis(2000);
@@ -48,14 +51,16 @@
 /// # Examples
 ///
 /// ```
-/// use cuminloom_edge::prepaid::{Pacing, WriteScope};
+/// use std::time::Instant;
+/// use cuminloom_edge::prepaid::{Ledger, Pacing, WriteScope};
 ///
+/// let (ledger, now) = (Ledger::new("vm-1", 1, None), Instant::now());
 /// let mut pacing = Pacing::default();
-/// assert_eq!(pacing.scope(), WriteScope::Customers(usize::MAX));
+/// assert_eq!(pacing.scope(&ledger, now), WriteScope::Customers(usize::MAX));
 /// pacing.record_conflict();
-/// assert_eq!(pacing.scope(), WriteScope::OwnRow);
+/// assert_eq!(pacing.scope(&ledger, now), WriteScope::OwnRow);
 /// pacing.record_success();
-/// assert_eq!(pacing.scope(), WriteScope::Customers(usize::MAX));
+/// assert_eq!(pacing.scope(&ledger, now), WriteScope::Customers(usize::MAX));
 /// ```
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Pacing {
@@ -66,14 +71,20 @@
 }
 
 impl Pacing {
-    /// Rows of the next write. After a conflict, every other write has the own row alone, so that rows
-    /// that others write do not delay it.
-    pub fn scope(&self) -> WriteScope {
-        match self.conflicts {
-            0 => WriteScope::Customers(usize::MAX),
-            n if !n.is_multiple_of(2) => WriteScope::OwnRow,
-            2 => WriteScope::Customers(ROWS_AFTER_CONFLICTS[0]),
-            _ => WriteScope::Customers(ROWS_AFTER_CONFLICTS[1]),
+    /// Rows of the next write. A holder changes rows of customers for whom no request waits only in its turn.
+    /// After a conflict, every other write has the own row alone, so that rows that others write do not delay
+    /// it.
+    pub fn scope(&self, ledger: &Ledger, now: Instant) -> WriteScope {
+        let most = match self.conflicts {
+            0 => usize::MAX,
+            n if !n.is_multiple_of(2) => return WriteScope::OwnRow,
+            2 => ROWS_AFTER_CONFLICTS[0],
+            _ => ROWS_AFTER_CONFLICTS[1],
+        };
+        if ledger.has_turn(now) {
+            WriteScope::Customers(most)
+        } else {
+            WriteScope::Waiting(most)
         }
     }
 
@@ -92,9 +103,10 @@
         self.conflicts = 0;
     }
 
-    /// Whether the write that [`Pacing::scope`] describes leaves rows of customers to the next one.
+    /// Whether the write that [`Pacing::scope`] describes has the own row alone after a conflict, and leaves rows
+    /// of customers to the next one.
     pub fn leaves_rows(&self) -> bool {
-        self.scope() == WriteScope::OwnRow
+        !self.conflicts.is_multiple_of(2)
     }
 
     /// Time until the next write may be sent, for all holders together to stay within their part of
@@ -110,12 +122,10 @@
     /// Pause after a conflict: none before the own row, which can't conflict, and else a random one, so
     /// that daemons that conflicted do not meet again.
     pub fn conflict_pause(&self, ledger: &Ledger, rate: f64, random: f64) -> Duration {
-        match self.scope() {
-            WriteScope::OwnRow => Duration::ZERO,
-            WriteScope::Customers(_) => {
-                spacing(ledger, rate).mul_f64(random * CONFLICT_PAUSE_SPACINGS)
-            }
+        if self.leaves_rows() {
+            return Duration::ZERO;
         }
+        spacing(ledger, rate).mul_f64(random * CONFLICT_PAUSE_SPACINGS)
     }
 }
 
@@ -146,8 +156,14 @@
     MEMBER_WRITE_INTERVAL.mul_f64((1.0 + 2.0 * random) / 3.0)
 }
 
-/// Interval until the next read of all rows.
-pub fn read_interval(ledger: &Ledger, random: f64) -> Duration {
+/// Interval until the next read of all rows. A holder reads at its turn.
+pub fn read_interval(ledger: &Ledger, now: Instant, random: f64) -> Duration {
+    if let Some(wait) = ledger.turn_wait(READ_INTERVAL, now) {
+        return match wait < READ_INTERVAL.mul_f64(MIN_READ_FRACTION) {
+            true => wait + READ_INTERVAL,
+            false => wait,
+        };
+    }
     if ledger.is_holder() || !ledger.knows_holders() {
         return READ_INTERVAL;
     }
--- a/edge/tests/fleet_world/daemon.rs
+++ b/edge/tests/fleet_world/daemon.rs
@@ -236,7 +236,7 @@
             runners.merge_leaving(name, &row.observed.leaving, instant);
         }
         node.last_read = now;
-        let interval = read_interval(ledger, self.random.random());
+        let interval = read_interval(ledger, instant, self.random.random());
         node.next_read = now + interval.as_millis() as u64;
     }
 
--- a/edge/tests/holder_world/rows.rs
+++ b/edge/tests/holder_world/rows.rs
@@ -18,7 +18,7 @@
             return;
         };
         ledger.apply_rows(self.store.rows(now), true, instant, instant);
-        let interval = read_interval(ledger, self.random.random());
+        let interval = read_interval(ledger, instant, self.random.random());
         node.next_read = now + interval.as_millis() as u64;
     }
 
@@ -41,7 +41,7 @@
         }
         let scope = match self.mechanism {
             Mechanism::Everyone => WriteScope::Customers(usize::MAX),
-            Mechanism::Holders => node.pacing.scope(),
+            Mechanism::Holders => node.pacing.scope(ledger, instant),
         };
         let Some(plan) = ledger.plan_scoped(instant, Default::default(), scope) else {
             return;
--- a/edge/tests/holders.rs
+++ b/edge/tests/holders.rs
@@ -16,6 +16,7 @@
     Pacing,
     Precondition,
     Reservation,
+    WriteScope,
     choose_holders,
     rank_holders,
     write_interval, //
@@ -293,3 +294,41 @@
     assert!(holder.0 < other.0, "spacing: {holder:?}, {other:?}");
     assert!(holder.1 < other.1, "interval: {holder:?}, {other:?}");
 }
+
+/// Guards against holders that change the customers' rows at the same moment after a restart of all, so that every
+/// commit conflicts: their turns are spread over a round.
+#[test]
+fn holders_take_turns() {
+    const ROUND: Duration = Duration::from_millis(1000);
+    let mut waits: Vec<u128> = (0..8)
+        .map(|own| {
+            let (_, ledger, now) = started(8, own);
+            ledger.turn_wait(ROUND, now).unwrap().as_millis()
+        })
+        .collect();
+    waits.sort_unstable();
+    let apart = waits.windows(2).all(|pair| pair[1] - pair[0] >= 125);
+    assert!(apart, "{waits:?}");
+}
+
+/// Guards against a holder that changes rows whose versions it has not read for long, and against requests that
+/// wait for its turn.
+#[test]
+fn only_waiting_requests_change_rows_out_of_turn() {
+    let (_, mut ledger, now) = started(4, 0);
+    let pacing = Pacing::default();
+    assert_eq!(
+        pacing.scope(&ledger, now),
+        WriteScope::Customers(usize::MAX)
+    );
+    let late = now + Duration::from_millis(500);
+    let rows = |ledger: &mut Ledger| {
+        let scope = pacing.scope(ledger, late);
+        let plan = ledger.plan_scoped(late, Default::default(), scope).unwrap();
+        plan.batch.customers.len()
+    };
+    ledger.set_limits([("c0".to_owned(), 9_000_000)].into());
+    assert_eq!(rows(&mut ledger), 0);
+    ledger.adjust_waiting("c0", 500_000, true);
+    assert_eq!(rows(&mut ledger), 1);
+}
