Obey evacuations of data centres

Cause: rows evacuate/ZONE of the operator's table were not read, so requests went on to a data centre that the operator wants empty.

Change: the operator's feed delivers evacuations beside configurations, and replies to daemons that lost the store carry them with the store's version, of which the newest wins. A whole read also ends evacuations whose rows are gone. Placement, the check just before each send and the opening times obey them; a service all of whose runners are evacuated is refused at once with 503.

--- a/edge/src/adapter.rs
+++ b/edge/src/adapter.rs
@@ -11,6 +11,7 @@
 use crate::{
     catalog::{
         Config,
+        EvacuationChange,
         RunnerChange, //
     },
     decide::PromptPart,
@@ -200,15 +201,24 @@
     pub bytes: Arc<[u8]>,
 }
 
+/// Change that the operator has made.
+#[derive(Clone, Debug)]
+pub enum OperatorChange {
+    /// A configuration.
+    Config(ConfigVersion),
+    /// Evacuation of a data centre, or its return to service.
+    Evacuation(EvacuationChange),
+}
+
 /// Client of the store of the platform.
 pub trait Store: 'static {
-    /// Waits up to `wait` for a configuration newer than the feed version `since`; reads the newest
-    /// one if `since` is `None`.
+    /// Waits up to `wait` for changes of the operator after the feed version `since`; reads the newest
+    /// configuration and all evacuations if `since` is `None`.
     fn watch_configs(
         &self,
         since: Option<u64>,
         wait: Duration,
-    ) -> impl Future<Output = Result<FeedUpdate<ConfigVersion>, StoreError>>;
+    ) -> impl Future<Output = Result<FeedUpdate<OperatorChange>, StoreError>>;
 
     /// Waits up to `wait` for changes of the runner entries after the feed version `since`; reads all
     /// entries if `since` is `None`.
--- a/edge/src/catalog/mod.rs
+++ b/edge/src/catalog/mod.rs
@@ -2,6 +2,7 @@
 
 mod config;
 mod directory;
+mod evacuations;
 
 pub use config::{
     Config,
@@ -18,6 +19,10 @@
     RunnerChange,
     RunnerState, //
 };
+pub use evacuations::{
+    EvacuationChange,
+    Evacuations, //
+};
 
 use std::sync::Arc;
 
@@ -27,5 +32,7 @@
 pub type CustomerId = Arc<str>;
 /// Name of a region, a group of data centres.
 pub type RegionId = Arc<str>;
+/// Name of a data centre.
+pub type ZoneId = Arc<str>;
 /// Id of one incarnation of a runner process.
 pub type RunnerId = Arc<str>;
--- a/edge/src/decide/availability/mod.rs
+++ b/edge/src/decide/availability/mod.rs
@@ -49,6 +49,8 @@
     Entry,
     /// It has said that it leaves: to this daemon, or to the named one.
     Leaving(Option<Arc<str>>),
+    /// Its data centre is evacuated.
+    Evacuated,
     /// Another runner has answered at its address.
     Replaced,
     /// It has turned a request away and named a time for which it wants none from this daemon.
@@ -74,6 +76,7 @@
             Standing::Open => "open",
             Standing::Entry => "entry",
             Standing::Leaving(_) => "leaving",
+            Standing::Evacuated => "evacuated",
             Standing::Replaced => "replaced",
             Standing::Paused => "paused",
             Standing::Limited => "limited",
--- a/edge/src/fleet/feeds.rs
+++ b/edge/src/fleet/feeds.rs
@@ -1,4 +1,4 @@
-//! Follows the feeds of the store: the configuration and the runners.
+//! Follows the feeds of the store: the operator's changes and the runners.
 
 use std::{
     rc::Rc,
@@ -12,6 +12,8 @@
 
 use crate::{
     adapter::{
+        FeedUpdate,
+        OperatorChange,
         Store,
         StoreError, //
     },
@@ -67,7 +69,7 @@
     }
 }
 
-/// Follows the operator's configuration until the process ends.
+/// Follows the operator's configuration and evacuations until the process ends.
 pub async fn follow_configs<D, S: Store>(core: Rc<Core<D>>, store: Rc<S>) {
     let mut status = FeedStatus::new("config");
     let mut since = None;
@@ -81,9 +83,7 @@
                     .record_store_time(feed.now_ms, Instant::now());
                 since = Some(feed.version);
                 let empty = feed.items.is_empty();
-                for version in feed.items {
-                    core.apply_config(version, "store");
-                }
+                apply_operator_changes(&core, feed);
                 if core.config().is_some() {
                     core.confirm_config(asked);
                 }
@@ -104,6 +104,23 @@
     }
 }
 
+/// Applies the changes of one call: evacuations first, so that no request is routed by a new configuration to
+/// a data centre that was evacuated before.
+fn apply_operator_changes<D>(core: &Core<D>, feed: FeedUpdate<OperatorChange>) {
+    let mut evacuations = Vec::new();
+    let mut configs = Vec::new();
+    for change in feed.items {
+        match change {
+            OperatorChange::Evacuation(change) => evacuations.push(change),
+            OperatorChange::Config(version) => configs.push(version),
+        }
+    }
+    core.apply_evacuations(evacuations, feed.is_snapshot, feed.version);
+    for version in configs {
+        core.apply_config(version, "store");
+    }
+}
+
 /// Follows the runners' entries until the process ends.
 pub async fn follow_runners<D, S: Store>(core: Rc<Core<D>>, store: Rc<S>) {
     let mut status = FeedStatus::new("runners");
--- a/edge/src/fleet/peers.rs
+++ b/edge/src/fleet/peers.rs
@@ -179,6 +179,7 @@
         }),
         strikes: Vec::new(),
         observed: core.all_observations(now),
+        evacuations: core.known_evacuations(),
     }
 }
 
@@ -288,10 +289,13 @@
     Err(io::ErrorKind::UnexpectedEof.into())
 }
 
-/// Applies a reply: configuration, its confirmation, observations and runners.
+/// Applies a reply: evacuations, configuration, its confirmation, observations and runners.
 fn apply_reply<D, S: Store>(core: &Core<D>, store: &S, reply: PeerReply) {
     let now = Instant::now();
     core.link.record(now);
+    if let Some(state) = reply.evacuations {
+        core.merge_evacuations(&reply.node, state);
+    }
     if let Some(bytes) = reply.config {
         match store.decode_config(&bytes) {
             Ok(config) => {
--- a/edge/src/peer/message.rs
+++ b/edge/src/peer/message.rs
@@ -162,6 +162,18 @@
     /// What the daemon and those that it has heard of have seen.
     #[serde(default)]
     pub observed: Observations,
+    /// The evacuated data centres; daemons of the earlier version leave them out.
+    #[serde(default)]
+    pub evacuations: Option<PeerEvacuations>,
+}
+
+/// The evacuated data centres as encoded in a reply.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerEvacuations {
+    /// Version of the store up to which the list is complete.
+    pub version: u64,
+    /// Names of the data centres.
+    pub zones: Vec<String>,
 }
 
 /// A runner as encoded in a reply.
--- a/edge/src/peer/mod.rs
+++ b/edge/src/peer/mod.rs
@@ -8,6 +8,7 @@
 
 pub use link::PeerLink;
 pub use message::{
+    PeerEvacuations,
     PeerMessage,
     PeerQuery,
     PeerReply,
--- a/edge/src/serve/availability.rs
+++ b/edge/src/serve/availability.rs
@@ -11,7 +11,8 @@
 use super::{
     Core,
     Probe,
-    Upstream, //
+    Upstream,
+    evacuations::evacuated_view, //
 };
 use crate::{
     adapter::{
@@ -136,6 +137,9 @@
 
     /// What is known of the runner of `upstream`, whose entry says that it is ready.
     pub(super) fn view(&self, upstream: &Upstream, now: Instant) -> View {
+        if self.is_evacuated(&upstream.runner.borrow()) {
+            return evacuated_view();
+        }
         let entry = Some(RunnerState::Ready);
         self.availability.borrow().view(upstream.key, entry, now)
     }
@@ -147,6 +151,9 @@
         let runners = self.availability.borrow();
         let mut next = None;
         for runner in directory.ready(service, now) {
+            if self.is_evacuated(runner) {
+                continue;
+            }
             let view = runners.view(runner_key(runner), Some(runner.state), now);
             match view.turn {
                 _ if view.excluded => {}
@@ -160,6 +167,9 @@
 
     /// What is known of the runner of `upstream` if a request that is about to be written must not be sent there.
     pub(super) fn refuses_send(&self, upstream: &Upstream, now: Instant) -> Option<View> {
+        if self.is_evacuated(&upstream.runner.borrow()) {
+            return Some(evacuated_view());
+        }
         let entry = self.entry_state(upstream, now);
         self.availability.borrow().refuses(upstream.key, entry, now)
     }
--- a/edge/src/serve/choose.rs
+++ b/edge/src/serve/choose.rs
@@ -52,6 +52,9 @@
 /// Code of requests for which no turn at a runner with a limit comes in time.
 const TURN_CODE: &str = "no_turn";
 
+/// Code of requests for a service all of whose runners are in evacuated data centres.
+const EVACUATED_CODE: &str = "evacuated";
+
 /// Chooses a service by the weights of the route. Retries of an attempt id get the same service.
 pub(super) fn choose_service(call: &Call) -> ServiceId {
     let services = &call.route.services;
@@ -85,6 +88,8 @@
     Turn { next: Duration, rate: f64 },
     /// Nothing: other daemons share the limits of all runners that are left.
     Never,
+    /// Nothing: all runners of the service are in evacuated data centres.
+    Evacuated,
     /// Wait for a runner.
     Wait,
 }
@@ -140,6 +145,12 @@
                     retry_after: RUNNER_RETRY_AFTER,
                 });
             }
+            Choice::Evacuated => {
+                return Err(NoRunner {
+                    code: EVACUATED_CODE,
+                    retry_after: RUNNER_RETRY_AFTER,
+                });
+            }
             Choice::Wait => {
                 if timeout_at(deadline, freed).await.is_err() {
                     return Err(NoRunner {
@@ -222,6 +233,9 @@
     };
     let salt = fingerprint("", &call.meta.id, &[]);
     let Some(chosen) = select_runner(&candidates, &needs, salt) else {
+        if core.is_service_evacuated(service, now) {
+            return Choice::Evacuated;
+        }
         return wait_choice(core, &upstreams, &candidates, now);
     };
     log_placement(call, &runners[chosen].id, &candidates, chosen, &needs);
--- a/edge/src/serve/core.rs
+++ b/edge/src/serve/core.rs
@@ -33,6 +33,7 @@
         Config,
         CustomerId,
         Directory,
+        Evacuations,
         Route,
         RunnerId,
         ServiceId, //
@@ -126,6 +127,8 @@
     pub state_changed: Notify,
     /// Registered runners.
     pub directory: RefCell<Directory>,
+    /// Data centres whose runners get no requests.
+    pub(super) evacuations: RefCell<Evacuations>,
     /// Evidence of what crashes runners.
     pub(super) evidence: RefCell<CrashEvidence>,
     /// What is known of whether runners may be sent requests.
@@ -187,6 +190,7 @@
             runner_freed: Notify::new(),
             state_changed: Notify::new(),
             directory: RefCell::default(),
+            evacuations: RefCell::default(),
             evidence: RefCell::default(),
             availability: RefCell::default(),
             turn_queue: Rc::default(),
@@ -324,6 +328,15 @@
             .retain(|id, _| directory.get(id).is_some());
     }
 
+    /// Closes the idle connections to the runners of `zone`.
+    pub(super) fn close_idle_in(&self, zone: &str) {
+        let upstreams = self.upstreams.borrow();
+        let inside = upstreams
+            .values()
+            .filter(|u| *u.runner.borrow().zone == *zone);
+        inside.for_each(|u| u.close_idle());
+    }
+
     /// Closes expired idle connections to runners.
     pub fn sweep_idle(&self, now: Instant) {
         self.upstreams
--- a/edge/src/telemetry/metrics.rs
+++ b/edge/src/telemetry/metrics.rs
@@ -33,6 +33,8 @@
     /// Tokens by customer and account: of the fleet as last read from the store (limit, committed,
     /// billed, held, orphaned, free), and of this daemon (held_here, used_here).
     pub tokens: IntGaugeVec,
+    /// Evacuated data centres, 1 each.
+    pub evacuated: IntGaugeVec,
 }
 
 impl Metrics {
@@ -67,6 +69,13 @@
                 Opts::new("cuminloom_tokens", "Tokens by customer and account."),
                 &["customer", "account"],
             )?,
+            evacuated: IntGaugeVec::new(
+                Opts::new(
+                    "cuminloom_zone_evacuated",
+                    "1 for each evacuated data centre.",
+                ),
+                &["zone"],
+            )?,
             registry,
         };
         metrics
@@ -85,6 +94,9 @@
         metrics
             .registry
             .register(Box::new(metrics.tokens.clone()))?;
+        metrics
+            .registry
+            .register(Box::new(metrics.evacuated.clone()))?;
         Ok(metrics)
     }
 
--- a/edge/tests/row_writer.rs
+++ b/edge/tests/row_writer.rs
@@ -18,8 +18,8 @@
 
 use cuminloom_edge::{
     adapter::{
-        ConfigVersion,
         FeedUpdate,
+        OperatorChange,
         Store,
         StoreError, //
     },
@@ -121,7 +121,7 @@
         &self,
         _: Option<u64>,
         _: Duration,
-    ) -> Result<FeedUpdate<ConfigVersion>, StoreError> {
+    ) -> Result<FeedUpdate<OperatorChange>, StoreError> {
         future::pending().await
     }
 
