Account for the connections and bytes of a port's clients

A process has no bound on its open connections, nor on the bytes that all of them hold. Thirty bodies of the largest size exceed the memory of the smallest VM.

`decide::ClientAccount` counts both for one port and says whom to drop: for a connection the one that has been quiet for longest, for bytes the requests that have stalled for longest. It never drops a client whose request may run, keeps a quarter for small requests, and grants the only body at any size. Nothing uses it yet.

--- a/edge/src/decide/mod.rs
+++ b/edge/src/decide/mod.rs
@@ -4,6 +4,7 @@
 //! that load.
 
 mod availability;
+mod client_account;
 mod crash_evidence;
 mod fingerprint;
 mod observations;
@@ -24,6 +25,14 @@
     View,
     runner_key, //
 };
+pub use client_account::{
+    Claim,
+    ClientAccount,
+    ClientBounds,
+    ClientId,
+    ProcessLimits,
+    Stage, //
+};
 pub use crash_evidence::{
     Blame,
     BlockChange,
