Bound the connections and bytes of uncontrolled clients

Connections at the callers', readiness and peer ports, bodies that are being read, header sections at the readiness port and messages of up to 64 MiB at the peer port had no common bound. One-byte chunks and pipelined requests held the thread as long as their input lasted.

Clients that it drops or refuses get 503 `too_many_clients` if a request has begun, and are counted and logged. Bodies and pipelined requests take turns. Messages of other daemons have at most 64 KiB. 408 names a time for the retry.

--- a/edge/src/accept/connection.rs
+++ b/edge/src/accept/connection.rs
@@ -14,15 +14,18 @@
 };
 use tokio::{
     net::TcpStream,
+    task::yield_now,
     time::timeout, //
 };
 
 use super::{
+    Client,
     Handler,
     Rejection, //
 };
 use crate::{
     catalog::Limits,
+    decide::Stage,
     http::{
         BodyDecoder,
         Framing,
@@ -38,6 +41,10 @@
 /// Bytes that are read ahead while a request is handled.
 const MAX_READ_AHEAD_BYTES: usize = 64 * 1024;
 
+/// Bytes of a body after which other connections get a turn. Decoding as many one-byte chunks takes about a
+/// millisecond.
+const READ_TURN_BYTES: usize = 32 * 1024;
+
 /// Time for which input is still read after a rejection. Closing a connection with unread input resets
 /// it, and the caller could lose the response.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(300);
@@ -50,6 +57,8 @@
     Rejected(Rejection),
     /// [`Handler::check_head`] refused the head with this response; the connection closes after it.
     HeadRefused(Vec<u8>),
+    /// The connection closes to make room for others.
+    Dropped,
 }
 
 impl ReadError {
@@ -59,68 +68,97 @@
 }
 
 /// Handles the requests of a connection until it closes.
-pub(super) async fn serve_connection<H: Handler>(handler: Rc<H>, stream: TcpStream) {
+pub(super) async fn serve_connection<H: Handler>(
+    handler: Rc<H>,
+    stream: TcpStream,
+    client: Client,
+) {
     configure_stream(&stream);
     set_user_timeout(&stream, handler.limits().ack_timeout);
     let mut buf = BytesMut::new();
     loop {
         let limits = handler.limits();
-        let read = read_request(&*handler, &stream, &mut buf, &limits).await;
+        let read = tokio::select! {
+            biased;
+            () = client.dropped() => Err(ReadError::Dropped),
+            read = read_request(&*handler, &stream, &client, &mut buf, &limits) => read,
+        };
         let (head, body) = match read {
             Ok(request) => request,
             Err(ReadError::Closed) => return,
             Err(ReadError::Rejected(rejection)) => {
                 let Rejection { status, code } = rejection;
                 log::info!("event=request_rejected status={status} code={code}");
-                return write_last_response(&stream, &handler.reject(rejection)).await;
+                return write_last_response(&stream, &client, &handler.reject(rejection)).await;
             }
             Err(ReadError::HeadRefused(response)) => {
-                return write_last_response(&stream, &response).await;
+                return write_last_response(&stream, &client, &response).await;
             }
+            Err(ReadError::Dropped) => return try_reject(&*handler, &stream),
         };
+        client.set_stage(Stage::Handling);
         if handler.shutdown().has_begun() {
             log::info!(
                 "event=request_rejected status=503 code=stopping target={}",
                 head.target
             );
-            return write_last_response(&stream, &handler.reject(Rejection::STOPPING)).await;
+            return write_last_response(&stream, &client, &handler.reject(Rejection::STOPPING))
+                .await;
         }
+        let held = body.len();
         let handling = handler.handle(head, body, &stream);
         let keep_alive = tokio::select! {
             biased;
             keep_alive = handling => keep_alive,
-            () = wait_for_close(&stream, &mut buf) => false,
+            () = wait_for_close(&stream, &client, held, &mut buf) => false,
         };
         if !keep_alive {
             return;
         }
+        client.set_stage(Stage::Idle);
+        if held > 0 || !buf.is_empty() {
+            client.hold(buf.len());
+        }
+        if !buf.is_empty() {
+            // Pipelined requests take turns with other connections.
+            yield_now().await;
+        }
     }
 }
 
-/// Waits until the caller closes the connection. Reads ahead up to [`MAX_READ_AHEAD_BYTES`]; beyond
-/// that it no longer notices a close.
-async fn wait_for_close(stream: &TcpStream, buf: &mut BytesMut) {
+/// Waits until the caller closes the connection. Reads ahead up to [`MAX_READ_AHEAD_BYTES`], as long as there
+/// is room beside the `held` bytes of the body; beyond that it no longer notices a close.
+async fn wait_for_close(stream: &TcpStream, client: &Client, held: usize, buf: &mut BytesMut) {
     loop {
         if buf.len() > MAX_READ_AHEAD_BYTES {
             std::future::pending::<()>().await;
         }
         match read_some(stream, buf).await {
             Ok(0) | Err(_) => return,
-            Ok(_) => {}
+            Ok(_) if client.hold(held + buf.len()) => {}
+            Ok(_) => std::future::pending().await,
         }
     }
 }
 
+/// Tells a client without waiting for it that it gets no connection and that no request of it runs.
+pub(super) fn try_reject<H: Handler>(handler: &H, stream: &TcpStream) {
+    if let Err(e) = stream.try_write(&handler.reject(Rejection::TOO_MANY_CLIENTS)) {
+        log::debug!("event=rejection_unsent error=\"{e}\"");
+    }
+}
+
 /// Reads a request with its body, within the limits.
 async fn read_request<H: Handler>(
     handler: &H,
     stream: &TcpStream,
+    client: &Client,
     buf: &mut BytesMut,
     limits: &Limits,
 ) -> Result<(RequestHead, Bytes), ReadError> {
-    let head = read_head(handler, stream, buf, limits).await?;
+    let head = read_head(handler, stream, client, buf, limits).await?;
     handler.check_head(&head).map_err(ReadError::HeadRefused)?;
-    let body = read_body(stream, buf, limits, &head).await?;
+    let body = read_body(stream, client, buf, limits, &head).await?;
     Ok((head, body))
 }
 
@@ -128,13 +166,17 @@
 async fn read_head<H: Handler>(
     handler: &H,
     stream: &TcpStream,
+    client: &Client,
     buf: &mut BytesMut,
     limits: &Limits,
 ) -> Result<RequestHead, ReadError> {
     let mut started_at = None;
     loop {
         if !buf.is_empty() {
-            started_at.get_or_insert_with(Instant::now);
+            if started_at.is_none() {
+                started_at = Some(Instant::now());
+                client.set_stage(Stage::Reading);
+            }
             let size = buf.len();
             match parse_request(buf) {
                 Ok(Some(_)) if size - buf.len() > limits.head_bytes => {
@@ -144,6 +186,9 @@
                 Ok(None) if size > limits.head_bytes => {
                     return Err(ReadError::rejected(431, "head_too_large"));
                 }
+                Ok(None) if !client.hold(size) => {
+                    return Err(ReadError::Rejected(Rejection::TOO_MANY_CLIENTS));
+                }
                 Ok(None) => {}
                 Err(_) => return Err(ReadError::rejected(400, "bad_head")),
             }
@@ -170,6 +215,7 @@
 /// Reads a body; sends `100 Continue` first if the caller waits for it.
 async fn read_body(
     stream: &TcpStream,
+    client: &Client,
     buf: &mut BytesMut,
     limits: &Limits,
     head: &RequestHead,
@@ -188,6 +234,7 @@
             .map_err(|_| ReadError::Closed)?;
     }
     let deadline = Instant::now() + limits.body_timeout;
+    let mut turn_bytes = 0;
     loop {
         while let Some(piece) = decoder
             .take(buf)
@@ -198,23 +245,41 @@
         if body.len() > limits.body_bytes {
             return Err(ReadError::rejected(413, "body_too_large"));
         }
+        if body.capacity() > 0 && !client.hold(body.capacity()) {
+            return Err(ReadError::Rejected(Rejection::TOO_MANY_CLIENTS));
+        }
         if decoder.is_done() {
             return Ok(body.freeze());
         }
+        if turn_bytes >= READ_TURN_BYTES {
+            turn_bytes = 0;
+            yield_now().await;
+        }
         let remaining = deadline.saturating_duration_since(Instant::now());
         match timeout(remaining.min(limits.idle_timeout), read_some(stream, buf)).await {
             Err(_) => return Err(ReadError::rejected(408, "body_timeout")),
             Ok(Err(_)) => return Err(ReadError::Closed),
             // A caller that has only closed its sending side can still receive the response.
             Ok(Ok(0)) => return Err(ReadError::rejected(400, "body_cut_off")),
-            Ok(Ok(_)) => {}
+            Ok(Ok(n)) => turn_bytes += n,
         }
     }
 }
 
-/// Writes a response, closes the sending side and discards input until the caller closes or
-/// [`LINGER_TIMEOUT`] passes.
-async fn write_last_response(stream: &TcpStream, response: &[u8]) {
+/// Writes a response, closes the sending side and discards input until the caller closes,
+/// [`LINGER_TIMEOUT`] passes or the connection has to make room.
+async fn write_last_response(stream: &TcpStream, client: &Client, response: &[u8]) {
+    client.set_stage(Stage::Idle);
+    client.hold(0);
+    tokio::select! {
+        biased;
+        () = client.dropped() => {}
+        () = write_and_drain(stream, response) => {}
+    }
+}
+
+/// Writes a response, closes the sending side and discards input.
+async fn write_and_drain(stream: &TcpStream, response: &[u8]) {
     if write_all(stream, response).await.is_err() {
         return;
     }
@@ -225,6 +290,7 @@
     let drain = async {
         while matches!(read_some(stream, &mut rest).await, Ok(n) if n > 0) {
             rest.clear();
+            yield_now().await;
         }
     };
     let _ = timeout(LINGER_TIMEOUT, drain).await;
--- a/edge/src/accept/handler.rs
+++ b/edge/src/accept/handler.rs
@@ -30,6 +30,9 @@
     /// The listener accepts no more requests.
     pub const STOPPING: Rejection = Rejection::new(503, "stopping");
 
+    /// There is no room for the request, as too many clients hold connections or bytes.
+    pub const TOO_MANY_CLIENTS: Rejection = Rejection::new(503, "too_many_clients");
+
     /// Creates a rejection.
     pub const fn new(status: u16, code: &'static str) -> Rejection {
         Rejection { status, code }
--- a/edge/src/accept/mod.rs
+++ b/edge/src/accept/mod.rs
@@ -1,17 +1,24 @@
 //! Accepts connections of callers, reads requests within limits, and cancels a request whose caller
 //! closes the connection.
 
+mod clients;
 mod connection;
 mod handler;
 mod listen;
 
+pub(crate) use clients::Client;
+pub use clients::Clients;
 pub use handler::{
     Handler,
     Rejection,
     Shutdown, //
 };
-pub(crate) use listen::listen;
 pub use listen::{
     Listener,
-    bind, //
+    bind,
+    bind_bounded, //
+};
+pub(crate) use listen::{
+    accept_clients,
+    listen, //
 };
--- a/edge/src/fleet/peers.rs
+++ b/edge/src/fleet/peers.rs
@@ -33,17 +33,26 @@
 };
 use tokio_tungstenite::{
     WebSocketStream,
-    accept_async,
-    client_async, //
+    accept_async_with_config,
+    client_async,
+    tungstenite::protocol::WebSocketConfig, //
 };
 
 use crate::{
+    accept::{
+        Client,
+        Clients,
+        accept_clients, //
+    },
     adapter::{
         ConfigVersion,
         Store, //
     },
     catalog::Runner,
-    decide::rendezvous_weight,
+    decide::{
+        Stage,
+        rendezvous_weight, //
+    },
     http::configure_stream,
     peer::{
         PeerMessage,
@@ -74,42 +83,66 @@
 /// Time after which a connection without a message is closed: longer than a request may last.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Largest message of another daemon. Reservations and settlements have a few hundred bytes, and the control
+/// traffic of a daemon stays below 22 KB/s.
+const MAX_MESSAGE_BYTES: usize = 64 * 1024;
+
+/// Buffer of each connection for reading, and the least that is written at once.
+const PEER_BUFFER_BYTES: usize = 4 * 1024;
+
 /// Listens on `address` and answers the queries of other daemons.
 ///
 /// # Errors
 ///
 /// Fails if the address cannot be bound.
-pub async fn serve_peers<D: 'static>(core: &Rc<Core<D>>, address: SocketAddr) -> io::Result<()> {
+pub async fn serve_peers<D: 'static>(
+    core: &Rc<Core<D>>,
+    address: SocketAddr,
+    clients: &Rc<Clients>,
+) -> io::Result<()> {
     let listener = TcpListener::bind(address).await?;
     let core = Rc::clone(core);
-    spawn_local(async move {
-        loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    let core = Rc::clone(&core);
-                    spawn_local(async move {
-                        if let Err(e) = serve_connection(&core, stream).await {
-                            log::debug!("event=peer_link_ended error=\"{e}\"");
-                        }
-                    });
-                }
-                Err(e) => {
-                    log::warn!("event=accept_failed error=\"{e}\"");
-                    sleep(QUERY_PAUSE).await;
-                }
+    let serve = move |stream, client: Client| {
+        let core = Rc::clone(&core);
+        spawn_local(async move {
+            let ended = tokio::select! {
+                biased;
+                () = client.dropped() => return,
+                ended = serve_connection(&core, stream, &client) => ended,
+            };
+            if let Err(e) = ended {
+                log::debug!("event=peer_link_ended error=\"{e}\"");
             }
-        }
-    });
+        });
+    };
+    // Another daemon takes a closed connection for a lost one and asks elsewhere.
+    spawn_local(accept_clients(listener, Rc::clone(clients), serve, |_| {}));
     Ok(())
 }
 
+/// Limits of the WebSocket of an accepted connection.
+fn socket_config() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .read_buffer_size(PEER_BUFFER_BYTES)
+        .write_buffer_size(PEER_BUFFER_BYTES)
+        .max_message_size(Some(MAX_MESSAGE_BYTES))
+        .max_frame_size(Some(MAX_MESSAGE_BYTES))
+}
+
 /// Answers the messages on one connection until it is closed or idle.
-async fn serve_connection<D: 'static>(core: &Rc<Core<D>>, stream: TcpStream) -> io::Result<()> {
+async fn serve_connection<D: 'static>(
+    core: &Rc<Core<D>>,
+    stream: TcpStream,
+    client: &Client,
+) -> io::Result<()> {
     configure_stream(&stream);
     let limit = QUERY_TIMEOUT + core.link.allowance(Instant::now());
-    let socket = timeout(limit, accept_async(stream))
-        .await?
-        .map_err(io::Error::other)?;
+    let socket = timeout(
+        limit,
+        accept_async_with_config(stream, Some(socket_config())),
+    )
+    .await?
+    .map_err(io::Error::other)?;
     let (mut sink, mut messages) = socket.split();
     let (reserved, outcomes) = flume::unbounded();
     loop {
@@ -119,6 +152,7 @@
                     return Ok(());
                 };
                 let message = message.map_err(io::Error::other)?;
+                client.set_stage(Stage::Idle);
                 if !message.is_binary() {
                     continue;
                 }
--- a/edge/src/serve/handler.rs
+++ b/edge/src/serve/handler.rs
@@ -12,6 +12,7 @@
     Core,
     exchange::exchange,
     response::{
+        CROWD_RETRY_AFTER,
         Refusal,
         STOP_RETRY_AFTER, //
     },
@@ -39,6 +40,12 @@
     fn reject(&self, rejection: Rejection) -> Vec<u8> {
         let refusal = match rejection {
             Rejection::STOPPING => Refusal::not_run(rejection.code, STOP_RETRY_AFTER),
+            Rejection::TOO_MANY_CLIENTS => Refusal::not_run(rejection.code, CROWD_RETRY_AFTER),
+            // The guarantee of a 408 is that of a 503.
+            Rejection { status: 408, code } => Refusal {
+                status: 408,
+                ..Refusal::not_run(code, CROWD_RETRY_AFTER)
+            },
             Rejection { status, code } => Refusal::rejected(status, code),
         };
         refusal.to_bytes(None, false)
--- a/edge/src/serve/ready.rs
+++ b/edge/src/serve/ready.rs
@@ -10,13 +10,22 @@
 use bytes::BytesMut;
 use tokio::{
     net::TcpStream,
-    task::spawn_local,
+    task::{
+        spawn_local,
+        yield_now, //
+    },
     time::timeout, //
 };
 
 use super::Core;
 use crate::{
-    accept::listen,
+    accept::{
+        Client,
+        Clients,
+        accept_clients,
+        listen, //
+    },
+    decide::Stage,
     http::{
         RequestHead,
         parse_request,
@@ -29,47 +38,59 @@
 /// Idle time after which a connection of the load balancer or a metrics scraper is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Largest request head.
+const MAX_HEAD_BYTES: usize = 8 * 1024;
+
 /// Starts a task that serves `GET /readyz` and `GET /metrics` at `address`.
 ///
 /// # Errors
 ///
 /// Fails if the address can't be bound.
-pub fn bind_ready<D: 'static>(core: &Rc<Core<D>>, address: SocketAddr) -> io::Result<()> {
+pub fn bind_ready<D: 'static>(
+    core: &Rc<Core<D>>,
+    address: SocketAddr,
+    clients: &Rc<Clients>,
+) -> io::Result<()> {
     let listener = listen(address)?;
     let core = Rc::clone(core);
-    spawn_local(async move {
-        loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    spawn_local(serve_connection(Rc::clone(&core), stream));
-                }
-                Err(e) => {
-                    log::warn!("event=accept_failed error=\"{e}\"");
-                    tokio::time::sleep(Duration::from_millis(50)).await;
-                }
+    let serve = move |stream, client: Client| {
+        let core = Rc::clone(&core);
+        spawn_local(async move {
+            tokio::select! {
+                biased;
+                () = client.dropped() => {}
+                () = serve_connection(core, stream, &client) => {}
             }
-        }
-    });
+        });
+    };
+    // Without a response the load balancer asks again, as after a lost connection.
+    spawn_local(accept_clients(listener, Rc::clone(clients), serve, |_| {}));
     Ok(())
 }
 
 /// Serves requests on one connection until it closes or stays idle too long.
-async fn serve_connection<D>(core: Rc<Core<D>>, stream: TcpStream) {
+async fn serve_connection<D>(core: Rc<Core<D>>, stream: TcpStream, client: &Client) {
     let mut buf = BytesMut::new();
     loop {
         let head = match parse_request(&mut buf) {
             Ok(Some(head)) => head,
+            Ok(None) if buf.len() > MAX_HEAD_BYTES => return,
             Ok(None) => match timeout(IDLE_TIMEOUT, read_some(&stream, &mut buf)).await {
                 Ok(Ok(n)) if n > 0 => continue,
                 _ => return,
             },
             Err(_) => return,
         };
+        client.set_stage(Stage::Idle);
         let keep_alive = head.keep_alive();
         let bytes = response_bytes(&core, &head, keep_alive);
         if write_all(&stream, &bytes).await.is_err() || !keep_alive {
             return;
         }
+        if !buf.is_empty() {
+            // Pipelined requests take turns with other connections.
+            yield_now().await;
+        }
     }
 }
 
--- a/edge/src/serve/response.rs
+++ b/edge/src/serve/response.rs
@@ -16,6 +16,9 @@
 /// `Retry-After` for callers of a stopping daemon; short because another daemon can serve the retry.
 pub(super) const STOP_RETRY_AFTER: Duration = Duration::from_millis(50);
 
+/// `Retry-After` while too many clients hold connections or bytes: those that stall are dropped by then.
+pub(super) const CROWD_RETRY_AFTER: Duration = Duration::from_millis(300);
+
 /// An error response that the daemon generates itself.
 #[derive(Clone, Debug)]
 pub(super) struct Refusal {
--- a/edge/src/telemetry/metrics.rs
+++ b/edge/src/telemetry/metrics.rs
@@ -26,6 +26,8 @@
     pub sends: IntCounterVec,
     /// Calls to the store, by call and outcome.
     pub store_calls: IntCounterVec,
+    /// Clients that were refused or dropped, by port and reason.
+    pub clients_dropped: IntCounterVec,
     /// Time to the first byte of a response, in seconds.
     pub first_byte: Histogram,
     /// Time to the end of a response, in seconds.
@@ -61,6 +63,11 @@
                 "Calls to the store.",
                 &["call", "outcome"],
             )?,
+            clients_dropped: counter(
+                "cuminloom_clients_dropped_total",
+                "Clients that were refused or dropped to make room.",
+                &["port", "reason"],
+            )?,
             first_byte: histogram("cuminloom_first_byte_seconds", "Time to the first byte.")?,
             answer_time: histogram("cuminloom_answer_seconds", "Time to the end of the answer.")?,
             tokens: IntGaugeVec::new(
@@ -76,6 +83,9 @@
         metrics
             .registry
             .register(Box::new(metrics.store_calls.clone()))?;
+        metrics
+            .registry
+            .register(Box::new(metrics.clients_dropped.clone()))?;
         metrics
             .registry
             .register(Box::new(metrics.first_byte.clone()))?;
