Bound the responses that wait for callers, and send long bodies without a copy

A complete response of up to 2 MiB was held twice while its caller did not read it, and a request body was copied behind its head for each send. Nothing bounded the sum over all callers.

Responses above 16 KiB have an account of an eighth of the memory: those that take longest lose their connections, which are reset. Bodies above 16 KiB are sent from where they are buffered, on both sides. Shorter ones take the same path as before. Responses that are still being received from runners are not counted.

--- a/edge/src/decide/client_account.rs
+++ b/edge/src/decide/client_account.rs
@@ -15,6 +15,9 @@
 /// process needs about 32 MB for control.
 const MEMORY_DIVISOR: u64 = 4;
 
+/// Divisor of the memory limit for the bytes of all responses that wait for their callers.
+const ANSWER_DIVISOR: u64 = 8;
+
 /// Share of the descriptors for callers, in 32nds. Each open request also needs a descriptor for its runner.
 const CALLER_SHARE: u64 = 12;
 
@@ -89,6 +92,14 @@
         self.bounds(READY_SHARE)
     }
 
+    /// Bounds of the responses that wait for their callers. Their connections are bounded as the callers' ones.
+    pub fn answers(&self) -> ClientBounds {
+        ClientBounds {
+            connections: u64::MAX,
+            bytes: self.memory_bytes / ANSWER_DIVISOR,
+        }
+    }
+
     fn bounds(&self, share: u64) -> ClientBounds {
         ClientBounds {
             connections: (self.descriptors.saturating_mul(share) / 32).max(MIN_CONNECTIONS),
--- a/edge/src/serve/attempts.rs
+++ b/edge/src/serve/attempts.rs
@@ -55,7 +55,6 @@
         decide_retry,
         retry_after, //
     },
-    http::write_all,
 };
 
 /// Results of the sends of one request so far.
@@ -349,9 +348,10 @@
     attempt.core.record_answer(call, Instant::now());
     let mut bytes = encode_head(status, &reply.head.fields, call.keep_alive);
     bytes.extend_from_slice(format!("Content-Length: {}\r\n\r\n", body.len()).as_bytes());
-    bytes.extend_from_slice(&body);
     reuse_connection(upstream, reply);
-    write_all(out, &bytes)
+    attempt
+        .core
+        .write_answer(out, bytes, &body)
         .await
         .map_err(|_| RelayError::Caller)?;
     Ok(status)
--- a/edge/src/serve/core.rs
+++ b/edge/src/serve/core.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::{
         Cell,
+        OnceCell,
         RefCell, //
     },
     collections::{
@@ -27,7 +28,10 @@
     turns::TurnQueue, //
 };
 use crate::{
-    accept::Shutdown,
+    accept::{
+        Clients,
+        Shutdown, //
+    },
     adapter::ConfigVersion,
     catalog::{
         Config,
@@ -160,6 +164,8 @@
     pub(super) route_times: RefCell<RouteTimes>,
     /// State of the shutdown of the callers' listener.
     pub shutdown: Shutdown,
+    /// Responses that wait for their callers; unbounded while it is not set.
+    pub answers: OnceCell<Rc<Clients>>,
     /// Number of requests in progress.
     open_requests: Cell<u32>,
     /// Type that encodes and decodes the header fields.
@@ -204,6 +210,7 @@
             stop_answers: Notify::new(),
             route_times: RefCell::default(),
             shutdown: Shutdown::default(),
+            answers: OnceCell::new(),
             open_requests: Cell::new(0),
             dialect: PhantomData,
         })
--- a/edge/src/serve/mod.rs
+++ b/edge/src/serve/mod.rs
@@ -18,6 +18,7 @@
 mod suspects;
 mod tokens;
 mod turns;
+mod unread;
 mod upstream;
 
 pub use self::core::{
--- a/edge/src/serve/send.rs
+++ b/edge/src/serve/send.rs
@@ -14,6 +14,7 @@
     call::Call,
     receive::Attempt,
     response::STOP_CODE,
+    unread::is_copied,
     upstream::InFlight, //
 };
 use crate::{
@@ -81,10 +82,12 @@
     pub in_flight: InFlight,
 }
 
-/// Encodes the request as it is sent to the runner.
+/// Encodes the request as it is sent to the runner, without a body that is too long to be copied.
 fn request_bytes<D: Dialect>(call: &Call, forward: &ForwardFields<'_>) -> Vec<u8> {
     let head = &call.head;
-    let mut out = Vec::with_capacity(1024 + call.body.len());
+    let copied = is_copied(&call.body);
+    let capacity = if copied { call.body.len() } else { 0 };
+    let mut out = Vec::with_capacity(1024 + capacity);
     out.extend_from_slice(head.method.as_bytes());
     out.push(b' ');
     out.extend_from_slice(head.target.as_bytes());
@@ -104,7 +107,9 @@
         out.extend_from_slice(format!("Content-Length: {}\r\n", call.body.len()).as_bytes());
     }
     out.extend_from_slice(b"\r\n");
-    out.extend_from_slice(&call.body);
+    if copied {
+        out.extend_from_slice(&call.body);
+    }
     out
 }
 
@@ -174,6 +179,11 @@
         .write(&bytes)
         .await
         .map_err(ConnectionError::Io)?;
+    drop(bytes);
+    if !is_copied(&call.body) {
+        let sent = connection.write(&call.body).await;
+        sent.map_err(ConnectionError::Io)?;
+    }
     for skipped in 0..=MAX_FOREIGN_ANSWERS {
         let head = attempt.read_head(&mut connection, prompt_tokens).await?;
         let meta = D::response_meta(&head.fields);
