Keep requests in the home regions of their route and customer

Cause: allowedRegions was decoded and not used, so requests went to runners of any region.

Change: only runners in a region that the route and the customer both allow are candidates, and the region is checked again just before each send. If none of them is usable the request is refused at once with 503. A data centre that the settings' zones do not name is in no home region.

--- a/edge/src/decide/mod.rs
+++ b/edge/src/decide/mod.rs
@@ -10,6 +10,7 @@
 mod patience;
 mod placement;
 mod planned_stop;
+mod residency;
 mod retry;
 mod retry_budget;
 mod route_times;
@@ -48,6 +49,7 @@
     select_runner, //
 };
 pub use planned_stop::PlannedStop;
+pub use residency::is_home_region;
 pub use retry::{
     FailedAttempt,
     Failure,
--- a/edge/src/serve/choose.rs
+++ b/edge/src/serve/choose.rs
@@ -55,6 +55,9 @@
 /// Code of requests for a service all of whose runners are in evacuated data centres.
 const EVACUATED_CODE: &str = "evacuated";
 
+/// Code of requests for which the regions in which they may be handled have no usable runner.
+const NO_HOME_CODE: &str = "no_home_runner";
+
 /// Chooses a service by the weights of the route. Retries of an attempt id get the same service.
 pub(super) fn choose_service(call: &Call) -> ServiceId {
     let services = &call.route.services;
@@ -90,6 +93,8 @@
     Never,
     /// Nothing: all runners of the service are in evacuated data centres.
     Evacuated,
+    /// Nothing: the regions in which the request may be handled have no usable runner.
+    NoHome,
     /// Wait for a runner.
     Wait,
 }
@@ -151,6 +156,12 @@
                     retry_after: RUNNER_RETRY_AFTER,
                 });
             }
+            Choice::NoHome => {
+                return Err(NoRunner {
+                    code: NO_HOME_CODE,
+                    retry_after: RUNNER_RETRY_AFTER,
+                });
+            }
             Choice::Wait => {
                 if timeout_at(deadline, freed).await.is_err() {
                     return Err(NoRunner {
@@ -199,6 +210,7 @@
         .directory
         .borrow()
         .ready(service, now)
+        .filter(|runner| core.is_home(call, runner))
         .cloned()
         .collect();
     let upstreams: Vec<Rc<Upstream>> = runners.iter().map(|r| core.upstream(r)).collect();
@@ -236,6 +248,9 @@
         if core.is_service_evacuated(service, now) {
             return Choice::Evacuated;
         }
+        if call.has_homes() && candidates.iter().all(|c| c.tried) {
+            return Choice::NoHome;
+        }
         return wait_choice(core, &upstreams, &candidates, now);
     };
     log_placement(call, &runners[chosen].id, &candidates, chosen, &needs);
--- a/edge/src/serve/core.rs
+++ b/edge/src/serve/core.rs
@@ -34,6 +34,7 @@
         CustomerId,
         Directory,
         Evacuations,
+        RegionId,
         Route,
         RunnerId,
         ServiceId, //
@@ -129,6 +130,8 @@
     pub directory: RefCell<Directory>,
     /// Data centres whose runners get no requests.
     pub(super) evacuations: RefCell<Evacuations>,
+    /// Region of each data centre.
+    pub(super) regions: RefCell<HashMap<String, RegionId>>,
     /// Evidence of what crashes runners.
     pub(super) evidence: RefCell<CrashEvidence>,
     /// What is known of whether runners may be sent requests.
@@ -191,6 +194,7 @@
             state_changed: Notify::new(),
             directory: RefCell::default(),
             evacuations: RefCell::default(),
+            regions: RefCell::default(),
             evidence: RefCell::default(),
             availability: RefCell::default(),
             turn_queue: Rc::default(),
--- a/edge/src/serve/mod.rs
+++ b/edge/src/serve/mod.rs
@@ -14,6 +14,7 @@
 mod receive;
 mod relay;
 mod reservations;
+mod residency;
 mod response;
 mod send;
 mod suspects;
--- a/edge/src/serve/send.rs
+++ b/edge/src/serve/send.rs
@@ -155,6 +155,14 @@
         );
         return Err(SendError::new(Failure::NotSent, view.standing.as_str()));
     }
+    // The entry may have named another data centre since the runner was chosen.
+    if !core.is_home(call, &upstream.runner.borrow()) {
+        log::info!(
+            "event=send_withheld id={} runner={runner} standing=region source=own since_ms=-1",
+            call.meta.id
+        );
+        return Err(SendError::new(Failure::NotSent, "region"));
+    }
     if !core.may_send(&call.route) {
         return Err(SendError::new(Failure::NotSent, STOP_CODE));
     }
