--- a/edge/src/decide/mod.rs
+++ b/edge/src/decide/mod.rs
@@ -12,6 +12,7 @@
 mod peer_choice;
 mod placement;
 mod planned_stop;
+mod residency;
 mod retry;
 mod retry_budget;
 mod route_times;
@@ -62,6 +63,7 @@
     select_runner, //
 };
 pub use planned_stop::PlannedStop;
+pub use residency::is_home_region;
 pub use retry::{
     FailedAttempt,
     Failure,
