Refuse requests of a VM whose link or processor is used up

The platform picks the daemon of a connection by a hash of the client, so one VM can get a quarter of all requests. Nothing detected that its link was saturated: answers and messages waited for seconds.

The bytes of HTTP sockets, the processor time and the lag of the event loop are measured every 100 ms if the settings name limits.linkMbps or limits.cpuQuota. Above 80% use a growing share of new requests is refused before it runs, with Retry-After of 40 to 300 ms and Connection: close. A VM that refuses 40% leaves the rotation for 3 s of 27 s, in turn with the others of its data centre.

No run with real processes was made on a narrow link.

--- a/edge/src/decide/mod.rs
+++ b/edge/src/decide/mod.rs
@@ -3,6 +3,7 @@
 //! Each module names the load pattern that it handles; its test in `tests/decisions.rs` replays
 //! that load.
 
+mod admission;
 mod availability;
 mod crash_evidence;
 mod fingerprint;
@@ -17,6 +18,14 @@
 mod runner_limits;
 mod turn_order;
 
+pub use admission::{
+    Admission,
+    Arrival,
+    Capacity,
+    LoadChange,
+    Rotation,
+    Usage, //
+};
 pub use availability::{
     Availability,
     DownCause,
--- a/edge/src/http/connection.rs
+++ b/edge/src/http/connection.rs
@@ -17,9 +17,11 @@
 };
 
 use super::{
-    ParseError,
-    ResponseHead,
-    parse_response, //
+    ParseError, ResponseHead, parse_response,
+    traffic::{
+        count_read,
+        count_written, //
+    },
 };
 
 /// Largest response head.
@@ -108,7 +110,7 @@
         buf.reserve(READ_SIZE_BYTES);
         match stream.try_read_buf(buf) {
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => stream.readable().await?,
-            result => return result,
+            result => return result.inspect(|n| count_read(*n)),
         }
     }
 }
@@ -122,7 +124,10 @@
     while !bytes.is_empty() {
         match stream.try_write(bytes) {
             Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
-            Ok(n) => bytes = &bytes[n..],
+            Ok(n) => {
+                count_written(n);
+                bytes = &bytes[n..];
+            }
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => stream.writable().await?,
             Err(e) => return Err(e),
         }
@@ -192,7 +197,7 @@
         self.buf.reserve(READ_SIZE_BYTES);
         match self.stream.try_read_buf(&mut self.buf) {
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => None,
-            result => Some(result),
+            result => Some(result.inspect(|n| count_read(*n))),
         }
     }
 
--- a/edge/src/http/mod.rs
+++ b/edge/src/http/mod.rs
@@ -9,6 +9,7 @@
 mod event;
 mod head;
 mod link;
+mod traffic;
 
 pub use body::{
     BodyDecoder,
@@ -38,3 +39,4 @@
     reason_phrase, //
 };
 pub use link::LinkActivity;
+pub use traffic::bytes_moved;
--- a/edge/src/prepaid/ledger/membership.rs
+++ b/edge/src/prepaid/ledger/membership.rs
@@ -50,6 +50,19 @@
         ((!self.leaving).then_some(before), members)
     }
 
+    /// Rank of this daemon by name among those of its data centre that are known to run, and their number.
+    pub fn zone_place(&self, now: Instant) -> (usize, usize) {
+        let others = self.peer_rows.iter().filter(|(name, (_, row))| {
+            row.zone == self.zone && !row.leaving && !self.is_silent(name, now)
+        });
+        let (mut rank, mut members) = (0, 1);
+        for (name, _) in others {
+            members += 1;
+            rank += usize::from(*name < self.node);
+        }
+        (rank, members)
+    }
+
     /// Number of daemons that hold grants.
     pub fn holder_count(&self) -> usize {
         self.holders.len().max(1)
--- a/edge/src/serve/attempts.rs
+++ b/edge/src/serve/attempts.rs
@@ -351,6 +351,7 @@
     bytes.extend_from_slice(format!("Content-Length: {}\r\n\r\n", body.len()).as_bytes());
     bytes.extend_from_slice(&body);
     reuse_connection(upstream, reply);
+    call.count_written(bytes.len());
     write_all(out, &bytes)
         .await
         .map_err(|_| RelayError::Caller)?;
--- a/edge/src/serve/core.rs
+++ b/edge/src/serve/core.rs
@@ -39,10 +39,13 @@
     },
     clock::boot_time,
     decide::{
+        Admission,
         Availability,
+        Capacity,
         CrashEvidence,
         PlannedStop,
         RetryBudget,
+        Rotation,
         RouteTimes,
         runner_key, //
     },
@@ -156,6 +159,12 @@
     stop: Cell<Option<PlannedStop>>,
     /// Notified when open requests are answered because the process ends.
     stop_answers: Notify,
+    /// Decides which requests are admitted.
+    pub(super) admission: RefCell<Admission>,
+    /// When this VM leaves the rotation of the load balancer.
+    pub(super) rotation: Cell<Rotation>,
+    /// Whether it is out of the rotation.
+    pub(super) out_of_rotation: Cell<bool>,
     /// Time that requests took, by route.
     pub(super) route_times: RefCell<RouteTimes>,
     /// State of the shutdown of the callers' listener.
@@ -202,6 +211,9 @@
             reservations: Reservations::default(),
             stop: Cell::new(None),
             stop_answers: Notify::new(),
+            admission: RefCell::new(Admission::new(Capacity::default())),
+            rotation: Cell::default(),
+            out_of_rotation: Cell::default(),
             route_times: RefCell::default(),
             shutdown: Shutdown::default(),
             open_requests: Cell::new(0),
@@ -253,6 +265,9 @@
         self.route_times
             .borrow_mut()
             .retain(|route| names.contains(route));
+        self.admission
+            .borrow_mut()
+            .retain(|route| names.contains(route));
         *self.version.borrow_mut() = Some(version);
         self.state_changed.notify_waiters();
         self.tokens_freed.notify_waiters();
@@ -428,6 +443,7 @@
     /// Whether the load balancer may send new connections.
     pub fn is_ready(&self) -> bool {
         !self.is_stopping()
+            && !self.out_of_rotation.get()
             && self.version.borrow().is_some()
             && !self.directory.borrow().is_empty()
     }
--- a/edge/src/serve/mod.rs
+++ b/edge/src/serve/mod.rs
@@ -9,6 +9,7 @@
 mod handler;
 mod holders;
 mod observations;
+mod overload;
 mod ready;
 mod receive;
 mod relay;
@@ -24,6 +25,7 @@
     Bounds,
     Core, //
 };
+pub use overload::measure_load;
 pub use ready::bind_ready;
 pub use upstream::{
     Probe,
--- a/edge/src/telemetry/metrics.rs
+++ b/edge/src/telemetry/metrics.rs
@@ -33,6 +33,9 @@
     /// Tokens by customer and account: of the fleet as last read from the store (limit, committed,
     /// billed, held, orphaned, free), and of this daemon (held_here, used_here).
     pub tokens: IntGaugeVec,
+    /// Use of the scarcer of link and processor and share of refused requests, in percent, and whether the VM
+    /// is out of the rotation.
+    pub overload: IntGaugeVec,
 }
 
 impl Metrics {
@@ -67,6 +70,10 @@
                 Opts::new("cuminloom_tokens", "Tokens by customer and account."),
                 &["customer", "account"],
             )?,
+            overload: IntGaugeVec::new(
+                Opts::new("cuminloom_overload", "Load of this VM and what it refuses."),
+                &["figure"],
+            )?,
             registry,
         };
         metrics
@@ -85,6 +92,9 @@
         metrics
             .registry
             .register(Box::new(metrics.tokens.clone()))?;
+        metrics
+            .registry
+            .register(Box::new(metrics.overload.clone()))?;
         Ok(metrics)
     }
 
