Limit the requests of informed daemons to cold runners

Cause: a runner that has just started got as many requests as any other, and crashes at a rate well above the one that it tolerates while cold.

Change: RunnerLimits keeps cold runners beside named limits, with the same shares by rendezvous weights. Informed daemons together use half of coldPerS; the rest of the bound is left for others. A runner counts as cold by its entry or a health response, when it appears during traffic, is back after it was down, or its data centre returns.

--- a/edge/src/decide/availability/contact.rs
+++ b/edge/src/decide/availability/contact.rs
@@ -71,10 +71,9 @@
         self.down.insert(runner, down);
     }
 
-    pub(super) fn mark_alive(&mut self, runner: RunnerKey) {
-        if !self.down.is_empty() {
-            self.down.remove(&runner);
-        }
+    /// Returns whether `runner` was down.
+    pub(super) fn mark_alive(&mut self, runner: RunnerKey) -> bool {
+        !self.down.is_empty() && self.down.remove(&runner).is_some()
     }
 
     /// Why `runner` is not to be used at `now`, and since when.
--- a/edge/src/decide/availability/mod.rs
+++ b/edge/src/decide/availability/mod.rs
@@ -253,9 +253,9 @@
         self.contacts.mark_replaced(runner, now);
     }
 
-    /// Records that `runner` has sent bytes or accepted a connection.
-    pub fn mark_alive(&mut self, runner: RunnerKey) {
-        self.contacts.mark_alive(runner);
+    /// Records that `runner` has sent bytes or accepted a connection. Returns whether it was down.
+    pub fn mark_alive(&mut self, runner: RunnerKey) -> bool {
+        self.contacts.mark_alive(runner)
     }
 
     /// Forgets what the address of `runner` did, as it has another one.
--- a/edge/src/decide/mod.rs
+++ b/edge/src/decide/mod.rs
@@ -61,6 +61,7 @@
 pub use retry_budget::RetryBudget;
 pub use route_times::RouteTimes;
 pub use runner_limits::{
+    ColdLimit,
     LimitReport,
     RunnerLimits,
     Turn,
--- a/edge/src/decide/runner_limits.rs
+++ b/edge/src/decide/runner_limits.rs
@@ -29,6 +29,10 @@
 /// Requests a second that one daemon sends to a runner whose limit is lower, to learn of its end.
 const MIN_RATE: f64 = 0.1;
 
+/// Share of the rate that a cold runner tolerates that informed daemons use together. The rest of the bound is
+/// left for requests of daemons that are not informed yet, or that know other members.
+const COLD_SHARE: f64 = 0.5;
+
 /// Time without an answer of the runner after which its limit is forgotten, in milliseconds.
 const LIMIT_TTL_MS: u64 = 60_000;
 
@@ -123,6 +127,25 @@
         (self.tokens + passed * self.rate).min(1.0)
     }
 
+    /// When the next request may be sent.
+    fn turn(&self, now: Instant) -> Turn {
+        if self.rate <= 0.0 {
+            return Turn::Never;
+        }
+        let missing = 1.0 - self.tokens_at(now);
+        // Sums of shares are rounded.
+        if missing < 1e-9 {
+            return Turn::Ready;
+        }
+        Turn::At(now + Duration::from_secs_f64(missing / self.rate))
+    }
+
+    /// Counts a request that is sent.
+    fn take(&mut self, now: Instant) {
+        self.tokens = self.tokens_at(now) - 1.0;
+        self.updated = now;
+    }
+
     /// Sets the rate from `now` on.
     fn set_rate(&mut self, rate: f64, now: Instant) {
         self.tokens = self.tokens_at(now);
@@ -158,6 +181,37 @@
     }
 }
 
+/// What a cold runner tolerates.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdLimit {
+    /// Requests a second.
+    pub rate: f64,
+    /// Most requests in any one second.
+    pub most: f64,
+}
+
+impl ColdLimit {
+    /// Requests a second of the daemon at `rank` among `members`. Each sharer may send one request at once, so
+    /// the sharers and the rate together stay within the most in one second.
+    fn share(self, rank: Option<usize>, members: usize) -> f64 {
+        let limit = (self.rate * COLD_SHARE).max(MIN_RATE);
+        let most = (self.most - limit).max(1.0) as usize;
+        let sharers = count_sharers(limit, members).min(most);
+        match rank {
+            Some(rank) if rank < sharers => limit / sharers as f64,
+            _ => 0.0,
+        }
+    }
+}
+
+/// A runner that is cold.
+#[derive(Clone, Copy, Debug)]
+struct Cold {
+    limit: ColdLimit,
+    until: Instant,
+    share: Share,
+}
+
 /// Number of daemons, of `members`, that share `limit` requests a second.
 ///
 /// # Examples
@@ -214,12 +268,17 @@
 /// assert_eq!(limits.turn(7, later), Turn::At(later + Duration::from_millis(500)));
 /// ```
 #[derive(Debug, Default)]
-pub struct RunnerLimits(HashMap<RunnerKey, Entry>);
+pub struct RunnerLimits {
+    /// Limits that runners have named.
+    named: HashMap<RunnerKey, Entry>,
+    /// Runners that are cold.
+    cold: HashMap<RunnerKey, Cold>,
+}
 
 impl RunnerLimits {
     /// Whether no runner has a limit that is known.
     pub fn is_empty(&self) -> bool {
-        self.0.is_empty()
+        self.named.is_empty() && self.cold.is_empty()
     }
 
     /// Records what an answer of `runner` at `at` said. `rank` tells how many daemons come before this one as
@@ -233,7 +292,7 @@
         now: Instant,
         rank: impl Fn(RunnerKey) -> (Option<usize>, usize),
     ) -> bool {
-        if limit.is_none() && !self.0.contains_key(&runner) {
+        if limit.is_none() && !self.named.contains_key(&runner) {
             return false;
         }
         let report = LimitReport { runner, limit, at };
@@ -255,11 +314,11 @@
                 limit: report.limit.filter(|n| n.is_finite() && *n >= 0.0),
                 ..*report
             };
-            let known = self.0.get_mut(&report.runner);
+            let known = self.named.get_mut(&report.runner);
             if let Some(entry) = known.filter(|e| !differs(e.newest.limit, report.limit)) {
                 entry.peer_at = entry.peer_at.max(Some(report.at));
             }
-            let newer = match self.0.get(&report.runner) {
+            let newer = match self.named.get(&report.runner) {
                 Some(entry) => report.at > entry.newest.at,
                 None => report.limit.is_some(),
             };
@@ -279,10 +338,10 @@
         now: Instant,
         rank: impl Fn(RunnerKey) -> (Option<usize>, usize),
     ) -> bool {
-        let known = self.0.get(&report.runner);
+        let known = self.named.get(&report.runner);
         let changed = known.is_none_or(|e| differs(e.newest.limit, report.limit));
         let same = known.is_some_and(|e| e.newest.limit == report.limit);
-        let entry = self.0.entry(report.runner).or_insert(Entry {
+        let entry = self.named.entry(report.runner).or_insert(Entry {
             newest: report,
             own,
             peer_at: None,
@@ -314,42 +373,79 @@
         now: Instant,
         rank: impl Fn(RunnerKey) -> (Option<usize>, usize),
     ) {
-        self.0.retain(|_, e| e.newest.at + LIMIT_TTL_MS > time);
-        for (runner, entry) in &mut self.0 {
+        self.named.retain(|_, e| e.newest.at + LIMIT_TTL_MS > time);
+        for (runner, entry) in &mut self.named {
             let (rank, members) = rank(*runner);
             entry.update_share(rank, members, now);
         }
+        for (runner, cold) in &mut self.cold {
+            let (rank, members) = rank(*runner);
+            cold.share.set_rate(cold.limit.share(rank, members), now);
+        }
     }
 
     /// When `runner` may be sent the next request.
     pub fn turn(&self, runner: RunnerKey, now: Instant) -> Turn {
-        let Some(entry) = self.0.get(&runner).filter(|e| e.newest.limit.is_some()) else {
+        let cold = self.cold.get(&runner).filter(|cold| now < cold.until);
+        let turn = cold.map_or(Turn::Unlimited, |cold| cold.share.turn(now));
+        turn.later(self.named_turn(runner, now))
+    }
+
+    /// When the limit that `runner` has named allows the next request.
+    fn named_turn(&self, runner: RunnerKey, now: Instant) -> Turn {
+        let Some(entry) = self.named.get(&runner).filter(|e| e.newest.limit.is_some()) else {
             return Turn::Unlimited;
         };
-        let share = &entry.share;
-        if share.rate <= 0.0 {
-            return Turn::Never;
-        }
-        let missing = 1.0 - share.tokens_at(now);
-        // Sums of shares are rounded.
-        if missing < 1e-9 {
-            return Turn::Ready;
-        }
-        Turn::At(now + Duration::from_secs_f64(missing / share.rate))
+        entry.share.turn(now)
+    }
+
+    /// Records that `runner` is cold until `until`, or longer if that is known. Returns whether it was not
+    /// known to be cold.
+    pub fn set_cold(
+        &mut self,
+        runner: RunnerKey,
+        limit: ColdLimit,
+        until: Instant,
+        now: Instant,
+        rank: impl Fn(RunnerKey) -> (Option<usize>, usize),
+    ) -> bool {
+        self.cold.retain(|_, cold| now < cold.until);
+        let new = !self.cold.contains_key(&runner);
+        let cold = self.cold.entry(runner).or_insert(Cold {
+            limit,
+            until,
+            // Requests of the last second may have reached the runner since it is cold.
+            share: Share {
+                rate: 0.0,
+                tokens: 0.0,
+                updated: now,
+            },
+        });
+        cold.limit = limit;
+        cold.until = cold.until.max(until);
+        let (rank, members) = rank(runner);
+        cold.share.set_rate(limit.share(rank, members), now);
+        new
     }
 
     /// Requests a second that this daemon may send to `runner`; `None` without a limit.
     pub fn rate(&self, runner: RunnerKey) -> Option<f64> {
-        let entry = self.0.get(&runner)?;
-        entry.newest.limit.map(|_| entry.share.rate)
+        let entry = self.named.get(&runner);
+        let named = entry.and_then(|e| e.newest.limit.map(|_| e.share.rate));
+        let cold = self.cold.get(&runner).map(|cold| cold.share.rate);
+        match (named, cold) {
+            (Some(named), Some(cold)) => Some(named.min(cold)),
+            (named, cold) => named.or(cold),
+        }
     }
 
     /// Counts a request that is sent to `runner`.
     pub fn take(&mut self, runner: RunnerKey, now: Instant) {
-        if let Some(entry) = self.0.get_mut(&runner) {
-            let share = &mut entry.share;
-            share.tokens = share.tokens_at(now) - 1.0;
-            share.updated = now;
+        if let Some(entry) = self.named.get_mut(&runner) {
+            entry.share.take(now);
+        }
+        if let Some(cold) = self.cold.get_mut(&runner) {
+            cold.share.take(now);
         }
     }
 
@@ -370,7 +466,7 @@
 
     /// The newest reports of entries that `selects`.
     fn reports(&self, selects: impl Fn(&&Entry) -> bool) -> Vec<LimitReport> {
-        let selected = self.0.values().filter(selects);
+        let selected = self.named.values().filter(selects);
         let mut list: Vec<LimitReport> = selected.map(|e| e.newest).collect();
         list.sort_by_key(|r| std::cmp::Reverse((r.at, r.runner)));
         list.truncate(MAX_REPORTED);
--- a/edge/src/fleet/feeds.rs
+++ b/edge/src/fleet/feeds.rs
@@ -158,6 +158,11 @@
 
 /// Applies the entries of one call to the directory; `whole` if they are all entries.
 fn apply_entries<D>(core: &Core<D>, items: Vec<RunnerChange>, whole: bool, now: Instant) {
+    let entries = items.iter().filter_map(|change| match change {
+        RunnerChange::Put(runner) => Some(runner),
+        RunnerChange::Gone(_) => None,
+    });
+    let cold = core.find_cold(entries);
     let mut changed = false;
     {
         let mut directory = core.directory.borrow_mut();
@@ -181,6 +186,7 @@
             }
         }
     }
+    core.mark_all_cold(&cold, now);
     if changed {
         core.prune_upstreams();
         core.runner_freed.notify_waiters();
--- a/edge/src/fleet/peers.rs
+++ b/edge/src/fleet/peers.rs
@@ -325,8 +325,10 @@
     if let Some(runners) = reply.runners
         && !core.runners_fresh(now)
     {
-        let entries = runners.into_iter().map(Runner::from).collect();
+        let entries: Vec<Runner> = runners.into_iter().map(Runner::from).collect();
+        let cold = core.find_cold(&entries);
         let changed = core.directory.borrow_mut().replace(entries, now);
+        core.mark_all_cold(&cold, now);
         if changed {
             log::info!(
                 "event=runners_read count={} source={}",
--- a/edge/src/serve/availability.rs
+++ b/edge/src/serve/availability.rs
@@ -48,6 +48,9 @@
             return;
         }
         let now = Instant::now();
+        if let Some(time) = meta.cold_time {
+            self.mark_cold(&upstream.runner.borrow(), time, "health", now);
+        }
         if meta.leaving {
             self.record_leaving(upstream, now);
         }
@@ -196,7 +199,10 @@
     /// Records that the runner of `upstream` has sent bytes or accepted a connection.
     pub(super) fn mark_alive(&self, upstream: &Upstream, now: Instant) {
         upstream.record_activity(now);
-        self.availability.borrow_mut().mark_alive(upstream.key);
+        let was_down = self.availability.borrow_mut().mark_alive(upstream.key);
+        if was_down {
+            self.mark_started(&upstream.runner.borrow(), "back", now);
+        }
     }
 
     /// Records that another runner has answered at the address of `upstream`.
--- a/edge/src/serve/core.rs
+++ b/edge/src/serve/core.rs
@@ -262,6 +262,9 @@
             .borrow_mut()
             .retain(|route| names.contains(route));
         *self.version.borrow_mut() = Some(version);
+        if old.is_none() {
+            self.mark_cold_entries(Instant::now());
+        }
         self.state_changed.notify_waiters();
         self.tokens_freed.notify_waiters();
         true
--- a/edge/src/serve/evacuations.rs
+++ b/edge/src/serve/evacuations.rs
@@ -69,6 +69,10 @@
             } else if let Err(e) = self.metrics.evacuated.remove_label_values(&labels) {
                 log::warn!("event=metrics_failed error=\"{e}\"");
             }
+            if !change.evacuated {
+                let inside = directory.all().filter(|r| r.zone == change.zone);
+                inside.for_each(|r| self.mark_started(r, "returned", Instant::now()));
+            }
         }
         if !changed.is_empty() {
             self.runner_freed.notify_waiters();
--- a/edge/src/serve/mod.rs
+++ b/edge/src/serve/mod.rs
@@ -4,6 +4,7 @@
 mod availability;
 mod call;
 mod choose;
+mod cold;
 mod core;
 mod evacuations;
 mod exchange;
