edge: place by free capacity and learned speeds

Daemons that choose by the same stale report agree on one runner, and the placement counts one prompt speed for all engines. Runners of a service are overloaded in turns while others idle.

Services whose runners report a fourth load figure are placed by decide::select_even: a random draw by free capacity, a report's weight falls with its age towards the mean of the service, own requests since the report are counted, and speeds are learned for each runner. Other services use select_runner as before.

--- a/edge/src/decide/mod.rs
+++ b/edge/src/decide/mod.rs
@@ -5,7 +5,9 @@
 
 mod availability;
 mod crash_evidence;
+mod even_load;
 mod fingerprint;
+mod load_view;
 mod observations;
 mod patience;
 mod placement;
@@ -14,6 +16,7 @@
 mod retry_budget;
 mod route_times;
 mod runner_limits;
+mod speeds;
 mod turn_order;
 
 pub use availability::{
@@ -34,10 +37,18 @@
     SuspectReport,
     suspects, //
 };
+pub use even_load::{
+    LoadedCandidate,
+    select_even, //
+};
 pub use fingerprint::{
     Fingerprint,
     fingerprint, //
 };
+pub use load_view::{
+    KnownLoad,
+    LoadView, //
+};
 pub use observations::Observations;
 pub use patience::stall_limit;
 pub use placement::{
@@ -65,6 +76,10 @@
     count_sharers,
     turn_wait, //
 };
+pub use speeds::{
+    Learned,
+    Speeds, //
+};
 pub use turn_order::{
     TurnOrder,
     TurnPlace, //
--- a/edge/src/serve/attempts.rs
+++ b/edge/src/serve/attempts.rs
@@ -311,6 +311,7 @@
     if status == 200 && call.route.retry.is_stream() && reply.meta.sealed {
         let result = relay.run(attempt, &mut reply, out).await;
         result?;
+        reply.in_flight.record_work_time(Instant::now());
         upstream.record_outcome(Instant::now(), false);
         reuse_connection(upstream, reply);
         return Ok(status);
@@ -345,6 +346,9 @@
         }
         return Err(RelayError::Runner(SendError::new(Failure::Failed, detail)));
     }
+    if status == 200 {
+        reply.in_flight.record_work_time(Instant::now());
+    }
     upstream.record_outcome(Instant::now(), status >= 500);
     attempt.core.record_answer(call, Instant::now());
     let mut bytes = encode_head(status, &reply.head.fields, call.keep_alive);
--- a/edge/src/serve/choose.rs
+++ b/edge/src/serve/choose.rs
@@ -21,6 +21,7 @@
         Call,
         RUNNER_RETRY_AFTER, //
     },
+    even_load::select_by_load,
     turns::QueuePlace, //
 };
 use crate::{
@@ -32,7 +33,6 @@
         Turn,
         fingerprint,
         rendezvous_weight,
-        select_runner,
         turn_wait, //
     },
 };
@@ -221,7 +221,7 @@
         objective_ms: call.route.objective.as_secs_f64() * 1000.0,
     };
     let salt = fingerprint("", &call.meta.id, &[]);
-    let Some(chosen) = select_runner(&candidates, &needs, salt) else {
+    let Some(chosen) = select_by_load(&upstreams, &candidates, &needs, salt, now) else {
         return wait_choice(core, &upstreams, &candidates, now);
     };
     log_placement(call, &runners[chosen].id, &candidates, chosen, &needs);
--- a/edge/src/serve/mod.rs
+++ b/edge/src/serve/mod.rs
@@ -5,6 +5,7 @@
 mod call;
 mod choose;
 mod core;
+mod even_load;
 mod exchange;
 mod handler;
 mod holders;
--- a/edge/src/serve/relay.rs
+++ b/edge/src/serve/relay.rs
@@ -127,6 +127,7 @@
                 self.record_pause(Instant::now());
                 if self.first_event.is_none() {
                     self.first_event = Some(Instant::now());
+                    reply.in_flight.record_prompt_time(Instant::now());
                     reply.in_flight.prompt_read();
                     upstream.mark_cached(Instant::now(), &call.meta.parts);
                 }
--- a/edge/src/serve/send.rs
+++ b/edge/src/serve/send.rs
@@ -135,7 +135,8 @@
     let now = Instant::now();
     let runner = std::sync::Arc::clone(&upstream.runner.borrow().id);
     let prompt_tokens = call.meta.tokens.map_or(0, |t| t.prompt);
-    let in_flight = upstream.track_request(prompt_tokens);
+    let mut in_flight = upstream.track_request(now, prompt_tokens);
+    in_flight.discount_cached(upstream.estimate_cached(now, &call.meta.parts));
     let idle = upstream.take_idle(now, !call.route.retry.allows_rerun());
     let fresh = idle.is_none();
     let mut connection = match idle {
--- a/edge/src/serve/upstream.rs
+++ b/edge/src/serve/upstream.rs
@@ -19,8 +19,11 @@
     catalog::Runner,
     decide::{
         Candidate,
+        LoadView,
+        LoadedCandidate,
         PromptPart,
         RunnerKey,
+        Speeds,
         Turn,
         runner_key, //
     },
@@ -124,6 +127,10 @@
     load: Cell<Option<(Instant, Load)>>,
     /// Own requests started minus own requests ended since the last reported load.
     load_delta: Cell<i32>,
+    /// Newest report, also of other daemons, and own requests since then.
+    view: RefCell<LoadView>,
+    /// Speeds learned from own requests.
+    speeds: RefCell<Speeds>,
     /// Share of failed requests, 0 to 1, and the time at which it held.
     failure_rate: Cell<(f64, Option<Instant>)>,
     /// Time of the last bytes from the runner.
@@ -144,6 +151,8 @@
             backlog_tokens: Cell::new(0),
             load: Cell::new(None),
             load_delta: Cell::new(0),
+            view: RefCell::default(),
+            speeds: RefCell::default(),
             failure_rate: Cell::new((0.0, None)),
             last_heard: Cell::new(Instant::now()),
             cached_parts: RefCell::default(),
@@ -198,7 +207,7 @@
     }
 
     /// Tokens at the start of a prompt that are assumed to be cached by the runner.
-    fn estimate_cached(&self, now: Instant, parts: &[PromptPart]) -> u64 {
+    pub fn estimate_cached(&self, now: Instant, parts: &[PromptPart]) -> u64 {
         let cached_parts = self.cached_parts.borrow();
         parts
             .iter()
@@ -261,6 +270,30 @@
     pub fn record_load(&self, now: Instant, load: Load) {
         self.load.set(Some((now, load)));
         self.load_delta.set(0);
+        self.view.borrow_mut().record(now, load);
+    }
+
+    /// Records a report that another daemon passed on, made at `at`.
+    pub fn record_passed_load(&self, at: Instant, load: Load) {
+        self.view.borrow_mut().record(at, load);
+    }
+
+    /// Newest report with its time, if it has the fourth figure.
+    pub fn newest_load(&self) -> Option<(Instant, Load)> {
+        let newest = self.view.borrow().newest();
+        newest.filter(|(_, load)| load.percent.is_some())
+    }
+
+    /// Adds what is known of load and speed to a candidate.
+    pub fn loaded_candidate(&self, now: Instant, base: Candidate) -> LoadedCandidate {
+        let speeds = self.speeds.borrow();
+        LoadedCandidate {
+            base,
+            known: self.view.borrow().estimate(now),
+            own: f64::from(self.in_flight.get()),
+            token_ms: speeds.token_ms(now),
+            work_ms: speeds.work_ms(now),
+        }
     }
 
     /// Opens a connection. The timeout `base` is extended for the delay of this VM's link.
@@ -356,7 +389,9 @@
     }
 
     /// Counts a request as in flight until the guard is dropped.
-    pub fn track_request(self: &Rc<Self>, prompt_tokens: u64) -> InFlight {
+    pub fn track_request(self: &Rc<Self>, now: Instant, prompt_tokens: u64) -> InFlight {
+        self.view.borrow_mut().begin(now);
+        let backlog = self.backlog_tokens.get();
         self.in_flight.set(self.in_flight.get() + 1);
         self.load_delta.set(self.load_delta.get() + 1);
         self.backlog_tokens
@@ -364,6 +399,8 @@
         InFlight {
             upstream: Rc::clone(self),
             prompt_tokens,
+            sent_at: now,
+            unread_tokens: backlog + prompt_tokens,
         }
     }
 }
@@ -372,9 +409,35 @@
 pub struct InFlight {
     upstream: Rc<Upstream>,
     prompt_tokens: u64,
+    sent_at: Instant,
+    /// Tokens that the runner was to read before the first event: own backlog and this prompt.
+    unread_tokens: u64,
 }
 
 impl InFlight {
+    /// Takes the part of the prompt that the runner has cached out of what it has to read.
+    pub fn discount_cached(&mut self, tokens: u64) {
+        self.unread_tokens -= tokens.min(self.prompt_tokens).min(self.unread_tokens);
+    }
+
+    /// Records that the first event arrived at `now`, as an observation of the runner's speed.
+    pub fn record_prompt_time(&self, now: Instant) {
+        let upstream = &self.upstream;
+        let time = now.saturating_duration_since(self.sent_at);
+        let percent = upstream.newest_load().and_then(|(_, load)| load.percent);
+        let mut speeds = upstream.speeds.borrow_mut();
+        speeds.record_prompt(now, self.unread_tokens, time, percent.unwrap_or(100));
+    }
+
+    /// Records that the response was complete at `now`, as an observation of the runner's speed.
+    pub fn record_work_time(&self, now: Instant) {
+        let upstream = &self.upstream;
+        if let Some((_, load)) = upstream.newest_load() {
+            let time = now.saturating_duration_since(self.sent_at);
+            upstream.speeds.borrow_mut().record_work(now, time, load);
+        }
+    }
+
     /// Records that the runner has read the prompt.
     pub fn prompt_read(&mut self) {
         let upstream = &self.upstream;
@@ -391,5 +454,6 @@
         let upstream = &self.upstream;
         upstream.in_flight.set(upstream.in_flight.get() - 1);
         upstream.load_delta.set(upstream.load_delta.get() - 1);
+        upstream.view.borrow_mut().end(Instant::now());
     }
 }
