--- a/edge/src/decide/mod.rs
+++ b/edge/src/decide/mod.rs
@@ -7,7 +7,9 @@
 mod availability;
 mod client_account;
 mod crash_evidence;
+mod even_load;
 mod fingerprint;
+mod load_view;
 mod observations;
 mod patience;
 mod peer_choice;
@@ -18,6 +20,7 @@
 mod retry_budget;
 mod route_times;
 mod runner_limits;
+mod speeds;
 mod turn_order;
 
 pub use admission::{
@@ -54,10 +57,18 @@
     SuspectReport,
     suspects, //
 };
+pub use even_load::{
+    LoadedCandidate,
+    select_even, //
+};
 pub use fingerprint::{
     Fingerprint,
     fingerprint, //
 };
+pub use load_view::{
+    KnownLoad,
+    LoadView, //
+};
 pub use observations::Observations;
 pub use patience::stall_limit;
 pub use peer_choice::{
@@ -91,6 +102,10 @@
     count_sharers,
     turn_wait, //
 };
+pub use speeds::{
+    Learned,
+    Speeds, //
+};
 pub use turn_order::{
     TurnOrder,
     TurnPlace, //
