Refuse requests at once for tokens that no write can bring

Cause: a request waited 0.8 s and made the daemon write although the rows already showed that what is left is reserved by open requests or lies at daemons that do not write. It got 402 although open requests may return tokens. Tokens at daemons without grants were not asked for.

Change: 402 only if the unspent tokens do not cover the request. If open requests or silent daemons hold them, 503 at once, without a wait or a write. The simulation treats the new outcome as it does refusals.

The time in which tokens in pieces are brought together was not measured.

--- a/edge/src/peer/message.rs
+++ b/edge/src/peer/message.rs
@@ -98,7 +98,7 @@
     Grant,
     /// The store is unreachable; the reserve covers the request after this many milliseconds.
     Release(u64),
-    /// The store is unreachable and the reserve is spent.
+    /// The store is unreachable and the reserve is spent, or no write brings the tokens.
     Refused,
     /// The customer's remaining tokens do not cover the request.
     Exhausted,
@@ -114,7 +114,8 @@
             Admission::Taken => ReserveOutcome::Taken,
             Admission::Grant => ReserveOutcome::Grant,
             Admission::Release(time) => ReserveOutcome::Release(time.as_millis() as u64),
-            Admission::Refused => ReserveOutcome::Refused,
+            // Daemons of earlier versions know no outcome for blocked tokens.
+            Admission::Refused | Admission::Blocked => ReserveOutcome::Refused,
             Admission::Exhausted => ReserveOutcome::Exhausted,
         }
     }
--- a/edge/src/prepaid/ledger/admission.rs
+++ b/edge/src/prepaid/ledger/admission.rs
@@ -21,8 +21,11 @@
     /// The store is unreachable and the reserve does not cover the request, or another process has
     /// replaced the row.
     Refused,
-    /// The customer's remaining tokens do not cover the request.
+    /// The customer's unspent tokens do not cover the request.
     Exhausted,
+    /// The unspent tokens would cover the request, but open requests have reserved them or daemons hold them that
+    /// do not write their rows: no write brings them.
+    Blocked,
 }
 
 impl Admission {
@@ -42,7 +45,9 @@
         match self {
             Admission::Release(time) => time.max(GRANT_RETRY),
             Admission::Refused => EXHAUSTED_RESERVE_RETRY,
-            Admission::Taken | Admission::Grant | Admission::Exhausted => GRANT_RETRY,
+            Admission::Taken | Admission::Grant | Admission::Exhausted | Admission::Blocked => {
+                GRANT_RETRY
+            }
         }
     }
 }
--- a/edge/src/prepaid/ledger/mod.rs
+++ b/edge/src/prepaid/ledger/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod membership;
+mod prospects;
 mod sizing;
 mod takeover;
 mod turns;
@@ -346,10 +347,12 @@
         if !attached {
             return self.release_wait(customer, cost, now);
         }
-        if self.rows_read && self.remaining(customer) < cost {
-            return Admission::Exhausted;
+        match () {
+            () if !self.rows_read => Admission::Grant,
+            () if self.unspent(customer) < cost => Admission::Exhausted,
+            () if self.obtainable(customer, now) < cost => Admission::Blocked,
+            () => Admission::Grant,
         }
-        Admission::Grant
     }
 
     /// Outcome for a request of `cost` while the store is unreachable: the time until the released
@@ -365,15 +368,6 @@
         Admission::Release(Duration::from_secs_f64((at - age).max(0.02)))
     }
 
-    /// Whether the next write can't cover a request of `cost`, because the uncommitted tokens and
-    /// the rest of the grant are too few.
-    pub fn is_pool_short(&self, customer: &str, cost: u64, now: Instant) -> bool {
-        let rest = self.accounts.get(customer).map_or(0, |a| {
-            a.spend_limit(self.contact, now).saturating_sub(a.used())
-        });
-        self.free(customer) + rest < cost
-    }
-
     /// Adds `cost` to the tokens for which requests wait, or subtracts it if `waits` is false.
     pub fn adjust_waiting(&mut self, customer: &str, cost: u64, waits: bool) {
         let account = self.accounts.entry(customer.to_owned()).or_default();
--- a/edge/src/prepaid/ledger/sizing.rs
+++ b/edge/src/prepaid/ledger/sizing.rs
@@ -101,9 +101,12 @@
         } else {
             rate / total
         };
-        let ahead = (rate * ISSUE_S).min(spare * share * ISSUE_FRACTION);
         let idle = spare * IDLE_FRACTION / members as f64;
         let reclaimed = account.is_reclaimed(now);
+        let ahead = match reclaimed && !self.is_holder() {
+            true => 0.0,
+            false => (rate * ISSUE_S).min(spare * share * ISSUE_FRACTION),
+        };
         let holds_reserve = self.is_holder() && !reclaimed;
         let reserve = if holds_reserve {
             (rate * RESERVE_S)
@@ -118,7 +121,7 @@
             MIN_SLACK_TOKENS
                 .max(reserve / RESERVE_SLACK_DIVISOR)
                 .min(remaining / (SLACK_DIVISOR * members))
-        } else if reclaimed {
+        } else if reclaimed && self.is_holder() {
             MIN_SLACK_TOKENS.min(remaining / (RECLAIMED_SLACK_DIVISOR * members))
         } else {
             0
--- a/edge/src/serve/holders.rs
+++ b/edge/src/serve/holders.rs
@@ -60,18 +60,26 @@
     }
 }
 
-/// Asks the other holders to return their reserves of `customer`. Returns whether there are any.
+/// Asks the other holders to return their reserves of `customer`, and daemons without grants what they hold.
+/// Returns whether there are any.
 pub(super) fn reclaim_reserves<D>(core: &Core<D>, customer: &str) -> bool {
     let now = Instant::now();
-    let addresses = core.ledger.borrow().holders_for(customer);
-    let links: Vec<Rc<PeerLink>> = addresses
+    let (holders, others) = {
+        let ledger = core.ledger.borrow();
+        (
+            ledger.holders_for(customer),
+            ledger.returners_for(customer, now),
+        )
+    };
+    let links: Vec<Rc<PeerLink>> = holders
         .into_iter()
+        .chain(others)
         .map(|address| core.peer_link(address))
         .filter(|link| !link.is_down(now))
         .collect();
     if core.may_reclaim(customer, now) {
         log::info!(
-            "event=reserves_reclaimed customer={customer} holders={}",
+            "event=reserves_reclaimed customer={customer} daemons={}",
             links.len()
         );
         links.iter().for_each(|link| link.reclaim(customer));
@@ -101,7 +109,7 @@
             Admission::Grant | Admission::Release(_) => {
                 self.later.get_or_insert_with(|| Rc::clone(link));
             }
-            Admission::Refused => {}
+            Admission::Refused | Admission::Blocked => {}
         }
         self.refusal.get_or_insert((admission, charge));
         None
--- a/edge/src/serve/tokens.rs
+++ b/edge/src/serve/tokens.rs
@@ -148,9 +148,14 @@
             Ok(charge)
         }
         Admission::Exhausted => Err(Refusal::rejected(402, "budget_exhausted")),
-        Admission::Grant | Admission::Refused | Admission::Release(_) => {
-            let left = call.time_left(Instant::now());
-            let retry = retry_after(admission.retry_delay(), left);
+        Admission::Grant | Admission::Refused | Admission::Blocked | Admission::Release(_) => {
+            let now = Instant::now();
+            // A holder tells of blocked tokens as a refusal; while the store is reachable they may soon be back.
+            let admission = match admission {
+                Admission::Refused if core.ledger.borrow().is_attached(now) => Admission::Blocked,
+                other => other,
+            };
+            let retry = retry_after(admission.retry_delay(), call.time_left(now));
             Err(Refusal::not_run("no_grant", retry))
         }
     }
@@ -216,6 +221,9 @@
         if let Some(found @ (Admission::Taken | Admission::Exhausted, _)) = elsewhere {
             return found;
         }
+        if last.0 == Admission::Blocked {
+            return last;
+        }
     }
     last
 }
@@ -257,7 +265,9 @@
     loop {
         let now = Instant::now();
         match admission {
-            Admission::Taken | Admission::Exhausted | Admission::Refused => return admission,
+            Admission::Taken | Admission::Exhausted | Admission::Refused | Admission::Blocked => {
+                return admission;
+            }
             Admission::Release(time) if now + time > request.received_at + request.wait => {
                 return admission;
             }
--- a/edge/tests/holder_world/requests.rs
+++ b/edge/tests/holder_world/requests.rs
@@ -48,7 +48,9 @@
                 here < most && !(short && in_vain)
             }
             Admission::Release(time) => here + time.as_millis() as u64 <= 3 * most,
-            Admission::Taken | Admission::Refused | Admission::Exhausted => false,
+            Admission::Taken | Admission::Refused | Admission::Exhausted | Admission::Blocked => {
+                false
+            }
         };
         if waits && first {
             ledger.adjust_waiting(&request.customer, request.cost, true);
--- a/edge/tests/holders.rs
+++ b/edge/tests/holders.rs
@@ -332,3 +332,51 @@
     ledger.adjust_waiting("c0", 500_000, true);
     assert_eq!(rows(&mut ledger), 1);
 }
+
+/// Guards against requests that wait, and make the daemon write, for tokens that no write brings, and against a
+/// refusal for good while open requests may return what they have reserved.
+#[test]
+fn a_request_without_hope_is_refused_at_once() {
+    let (mut store, mut ledger, now) = started(4, 0);
+    ledger.set_limits([("c0".to_owned(), 10_000)].into());
+    ledger.adjust_waiting("c0", 8_000, true);
+    write(&mut store, &mut ledger, now);
+    ledger.adjust_waiting("c0", 8_000, false);
+    assert_eq!(ledger.admit("c0", 8_000, now), Admission::Taken);
+    assert_eq!(ledger.admit("c0", 3_000, now), Admission::Blocked);
+    let reservation = Reservation {
+        customer: "c0".into(),
+        cost: 8_000,
+    };
+    ledger.settle(&reservation, 7_500, now);
+    assert_eq!(ledger.admit("c0", 3_000, now), Admission::Exhausted);
+    assert_ne!(ledger.admit("c0", 400, now), Admission::Exhausted);
+    assert!(!ledger.has_waiting());
+}
+
+/// Guards against tokens that stay in pieces at daemons without grants while a request needs them: such a daemon
+/// is found and returns all that it does not use.
+#[test]
+fn a_daemon_without_grants_returns_its_tokens_when_asked() {
+    let count = 20;
+    let own = (0..count)
+        .find(|i| !started(count, *i).1.is_holder())
+        .expect("twelve of twenty daemons are no holders");
+    let (mut store, mut ledger, now) = started(count, own);
+    ledger.adjust_waiting("c0", 9_000, true);
+    write(&mut store, &mut ledger, now);
+    assert_eq!(ledger.admit("c0", 2_000, now), Admission::Taken);
+    ledger.adjust_waiting("c0", 9_000, false);
+    let reservation = Reservation {
+        customer: "c0".into(),
+        cost: 2_000,
+    };
+    ledger.settle(&reservation, 2_000, now);
+    let (_, mut other, _) = started(count, (own + 1) % count);
+    other.apply_rows(store.rows(1200), true, now, now);
+    let address = member(own, 1).peer.unwrap();
+    assert_eq!(other.returners_for("c0", now), [address]);
+    ledger.reclaim("c0", now);
+    write(&mut store, &mut ledger, now);
+    assert_eq!(ledger.held_and_used("c0"), (2_000, 2_000));
+}
