edge: ignore load reports that can't be decoded

A text message that is no list of reports ended the connection, and with it the reservations that wait on it.

It is logged and ignored; the connection stays.

--- a/edge/src/fleet/peers.rs
+++ b/edge/src/fleet/peers.rs
@@ -121,7 +121,10 @@
                 };
                 let message = message.map_err(io::Error::other)?;
                 if message.is_text() {
-                    core.merge_loads(&decode_loads(&message)?, Instant::now());
+                    match decode_loads(&message) {
+                        Ok(loads) => core.merge_loads(&loads, Instant::now()),
+                        Err(e) => log::debug!("event=loads_unusable error=\"{e}\""),
+                    }
                 }
                 if !message.is_binary() {
                     continue;
