Close dropped idle connections without a response

A connection that was dropped between two requests got a 503, which its client could take for the response to the request that it sends next. The bytes of a header section that came in parts stayed charged after its request.

Only connections that are dropped within a request get the 503. The charge is set to the bytes read ahead after each request.

No test holds an idle connection over a drop and reads what it gets.

--- a/edge/src/accept/clients.rs
+++ b/edge/src/accept/clients.rs
@@ -105,6 +105,7 @@
             clients: Rc::clone(self),
             id,
             dropped,
+            reading: Cell::new(false),
         })
     }
 
@@ -154,11 +155,19 @@
     clients: Rc<Clients>,
     id: ClientId,
     dropped: Rc<Notify>,
+    /// Whether a request has begun and is not complete.
+    reading: Cell<bool>,
 }
 
 impl Client {
+    /// Whether a request has begun and is not complete.
+    pub(crate) fn is_reading(&self) -> bool {
+        self.reading.get()
+    }
+
     /// Records what the client does.
     pub(crate) fn set_stage(&self, stage: Stage) {
+        self.reading.set(stage == Stage::Reading);
         let mut account = self.clients.account.borrow_mut();
         account.set_stage(self.id, stage, Instant::now());
     }
--- a/edge/src/accept/connection.rs
+++ b/edge/src/accept/connection.rs
@@ -94,7 +94,11 @@
             Err(ReadError::HeadRefused(response)) => {
                 return write_last_response(&stream, &client, &response).await;
             }
-            Err(ReadError::Dropped) => return try_reject(&*handler, &stream),
+            Err(ReadError::Dropped) if client.is_reading() => {
+                return try_reject(&*handler, &stream);
+            }
+            // A response without a request could be taken for that to the next one.
+            Err(ReadError::Dropped) => return,
         };
         client.set_stage(Stage::Handling);
         if handler.shutdown().has_begun() {
@@ -116,9 +120,7 @@
             return;
         }
         client.set_stage(Stage::Idle);
-        if held > 0 || !buf.is_empty() {
-            client.hold(buf.len());
-        }
+        client.hold(buf.len());
         if !buf.is_empty() {
             // Pipelined requests take turns with other connections.
             yield_now().await;
