Let the budget benchmark refuse blocked requests at once

Cause: the benchmark's model of the daemon does not know the outcome Blocked.

Change: such a request is refused without waiting, as the daemon does.

--- a/benches/budgets/rows.rs
+++ b/benches/budgets/rows.rs
@@ -221,7 +221,9 @@
         let admit = grants.admit(&budget, req.bound, now);
         let waited = self.now - waiting.since;
         let stays = match admit {
-            Admission::Taken | Admission::Exhausted | Admission::Refused => false,
+            Admission::Taken | Admission::Exhausted | Admission::Blocked | Admission::Refused => {
+                false
+            }
             Admission::Release(time) => waited + time.as_millis() as u64 <= DEADLINE_MS,
             Admission::Grant => {
                 let known = grants.accepted_writes() - waiting.writes_before >= MIN_GRANT_WRITES;
