--- a/edge/src/accept/connection.rs
+++ b/edge/src/accept/connection.rs
@@ -214,6 +214,15 @@
     }
 }
 
+/// Ends the growth of `body`. One that fills little of its buffer is copied, as the account of the connection counts
+/// its length from here on.
+fn exact_size(body: BytesMut) -> Bytes {
+    if body.capacity() > body.len() + body.len() / 4 {
+        return Bytes::copy_from_slice(&body);
+    }
+    body.freeze()
+}
+
 /// Reads a body; sends `100 Continue` first if the caller waits for it.
 async fn read_body(
     stream: &TcpStream,
@@ -251,7 +260,7 @@
             return Err(ReadError::Rejected(Rejection::TOO_MANY_CLIENTS));
         }
         if decoder.is_done() {
-            return Ok(body.freeze());
+            return Ok(exact_size(body));
         }
         if turn_bytes >= READ_TURN_BYTES {
             turn_bytes = 0;
--- a/edge/src/catalog/config.rs
+++ b/edge/src/catalog/config.rs
@@ -76,8 +76,6 @@
     pub max_connections: u32,
     /// Most tokens that one event of a stream contains.
     pub event_tokens: u64,
-    /// Tokens that fit into the memory of one runner; `None` for a service that is no engine.
-    pub memory_tokens: Option<u64>,
     /// Time for which a runner is cold after its start.
     pub cold_time: Duration,
     /// Requests a second that a cold runner tolerates; `None` if cold runners need no protection.
--- a/edge/src/decide/admission/mod.rs
+++ b/edge/src/decide/admission/mod.rs
@@ -32,8 +32,8 @@
 /// Use of the capacity that is aimed at while requests are refused.
 const TARGET_USE: f64 = 0.72;
 
-/// Change of the share of refused requests per second and unit of use above the target. In the run of two hot VMs
-/// of 7, 1.5 refused 196 of 75,000 requests twice, 0.5 refused 21 and 0.3 none.
+/// Change of the refused share per second and unit of use above the target. A larger value goes on refusing
+/// requests after an overload has ended.
 const GAIN_PER_S: f64 = 0.3;
 
 /// Largest share that is refused: what is admitted shows when the VM has room again.
@@ -67,7 +67,7 @@
 
 /// Change of whether requests are refused, for the log.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct LoadChange {
+pub struct OverloadChange {
     /// Whether requests are refused from now on.
     pub overloaded: bool,
     /// Use of the capacity.
@@ -82,11 +82,11 @@
 ///
 /// ```
 /// use std::time::{Duration, Instant};
-/// use cuminloom_edge::decide::{Admission, Arrival, Capacity, Usage};
+/// use cuminloom_edge::decide::{AdmissionControl, Arrival, Capacity, Usage};
 ///
 /// let start = Instant::now();
 /// let capacity = Capacity { link_rate: Some(1e6), cores: None };
-/// let mut admission = Admission::new(capacity);
+/// let mut admission = AdmissionControl::new(capacity);
 /// let arrival = Arrival { route: "a", urgent: false, time_left: Duration::from_secs(5), spread: 7 };
 /// assert!(admission.admit(arrival).is_ok());
 /// // The link carries all that it can for three seconds.
@@ -97,7 +97,7 @@
 /// assert!((0..20).any(|_| admission.admit(arrival).is_err()));
 /// ```
 #[derive(Debug)]
-pub struct Admission {
+pub struct AdmissionControl {
     capacity: Capacity,
     meter: UseMeter,
     /// Whether requests are refused.
@@ -117,10 +117,10 @@
     refused: u64,
 }
 
-impl Admission {
+impl AdmissionControl {
     /// Creates the state of a VM with this capacity.
-    pub fn new(capacity: Capacity) -> Admission {
-        Admission {
+    pub fn new(capacity: Capacity) -> AdmissionControl {
+        AdmissionControl {
             capacity,
             meter: UseMeter::default(),
             overloaded: false,
@@ -135,7 +135,7 @@
 
     /// Takes in what this process has used in all until `now`. Returns the change if requests begin or cease to
     /// be refused.
-    pub fn update(&mut self, now: Instant, usage: Usage) -> Option<LoadChange> {
+    pub fn update(&mut self, now: Instant, usage: Usage) -> Option<OverloadChange> {
         let passed = self.meter.update(now, usage, self.capacity)?;
         let load = self.meter.load();
         if self.overloaded || load > MAX_USE {
@@ -152,7 +152,7 @@
         self.overloaded = overloaded;
         self.since = Some(now);
         self.due = [0.0; 2];
-        Some(LoadChange {
+        Some(OverloadChange {
             overloaded,
             load,
             refused: std::mem::take(&mut self.refused),
@@ -201,7 +201,11 @@
     /// Records the bytes that a request of `route` moved over the link.
     pub fn record_cost(&mut self, route: &Arc<str>, bytes: u64) {
         let bytes = bytes as f64;
-        self.mean_cost += COST_WEIGHT * (bytes - self.mean_cost);
+        if self.mean_cost > 0.0 {
+            self.mean_cost += COST_WEIGHT * (bytes - self.mean_cost);
+        } else {
+            self.mean_cost = bytes;
+        }
         match self.costs.get_mut(route) {
             Some(cost) => *cost += COST_WEIGHT * (bytes - *cost),
             None => {
--- a/edge/src/decide/availability/mod.rs
+++ b/edge/src/decide/availability/mod.rs
@@ -181,9 +181,9 @@
     }
 
     /// Requests a second that `runner` is expected to take from this daemon; `None` if nothing limits them.
-    pub fn rate(&self, runner: RunnerKey) -> Option<f64> {
+    pub fn rate(&self, runner: RunnerKey, now: Instant) -> Option<f64> {
         let paused = self.pauses.contains(runner).then_some(REOPEN_RATE);
-        match (self.limits.rate(runner), paused) {
+        match (self.limits.rate(runner, now), paused) {
             (Some(limit), Some(paused)) => Some(limit.min(paused)),
             (limit, paused) => limit.or(paused),
         }
--- a/edge/src/decide/crash_evidence/mod.rs
+++ b/edge/src/decide/crash_evidence/mod.rs
@@ -1,9 +1,9 @@
 //! Which requests crash runners, against prompts and requests that end one runner after the other.
 //!
-//! Each end of a runner makes all that it was about to answer suspect: the request itself and the parts of
-//! its prompt that other requests share. A later answer clears a suspect: one that goes on for a while of the
-//! ends before an answer, a complete one of all. One that only ends runners is blocked. All daemons add up what each of them has seen: an end is identified by the runner, so it counts
-//! once however many report it.
+//! Each end of a runner makes the request and the shared parts of its prompt suspect. An answer that goes on for
+//! a while clears the suspect of earlier ends before the first event; only a complete answer clears ends after it.
+//! A suspect that only ends runners is blocked. All daemons add up their observations; an end is identified by its
+//! runner, so it counts once however many daemons report it.
 
 mod record;
 mod reports;
@@ -220,7 +220,7 @@
         for ((runner, at), late) in ends {
             // An end in the future was dated by a daemon whose estimate of the store's clock is ahead.
             let at = (*at).min(now);
-            cleared += usize::from(own_answer.clear(at, late));
+            cleared += usize::from(own_answer.outweighs(at, late));
             record.add_end(End {
                 runner: *runner,
                 at,
--- a/edge/src/decide/crash_evidence/record.rs
+++ b/edge/src/decide/crash_evidence/record.rs
@@ -46,7 +46,7 @@
     }
 
     /// Whether an answer outweighs an end at `at`.
-    pub(super) fn clear(self, at: FleetTime, late: bool) -> bool {
+    pub(super) fn outweighs(self, at: FleetTime, late: bool) -> bool {
         at <= if late { self.complete } else { self.begun }
     }
 }
@@ -71,7 +71,7 @@
 impl Record {
     /// Adds an end unless it is known. Returns whether it was added.
     pub(super) fn add_end(&mut self, end: End) -> bool {
-        if self.answered.clear(end.at, end.late) {
+        if self.answered.outweighs(end.at, end.late) {
             return false;
         }
         if let Some(known) = self.ends.iter_mut().find(|e| e.runner == end.runner) {
@@ -101,7 +101,7 @@
     /// Records answers, which clear the suspect of the ends before them.
     pub(super) fn set_answered(&mut self, answers: Answers) {
         self.answered = self.answered.max(answers);
-        self.ends.retain(|e| !self.answered.clear(e.at, e.late));
+        self.ends.retain(|e| !self.answered.outweighs(e.at, e.late));
     }
 
     /// How well answers show that the suspect is sound, from 0 to 2. An answer that only went on for a while
--- a/edge/src/decide/even_load.rs
+++ b/edge/src/decide/even_load.rs
@@ -24,10 +24,10 @@
 const FEW_RUNNERS: usize = 6;
 
 /// Affinity ranks whose runners are always compared.
-const HOME_RANKS: usize = 2;
+const AFFINITY_RANKS: usize = 2;
 
 /// Fraction of the shared tokens that a runner is assumed to have cached, by affinity rank.
-const CACHED_FRACTIONS: [f64; HOME_RANKS] = [1.0, 0.4];
+const CACHED_FRACTIONS: [f64; AFFINITY_RANKS] = [1.0, 0.4];
 
 /// Age at which a report has about a third (1/e) of its weight, in milliseconds, unless requests take less time.
 /// The rest is the mean load of the service, which stands for what other daemons have sent and what has
@@ -269,7 +269,7 @@
         .enumerate()
         .filter(|(_, c)| usable(&c.base))
         .map(|(i, c)| estimate(i, c, needs, &means))
-        .partition(|e| is_home(&candidates[e.index].base, needs));
+        .partition(|e| may_have_cached(&candidates[e.index].base, needs));
     let mut rng = StdRng::seed_from_u64(seed);
     let draws = if others.len() > FEW_RUNNERS { DRAWS } else { 1 };
     for _ in 0..draws {
@@ -283,7 +283,7 @@
 }
 
 /// Whether the runner may have parts of the prompt in its cache, or a turn that only this daemon can use.
-fn is_home(c: &Candidate, needs: &RequestNeeds) -> bool {
-    let preferred = needs.shared_tokens > 0 && c.affinity_rank < HOME_RANKS;
+fn may_have_cached(c: &Candidate, needs: &RequestNeeds) -> bool {
+    let preferred = needs.shared_tokens > 0 && c.affinity_rank < AFFINITY_RANKS;
     preferred || c.cached_tokens > 0 || c.turn == Turn::Ready
 }
--- a/edge/src/decide/load_view.rs
+++ b/edge/src/decide/load_view.rs
@@ -82,11 +82,6 @@
         self.newest
     }
 
-    /// Whether the newest report has the fourth figure.
-    pub fn has_percent(&self) -> bool {
-        self.newest.is_some_and(|(_, load)| load.percent.is_some())
-    }
-
     /// Load at `now`; `None` without a report that is young enough.
     pub fn estimate(&self, now: Instant) -> Option<KnownLoad> {
         let (at, load) = self.newest?;
--- a/edge/src/decide/mod.rs
+++ b/edge/src/decide/mod.rs
@@ -24,10 +24,10 @@
 mod turn_order;
 
 pub use admission::{
-    Admission,
+    AdmissionControl,
     Arrival,
     Capacity,
-    LoadChange,
+    OverloadChange,
     Rotation,
     Usage, //
 };
--- a/edge/src/decide/peer_choice.rs
+++ b/edge/src/decide/peer_choice.rs
@@ -61,7 +61,7 @@
         for (address, standing) in standings {
             groups[self.group(address, standing)].push(address);
         }
-        let (replying, gone) = (groups[0].len(), groups[2].len());
+        let (candidates, gone) = (groups[0].len(), groups[2].len());
         let mut list = Vec::new();
         for mut group in groups {
             group.sort_by_key(|a| (rendezvous_weight(0, &format!("{own}/{a}")), *a));
@@ -70,7 +70,7 @@
             list.extend(group);
         }
         // If none of those that run replies, what is known of the others may be wrong.
-        if replying == 0 && gone > 0 && count > 1 && list.len() > count {
+        if candidates == 0 && gone > 0 && count > 1 && list.len() > count {
             let first_gone = list.len() - gone;
             list.swap(count - 1, first_gone.max(count - 1));
         }
--- a/edge/src/decide/runner_limits.rs
+++ b/edge/src/decide/runner_limits.rs
@@ -373,6 +373,7 @@
         now: Instant,
         rank: impl Fn(RunnerKey) -> (Option<usize>, usize),
     ) {
+        self.cold.retain(|_, cold| now < cold.until);
         self.named.retain(|_, e| e.newest.at + LIMIT_TTL_MS > time);
         for (runner, entry) in &mut self.named {
             let (rank, members) = rank(*runner);
@@ -428,11 +429,12 @@
         new
     }
 
-    /// Requests a second that this daemon may send to `runner`; `None` without a limit.
-    pub fn rate(&self, runner: RunnerKey) -> Option<f64> {
+    /// Requests a second that this daemon may send to `runner` at `now`; `None` without a limit.
+    pub fn rate(&self, runner: RunnerKey, now: Instant) -> Option<f64> {
         let entry = self.named.get(&runner);
         let named = entry.and_then(|e| e.newest.limit.map(|_| e.share.rate));
-        let cold = self.cold.get(&runner).map(|cold| cold.share.rate);
+        let cold = self.cold.get(&runner).filter(|cold| now < cold.until);
+        let cold = cold.map(|cold| cold.share.rate);
         match (named, cold) {
             (Some(named), Some(cold)) => Some(named.min(cold)),
             (named, cold) => named.or(cold),
--- a/edge/src/fleet/peers.rs
+++ b/edge/src/fleet/peers.rs
@@ -321,12 +321,12 @@
 /// have read none for long.
 fn known_peers<D>(core: &Core<D>, seeds: &[SocketAddr]) -> Vec<(SocketAddr, PeerStanding)> {
     let ledger = core.ledger.borrow();
-    // No row was written later than now.
+    // A row that is dated later than the store's clock says nothing about its daemon.
     let now = ledger.store_now(Instant::now()).unwrap_or(u64::MAX);
     let seen = ledger.peer_rows().map(|(_, row)| row.seen);
     let newest = seen.filter(|seen| *seen <= now).max().unwrap_or(0);
     let rows = ledger.peer_rows().filter_map(|(_, row)| {
-        let recent = row.seen.saturating_add(MAX_ROW_AGE_MS) >= newest;
+        let recent = row.seen <= now && row.seen.saturating_add(MAX_ROW_AGE_MS) >= newest;
         let standing = match recent && !row.leaving {
             true => PeerStanding::Running,
             false => PeerStanding::Gone,
--- a/edge/src/prepaid/ledger/membership.rs
+++ b/edge/src/prepaid/ledger/membership.rs
@@ -7,6 +7,7 @@
 
 use super::{
     super::{
+        DaemonRow,
         Member,
         choose_holders,
         rank_holders, //
@@ -40,21 +41,26 @@
     pub fn rank_for(&self, key: u64, now: Instant) -> (Option<usize>, usize) {
         let own = rendezvous_weight(key, &self.node);
         let (mut before, mut members) = (0, 1);
-        for (name, (_, row)) in &self.peer_rows {
-            if row.leaving || self.is_silent(name, now) {
-                continue;
-            }
+        for (name, _) in self.running_peers(now) {
             members += 1;
             before += usize::from(rendezvous_weight(key, name) > own);
         }
         ((!self.leaving).then_some(before), members)
     }
 
+    /// Rows of the other daemons that are known to run, with the names of their VMs.
+    fn running_peers(&self, now: Instant) -> impl Iterator<Item = (&String, &DaemonRow)> {
+        self.peer_rows
+            .iter()
+            .map(|(name, (_, row))| (name, row))
+            .filter(move |(name, row)| !row.leaving && !self.is_silent(name, now))
+    }
+
     /// Rank of this daemon by name among those of its data centre that are known to run, and their number.
     pub fn zone_place(&self, now: Instant) -> (usize, usize) {
-        let others = self.peer_rows.iter().filter(|(name, (_, row))| {
-            row.zone == self.zone && !row.leaving && !self.is_silent(name, now)
-        });
+        let others = self
+            .running_peers(now)
+            .filter(|(_, row)| row.zone == self.zone);
         let (mut rank, mut members) = (0, 1);
         for (name, _) in others {
             members += 1;
@@ -65,13 +71,11 @@
 
     /// Names and addresses of the other daemons of this data centre that are known to run, ordered by name.
     pub fn zone_members(&self, now: Instant) -> Vec<(String, SocketAddr)> {
-        let mut members: Vec<(String, SocketAddr)> = self
-            .peer_rows
-            .iter()
-            .filter(|(name, (_, row))| {
-                row.zone == self.zone && !row.leaving && !self.is_silent(name, now)
-            })
-            .filter_map(|(name, (_, row))| Some((name.clone(), row.peer?)))
+        let others = self
+            .running_peers(now)
+            .filter(|(_, row)| row.zone == self.zone);
+        let mut members: Vec<(String, SocketAddr)> = others
+            .filter_map(|(name, row)| Some((name.clone(), row.peer?)))
             .collect();
         members.sort_unstable();
         members
@@ -121,16 +125,12 @@
             capacity: self.capacity,
             peer: self.peer,
         };
-        let others = self
-            .peer_rows
-            .iter()
-            .filter(|(name, (_, row))| !row.leaving && !self.is_silent(name, asked))
-            .map(|(name, (_, row))| Member {
-                node: name.clone(),
-                zone: row.zone.clone(),
-                capacity: row.capacity,
-                peer: row.peer,
-            });
+        let others = self.running_peers(asked).map(|(name, row)| Member {
+            node: name.clone(),
+            zone: row.zone.clone(),
+            capacity: row.capacity,
+            peer: row.peer,
+        });
         let members: Vec<Member> = others.chain((!self.leaving).then_some(own)).collect();
         let before = self.knows_holders().then_some(self.is_holder());
         self.holders = choose_holders(&members);
--- a/edge/src/prepaid/ledger/prospects.rs
+++ b/edge/src/prepaid/ledger/prospects.rs
@@ -11,7 +11,7 @@
     Ledger, //
 };
 
-/// Daemons without grants that are asked to return tokens, at most: after a loss of all holders, each of hundreds
+/// Daemons that are not holders and are asked to return tokens, at most: after a loss of all holders, each of hundreds
 /// of daemons may have drawn some.
 const MAX_RETURNERS: usize = 16;
 
@@ -55,7 +55,7 @@
         self.free(customer) + rest < cost
     }
 
-    /// Addresses of the daemons without grants that hold unused tokens of `customer`, those with the most first.
+    /// Addresses of daemons that are not holders but have unused tokens of `customer`, most tokens first.
     pub fn returners_for(&self, customer: &str, now: Instant) -> Vec<SocketAddr> {
         let mut found: Vec<(u64, SocketAddr)> = self
             .peer_rows
--- a/edge/src/prepaid/ledger/sizing.rs
+++ b/edge/src/prepaid/ledger/sizing.rs
@@ -44,8 +44,8 @@
 /// enough for the largest request of the users, with a prompt of 54,600 tokens.
 const MIN_PACE_TOKENS: f64 = 5200.0;
 
-/// Multiple of a daemon's own demand that the linear release brings in each second. In a partition callers move
-/// and customers send more than before; with 1.1 customers were refused although their tokens sufficed.
+/// Multiple of a daemon's own demand that is released each second, because in a partition callers move and send
+/// more than before.
 const RELEASE_FACTOR: f64 = 1.5;
 
 /// Minimum of the linear release, in tokens per second, for a customer without demand.
--- a/edge/src/prepaid/pacing.rs
+++ b/edge/src/prepaid/pacing.rs
@@ -14,7 +14,7 @@
 /// Interval between two reads of all rows by a daemon that holds grants.
 const READ_INTERVAL: Duration = Duration::from_millis(1000);
 
-/// Least part of [`READ_INTERVAL`] between two reads: a turn that is nearer is left to the next round.
+/// Shortest time between two reads, as a fraction of [`READ_INTERVAL`]; a nearer turn is skipped.
 const MIN_READ_FRACTION: f64 = 0.3;
 
 /// Longest interval between two reads of all rows by any other daemon, which needs them only for the members
--- a/edge/src/serve/attempts.rs
+++ b/edge/src/serve/attempts.rs
@@ -308,9 +308,12 @@
         return Err(RelayError::Runner(error));
     }
     if status == 200 && call.route.retry.is_stream() && reply.meta.sealed {
+        let whole = relay.last_id.is_none();
         let result = relay.run(attempt, &mut reply, out).await;
         result?;
-        reply.in_flight.record_work_time(Instant::now());
+        if whole {
+            reply.in_flight.record_work_time(Instant::now());
+        }
         upstream.record_outcome(Instant::now(), false);
         reuse_connection(upstream, reply);
         return Ok(status);
--- a/edge/src/serve/availability.rs
+++ b/edge/src/serve/availability.rs
@@ -240,7 +240,7 @@
             "event=runner_limit runner={} key={key:08x} limit={} share={} source=own",
             upstream.runner.borrow().id,
             limit_text(limit),
-            limit_text(limits.rate(key))
+            limit_text(limits.rate(key, now))
         );
         drop(runners);
         self.writer_wake.notify_one();
@@ -263,7 +263,7 @@
                 "event=runner_limit runner=- key={:08x} limit={} share={} source={source} age_ms={}",
                 report.runner,
                 limit_text(report.limit),
-                limit_text(limits.rate(report.runner)),
+                limit_text(limits.rate(report.runner, now)),
                 time.saturating_sub(report.at)
             );
         }
@@ -281,7 +281,9 @@
 
     /// Requests a second that this daemon may send to the runner of `upstream`; `None` if nothing limits them.
     pub(super) fn turn_rate(&self, upstream: &Upstream) -> Option<f64> {
-        self.availability.borrow().rate(upstream.key)
+        self.availability
+            .borrow()
+            .rate(upstream.key, Instant::now())
     }
 
     /// Counts a request that is about to be sent to the runner of `upstream`.
--- a/edge/src/serve/choose.rs
+++ b/edge/src/serve/choose.rs
@@ -210,7 +210,7 @@
         .directory
         .borrow()
         .ready(service, now)
-        .filter(|runner| core.is_home(call, runner))
+        .filter(|runner| core.is_allowed_region(call, runner))
         .cloned()
         .collect();
     let upstreams: Vec<Rc<Upstream>> = runners.iter().map(|r| core.upstream(r)).collect();
--- a/edge/src/serve/core.rs
+++ b/edge/src/serve/core.rs
@@ -45,7 +45,7 @@
     },
     clock::boot_time,
     decide::{
-        Admission,
+        AdmissionControl,
         Availability,
         Capacity,
         CrashEvidence,
@@ -86,10 +86,6 @@
     pub cold_overshoot: f64,
     /// Requests that a cold runner may get in any one second beyond that.
     pub cold_tolerance: f64,
-    /// Time after which an evacuation is in force.
-    pub evacuation: Duration,
-    /// Time for which a machine must be undisturbed to count as in contact.
-    pub contact: Duration,
 }
 
 impl Default for Bounds {
@@ -105,8 +101,6 @@
             lapse_grace: Duration::from_millis(1800),
             cold_overshoot: 1.0,
             cold_tolerance: 0.0,
-            evacuation: Duration::from_secs(5),
-            contact: Duration::from_secs(3),
         }
     }
 }
@@ -170,7 +164,7 @@
     /// Notified when open requests are answered because the process ends.
     stop_answers: Notify,
     /// Decides which requests are admitted.
-    pub(super) admission: RefCell<Admission>,
+    pub(super) admission: RefCell<AdmissionControl>,
     /// When this VM leaves the rotation of the load balancer.
     pub(super) rotation: Cell<Rotation>,
     /// Whether it is out of the rotation.
@@ -180,7 +174,7 @@
     /// State of the shutdown of the callers' listener.
     pub shutdown: Shutdown,
     /// Responses that wait for their callers; unbounded while it is not set.
-    pub answers: OnceCell<Rc<Clients>>,
+    pub unread_responses: OnceCell<Rc<Clients>>,
     /// Number of requests in progress.
     open_requests: Cell<u32>,
     /// Type that encodes and decodes the header fields.
@@ -225,12 +219,12 @@
             reservations: Reservations::default(),
             stop: Cell::new(None),
             stop_answers: Notify::new(),
-            admission: RefCell::new(Admission::new(Capacity::default())),
+            admission: RefCell::new(AdmissionControl::new(Capacity::default())),
             rotation: Cell::default(),
             out_of_rotation: Cell::default(),
             route_times: RefCell::default(),
             shutdown: Shutdown::default(),
-            answers: OnceCell::new(),
+            unread_responses: OnceCell::new(),
             open_requests: Cell::new(0),
             dialect: PhantomData,
         })
--- a/edge/src/serve/holders.rs
+++ b/edge/src/serve/holders.rs
@@ -60,7 +60,7 @@
     }
 }
 
-/// Asks the other holders to return their reserves of `customer`, and daemons without grants what they hold.
+/// Asks the other holders to return their reserves of `customer`, and daemons that are not holders what they have.
 /// Returns whether there are any.
 pub(super) fn reclaim_reserves<D>(core: &Core<D>, customer: &str) -> bool {
     let now = Instant::now();
--- a/edge/src/serve/load_reports.rs
+++ b/edge/src/serve/load_reports.rs
@@ -59,7 +59,8 @@
                 return;
             };
             let PassedLoad(_, running, waiting, percent, age_ms) = *passed;
-            let age = Duration::from_millis(u64::from(age_ms));
+            // The report has aged on the way by the delay of the link.
+            let age = Duration::from_millis(u64::from(age_ms)) + self.link.allowance(now);
             let plausible = running.max(waiting).max(percent) <= MAX_FIGURE;
             if let Some(at) = now.checked_sub(age)
                 && plausible
--- a/edge/src/serve/overload.rs
+++ b/edge/src/serve/overload.rs
@@ -18,10 +18,10 @@
 use crate::{
     clock::cpu_time,
     decide::{
-        Admission,
+        AdmissionControl,
         Arrival,
         Capacity,
-        LoadChange,
+        OverloadChange,
         Usage, //
     },
     http::bytes_moved,
@@ -36,12 +36,13 @@
 impl<D> Core<D> {
     /// Sets what the VM carries. Nothing is refused for a figure that is not known.
     pub fn set_capacity(&self, capacity: Capacity) {
-        *self.admission.borrow_mut() = Admission::new(capacity);
+        *self.admission.borrow_mut() = AdmissionControl::new(capacity);
     }
 
-    /// Admits `call`, or returns the refusal. A stream that is resumed has begun elsewhere and is admitted.
+    /// Admits `call`, or returns the refusal. A stream that is resumed has begun elsewhere and is admitted, as is
+    /// the trial of a request that may crash runners: a refusal would use the trial up.
     pub(super) fn admit(&self, call: &Call, now: Instant) -> Result<(), Refusal> {
-        if call.meta.last_event.is_some() {
+        if call.meta.last_event.is_some() || call.trial.get() {
             return Ok(());
         }
         let arrival = Arrival {
@@ -85,10 +86,8 @@
         self.rotation.set(rotation);
         if self.out_of_rotation.replace(out) != out {
             log::warn!(
-                "event=rotation out={out} load={:.2} share={share:.2} rank={} members={}",
-                admission.load(),
-                place.0,
-                place.1
+                "event=rotation out={out} load={:.2} share={share:.2}",
+                admission.load()
             );
         }
         let figures = [
@@ -103,7 +102,7 @@
     }
 }
 
-fn log_change(change: &LoadChange, lag: Duration) {
+fn log_change(change: &OverloadChange, lag: Duration) {
     log::warn!(
         "event=overload active={} load={:.2} lag_ms={} refused={}",
         change.overloaded,
--- a/edge/src/serve/relay.rs
+++ b/edge/src/serve/relay.rs
@@ -40,7 +40,7 @@
 /// what the caller has.
 const MAX_EXTRA_EVENTS: u64 = 1000;
 
-/// Time after its first event from which only a complete answer clears the request of the runner's end.
+/// Time after its first event from which the end of a runner counts as an end after the answer began.
 const BEGUN_AFTER: Duration = Duration::from_millis(100);
 
 /// Time after its first event at which a runner has survived the start of the request.
--- a/edge/src/serve/residency.rs
+++ b/edge/src/serve/residency.rs
@@ -24,7 +24,7 @@
     }
 
     /// Whether the request may be handled by `runner`.
-    pub(super) fn is_home(&self, call: &Call, runner: &Runner) -> bool {
+    pub(super) fn is_allowed_region(&self, call: &Call, runner: &Runner) -> bool {
         let regions = self.regions.borrow();
         let region = regions.get(&*runner.zone).map(Arc::as_ref);
         is_home_region(call.homes(), region)
--- a/edge/src/serve/send.rs
+++ b/edge/src/serve/send.rs
@@ -162,7 +162,7 @@
         return Err(SendError::new(Failure::NotSent, view.standing.as_str()));
     }
     // The entry may have named another data centre since the runner was chosen.
-    if !core.is_home(call, &upstream.runner.borrow()) {
+    if !core.is_allowed_region(call, &upstream.runner.borrow()) {
         log::info!(
             "event=send_withheld id={} runner={runner} standing=region source=own since_ms=-1",
             call.meta.id
--- a/edge/src/serve/unread.rs
+++ b/edge/src/serve/unread.rs
@@ -23,8 +23,8 @@
 /// they are buffered, as a copy would count twice towards the memory.
 const MAX_COPIED_BYTES: usize = 16 * 1024;
 
-/// Time that a caller has to take its response while there is no room for it; about the time after which those
-/// that have room may be dropped.
+/// Time a caller has to take its response when no bytes are free, slightly above the stall time after which
+/// others are dropped.
 const FULL_WRITE_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Whether `body` is sent together with its head.
@@ -49,12 +49,13 @@
             head.extend_from_slice(body);
             return write_all(out, &head).await;
         }
-        let Some(answers) = self.answers.get() else {
+        let Some(answers) = self.unread_responses.get() else {
             return write_both(out, &head, body).await;
         };
         let Some(client) = answers.admit(out) else {
-            return Err(io::ErrorKind::OutOfMemory.into());
+            return Err(io::ErrorKind::ConnectionRefused.into());
         };
+        // Marks the response as one that may be dropped.
         client.set_stage(Stage::Reading);
         let written = if client.hold(body.len()) {
             tokio::select! {
--- a/edge/tests/overload.rs
+++ b/edge/tests/overload.rs
@@ -6,7 +6,7 @@
 };
 
 use cuminloom_edge::decide::{
-    Admission,
+    AdmissionControl,
     Arrival,
     Capacity,
     Rotation,
@@ -33,7 +33,7 @@
 
 /// One VM with the bytes that wait for its link.
 struct Vm {
-    admission: Admission,
+    admission: AdmissionControl,
     queued: f64,
     written: f64,
     refused: u32,
@@ -48,7 +48,7 @@
             cores: None,
         };
         Vm {
-            admission: Admission::new(capacity),
+            admission: AdmissionControl::new(capacity),
             queued: 0.0,
             written: 0.0,
             refused: 0,
@@ -144,7 +144,7 @@
 fn a_busy_processor_is_an_overload_only_if_the_event_loop_lags() {
     for (lag_ms, refused) in [(0, false), (50, true)] {
         let cores = Some(0.1);
-        let mut admission = Admission::new(Capacity {
+        let mut admission = AdmissionControl::new(Capacity {
             link_rate: None,
             cores,
         });
@@ -181,7 +181,7 @@
 #[test]
 fn nothing_is_refused_without_a_known_capacity() {
     let start = Instant::now();
-    let mut admission = Admission::new(Capacity::default());
+    let mut admission = AdmissionControl::new(Capacity::default());
     for tick in 0..100 {
         let usage = Usage {
             written: u64::from(tick) * 10_000_000,
--- a/edge/tests/runner_limits.rs
+++ b/edge/tests/runner_limits.rs
@@ -51,7 +51,7 @@
         let share = |rank| {
             let mut limits = RunnerLimits::default();
             limits.record(RUNNER, Some(limit), 0, now, |_| (Some(rank), members));
-            limits.rate(RUNNER).unwrap()
+            limits.rate(RUNNER, now).unwrap()
         };
         let shares: Vec<f64> = (0..members).map(share).collect();
         let sharers = shares.iter().filter(|rate| **rate > 0.0).count();
@@ -124,10 +124,10 @@
     };
     let mut limits = RunnerLimits::default();
     limits.merge(&[report(Some(1.0), 1000)], 2000, now, first_of(1));
-    assert_eq!(limits.rate(RUNNER), Some(1.0));
+    assert_eq!(limits.rate(RUNNER, now), Some(1.0));
     limits.record(RUNNER, Some(3.0), 1500, now, first_of(1));
     limits.merge(&[report(Some(1.0), 1000)], 2000, now, first_of(1));
-    assert_eq!(limits.rate(RUNNER), Some(3.0));
+    assert_eq!(limits.rate(RUNNER, now), Some(3.0));
     limits.merge(&[report(None, 1800)], 2000, now, first_of(1));
     assert_eq!(limits.turn(RUNNER, now), Turn::Unlimited);
     for odd in [f64::NAN, f64::INFINITY, -1.0] {
