Refuse by credit for the link, and let the burst of a release cover three requests

Change: while the link is used to more than a half, a request needs credit for its learned bytes, which grows at 0.8 of the link's rate.

--- a/edge/src/decide/admission/mod.rs
+++ b/edge/src/decide/admission/mod.rs
@@ -2,8 +2,8 @@
 //! sends one VM far more clients than the others.
 //!
 //! Nothing is refused unless the use that was measured exceeds what the settings say that the VM carries. Then
-//! a growing share of new requests is refused before they run, expensive ones rather than cheap ones and urgent
-//! ones last.
+//! new requests are refused before they run: those for whose learned bytes the link has no credit, and, if the use
+//! stays too high, a growing share, expensive ones rather than cheap ones. Urgent ones are refused last.
 
 mod rotation;
 mod use_meter;
@@ -45,6 +45,17 @@
 /// Weight of the newest request in the learned cost of its route.
 const COST_WEIGHT: f64 = 0.1;
 
+/// Part of the link's rate at which the credit for new requests grows. The rest is for messages between daemons,
+/// the store and the heads.
+const CREDIT_USE: f64 = 0.8;
+
+/// Time of the link's rate that the credit holds at most, in seconds. Streams move their bytes over seconds, so
+/// short bursts need no refusal.
+const CREDIT_S: f64 = 1.0;
+
+/// Measured use of the link from which the credit counts. Below it, learned costs refuse nothing.
+const CREDIT_FROM: f64 = 0.5;
+
 /// Limits of a request's cost relative to the mean, for its chance of being refused.
 const RELATIVE_COST: (f64, f64) = (0.25, 4.0);
 
@@ -113,6 +124,8 @@
     costs: HashMap<Arc<str>, f64>,
     /// Mean cost of all requests.
     mean_cost: f64,
+    /// Bytes that new requests may move, by their learned costs. Negative after urgent ones.
+    credit: f64,
     /// Requests refused since the last change.
     refused: u64,
 }
@@ -129,6 +142,7 @@
             due: [0.0; 2],
             costs: HashMap::new(),
             mean_cost: 0.0,
+            credit: capacity.link_rate.unwrap_or(0.0) * CREDIT_USE * CREDIT_S,
             refused: 0,
         }
     }
@@ -137,6 +151,7 @@
     /// be refused.
     pub fn update(&mut self, now: Instant, usage: Usage) -> Option<OverloadChange> {
         let passed = self.meter.update(now, usage, self.capacity)?;
+        self.grow_credit(passed);
         let load = self.meter.load();
         if self.overloaded || load > MAX_USE {
             let step = GAIN_PER_S * passed.as_secs_f64() * (load - TARGET_USE);
@@ -165,10 +180,48 @@
     ///
     /// Fails with that time if the request is refused.
     pub fn admit(&mut self, arrival: Arrival<'_>) -> Result<(), Duration> {
+        let cost = self.cost(arrival.route);
+        if !self.has_credit(cost, arrival.urgent) {
+            return Err(self.refuse(arrival));
+        }
+        self.admit_share(arrival, cost)?;
+        self.credit -= cost;
+        Ok(())
+    }
+
+    /// Lets the credit grow by the time `passed`.
+    fn grow_credit(&mut self, passed: Duration) {
+        let rate = self.capacity.link_rate.unwrap_or(0.0) * CREDIT_USE;
+        let most = rate * CREDIT_S;
+        self.credit = (self.credit + rate * passed.as_secs_f64()).clamp(-most, most);
+    }
+
+    /// Whether the link has room for `cost` bytes: the refusals begin with the request that is too much, and not
+    /// only when the link is saturated. Urgent requests may use what grows in the next second.
+    fn has_credit(&self, cost: f64, urgent: bool) -> bool {
+        let Some(rate) = self.capacity.link_rate else {
+            return true;
+        };
+        let reserve = if urgent {
+            rate * CREDIT_USE * CREDIT_S
+        } else {
+            0.0
+        };
+        self.meter.link_use() < CREDIT_FROM || self.credit + reserve >= cost
+    }
+
+    /// Counts a refusal and returns the time after which the request may be sent again.
+    fn refuse(&mut self, arrival: Arrival<'_>) -> Duration {
+        self.refused += 1;
+        let spread = arrival.spread % (RETRY_MS.1 - RETRY_MS.0);
+        Duration::from_millis(RETRY_MS.0 + spread)
+    }
+
+    /// Admits a request of `cost` bytes by the share that is refused while the VM is overloaded.
+    fn admit_share(&mut self, arrival: Arrival<'_>, cost: f64) -> Result<(), Duration> {
         if !self.overloaded {
             return Ok(());
         }
-        let cost = self.cost(arrival.route);
         let relative = match self.mean_cost > 0.0 {
             true => (cost / self.mean_cost).clamp(RELATIVE_COST.0, RELATIVE_COST.1),
             false => 1.0,
@@ -185,9 +238,7 @@
             return Ok(());
         }
         *due = (*due - 1.0).max(0.0);
-        self.refused += 1;
-        let spread = arrival.spread % (RETRY_MS.1 - RETRY_MS.0);
-        Err(Duration::from_millis(RETRY_MS.0 + spread))
+        Err(self.refuse(arrival))
     }
 
     /// Time that the link needs for `bytes` while it is shared as now.
--- a/edge/src/decide/admission/use_meter.rs
+++ b/edge/src/decide/admission/use_meter.rs
@@ -73,6 +73,11 @@
         Some(passed)
     }
 
+    /// Use of the link in its busier direction, 1 for all of it.
+    pub(super) fn link_use(&self) -> f64 {
+        self.link
+    }
+
     /// Use of the scarcer of link and processor, 1 for all of it.
     pub(super) fn load(&self) -> f64 {
         let lags = self.lag > MAX_LAG.as_secs_f64();
--- a/edge/src/prepaid/ledger/sizing.rs
+++ b/edge/src/prepaid/ledger/sizing.rs
@@ -51,9 +51,12 @@
 /// Minimum of the linear release, in tokens per second, for a customer without demand.
 const MIN_RELEASE_TOKENS: f64 = 500.0;
 
-/// Time of demand that the burst of a release covers, in seconds; it covers one request of usual cost at least.
+/// Time of demand that the burst of a release covers, in seconds.
 const BURST_S: f64 = 2.0;
 
+/// Requests of mean cost that the burst covers at least: large requests are many times the mean.
+const BURST_REQUESTS: f64 = 3.0;
+
 /// Tokens of the users' largest request. A burst is no larger, and once the store has been unreachable for long
 /// the release adds as many.
 const LARGEST_REQUEST: u64 = 70_000;
@@ -160,8 +163,8 @@
         let equal_part = total / self.holder_count() as f64;
         let steady = (rate * RELEASE_FACTOR).max(equal_part);
         let preferred = self.is_preferred_for(name);
-        let usual_cost = self.accounts.get(name).map_or(0.0, |a| a.mean_cost);
-        let burst = (rate * BURST_S).max(usual_cost) as u64;
+        let mean_cost = self.accounts.get(name).map_or(0.0, |a| a.mean_cost);
+        let burst = (rate * BURST_S).max(mean_cost * BURST_REQUESTS) as u64;
         LinearRelease {
             rate: steady.max(MIN_RELEASE_TOKENS) as u64,
             burst: burst.min(LARGEST_REQUEST),
--- a/edge/tests/overload.rs
+++ b/edge/tests/overload.rs
@@ -123,7 +123,7 @@
     (delay, refused_twice)
 }
 
-/// A VM takes all that it gets: its link is saturated, and answers and messages wait for seconds.
+/// Guards against a VM that takes all that it gets: its link is saturated, and answers and messages wait for seconds.
 #[test]
 fn a_vm_with_a_quarter_of_the_clients_keeps_room_on_its_link() {
     for (count, hot) in [(7, 1), (7, 2), (72, 1), (72, 2), (340, 1), (340, 2)] {
@@ -133,13 +133,13 @@
     }
 }
 
-/// Shows that the bounds find an error: a VM that does not know what its link carries.
+/// Guards against a run whose bounds hold without admission control: this VM does not know what its link carries.
 #[test]
 fn an_unknown_link_is_saturated() {
     assert!(run_hot(72, 1, None).0 > 5.0);
 }
 
-/// A processor share that is not enforced is taken for an overload, or one that is used up is not.
+/// Guards against a processor share that is not enforced that is taken for an overload, or one that is used up and is not.
 #[test]
 fn a_busy_processor_is_an_overload_only_if_the_event_loop_lags() {
     for (lag_ms, refused) in [(0, false), (50, true)] {
@@ -163,7 +163,7 @@
     }
 }
 
-/// Calm load with bursts of a fifth of a second is refused.
+/// Guards against refusals of calm load with bursts of a fifth of a second.
 #[test]
 fn calm_load_is_not_refused() {
     let start = Instant::now();
@@ -177,7 +177,7 @@
     }
 }
 
-/// A VM whose settings name no capacity refuses requests, whatever it moves.
+/// Guards against refusals by a VM whose settings name no capacity.
 #[test]
 fn nothing_is_refused_without_a_known_capacity() {
     let start = Instant::now();
@@ -194,7 +194,7 @@
     }
 }
 
-/// Urgent requests are refused as often as others, and retries come all at once.
+/// Guards against urgent requests that are refused as often as others, and retries that come all at once.
 #[test]
 fn urgent_requests_are_refused_last() {
     let start = Instant::now();
@@ -219,7 +219,8 @@
     assert!(waits.last() < Some(&Duration::from_millis(300)));
 }
 
-/// Overloaded VMs of a data centre leave together, flap, or are away for more than an eighth of the time.
+/// Guards against overloaded VMs of a data centre that leave together, flap, or are away for more than an eighth of
+/// the time.
 #[test]
 fn vms_of_a_data_centre_leave_in_turn() {
     let overload = Some(Duration::from_secs(60));
@@ -245,3 +246,20 @@
         assert_eq!(away.iter().any(|n| *n > 0), members >= 3);
     }
 }
+
+/// Guards against refusals that begin only seconds after a burst of many clients has saturated the link.
+#[test]
+fn a_sudden_burst_does_not_fill_the_link() {
+    let start = Instant::now();
+    let mut vm = Vm::new(Some(LINK_RATE));
+    let mut delay = 0.0_f64;
+    for tick in 1..=30 * TICKS_PER_S {
+        let load = if tick > 10 * TICKS_PER_S { 2.5 } else { 0.3 };
+        for _ in 0..vm.arrivals(load * LINK_RATE / REQUEST_BYTES) {
+            vm.offer(ARRIVAL);
+        }
+        vm.step(start + TICK * tick);
+        delay = delay.max(vm.delay_s());
+    }
+    assert!(delay < 1.0, "{delay}");
+}
