--- a/edge/src/clock.rs
+++ b/edge/src/clock.rs
@@ -28,23 +28,3 @@
         }
     }
 }
-
-/// Processor time that this process has used.
-///
-/// # Examples
-///
-/// ```
-/// use cuminloom_edge::clock::cpu_time;
-///
-/// let before = cpu_time();
-/// assert!(cpu_time() >= before);
-/// ```
-pub fn cpu_time() -> Duration {
-    match clock_gettime(ClockId::CLOCK_PROCESS_CPUTIME_ID) {
-        Ok(time) => Duration::from(time),
-        Err(e) => {
-            log::error!("event=clock_failed error=\"{e}\"");
-            Duration::ZERO
-        }
-    }
-}
--- a/edge/src/decide/mod.rs
+++ b/edge/src/decide/mod.rs
@@ -3,7 +3,6 @@
 //! Each module names the load pattern that it handles; its test in `tests/decisions.rs` replays
 //! that load.
 
-mod admission;
 mod availability;
 mod client_account;
 mod crash_evidence;
@@ -23,14 +22,6 @@
 mod speeds;
 mod turn_order;
 
-pub use admission::{
-    AdmissionControl,
-    Arrival,
-    Capacity,
-    OverloadChange,
-    Rotation,
-    Usage, //
-};
 pub use availability::{
     Availability,
     DownCause,
--- a/edge/src/http/connection.rs
+++ b/edge/src/http/connection.rs
@@ -17,11 +17,9 @@
 };
 
 use super::{
-    ParseError, ResponseHead, parse_response,
-    traffic::{
-        count_read,
-        count_written, //
-    },
+    ParseError,
+    ResponseHead,
+    parse_response, //
 };
 
 /// Largest response head.
@@ -110,7 +108,7 @@
         buf.reserve(READ_SIZE_BYTES);
         match stream.try_read_buf(buf) {
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => stream.readable().await?,
-            result => return result.inspect(|n| count_read(*n)),
+            result => return result,
         }
     }
 }
@@ -124,10 +122,7 @@
     while !bytes.is_empty() {
         match stream.try_write(bytes) {
             Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
-            Ok(n) => {
-                count_written(n);
-                bytes = &bytes[n..];
-            }
+            Ok(n) => bytes = &bytes[n..],
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => stream.writable().await?,
             Err(e) => return Err(e),
         }
@@ -197,7 +192,7 @@
         self.buf.reserve(READ_SIZE_BYTES);
         match self.stream.try_read_buf(&mut self.buf) {
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => None,
-            result => Some(result.inspect(|n| count_read(*n))),
+            result => Some(result),
         }
     }
 
--- a/edge/src/http/mod.rs
+++ b/edge/src/http/mod.rs
@@ -9,7 +9,6 @@
 mod event;
 mod head;
 mod link;
-mod traffic;
 
 pub use body::{
     BodyDecoder,
@@ -39,4 +38,3 @@
     reason_phrase, //
 };
 pub use link::LinkActivity;
-pub use traffic::bytes_moved;
--- a/edge/src/prepaid/ledger/membership.rs
+++ b/edge/src/prepaid/ledger/membership.rs
@@ -56,19 +56,6 @@
             .filter(move |(name, row)| !row.leaving && !self.is_silent(name, now))
     }
 
-    /// Rank of this daemon by name among those of its data centre that are known to run, and their number.
-    pub fn zone_place(&self, now: Instant) -> (usize, usize) {
-        let others = self
-            .running_peers(now)
-            .filter(|(_, row)| row.zone == self.zone);
-        let (mut rank, mut members) = (0, 1);
-        for (name, _) in others {
-            members += 1;
-            rank += usize::from(*name < self.node);
-        }
-        (rank, members)
-    }
-
     /// Names and addresses of the other daemons of this data centre that are known to run, ordered by name.
     pub fn zone_members(&self, now: Instant) -> Vec<(String, SocketAddr)> {
         let others = self
--- a/edge/src/prepaid/ledger/sizing.rs
+++ b/edge/src/prepaid/ledger/sizing.rs
@@ -46,13 +46,13 @@
 
 /// Multiple of a daemon's own demand that is released each second, because in a partition callers move and send
 /// more than before.
-const RELEASE_FACTOR: f64 = 1.5;
+const RELEASE_FACTOR: f64 = 2.0;
 
 /// Minimum of the linear release, in tokens per second, for a customer without demand.
 const MIN_RELEASE_TOKENS: f64 = 500.0;
 
 /// Time of demand that the burst of a release covers, in seconds.
-const BURST_S: f64 = 2.0;
+const BURST_S: f64 = 3.0;
 
 /// Requests of mean cost that the burst covers at least: large requests are many times the mean.
 const BURST_REQUESTS: f64 = 3.0;
--- a/edge/src/serve/attempts.rs
+++ b/edge/src/serve/attempts.rs
@@ -356,7 +356,6 @@
     let mut bytes = encode_head(status, &reply.head.fields, call.keep_alive);
     bytes.extend_from_slice(format!("Content-Length: {}\r\n\r\n", body.len()).as_bytes());
     reuse_connection(upstream, reply);
-    call.count_written(bytes.len() + body.len());
     attempt
         .core
         .write_answer(out, bytes, &body)
--- a/edge/src/serve/call.rs
+++ b/edge/src/serve/call.rs
@@ -97,8 +97,6 @@
     pub trial: Cell<bool>,
     /// Time at which a byte may have been sent to a runner first.
     pub sent_at: Cell<Option<Instant>>,
-    /// Bytes of the answer that were written to the caller.
-    pub written: Cell<u64>,
     /// Span of the whole request, if the caller asked for a trace.
     pub span: Option<RefCell<Span>>,
 }
@@ -138,11 +136,6 @@
         Some(span.trace().start_span(name))
     }
 
-    /// Counts bytes of the answer that are written to the caller.
-    pub(super) fn count_written(&self, bytes: usize) {
-        self.written.set(self.written.get() + bytes as u64);
-    }
-
     /// Records that a byte may have been sent to a runner.
     pub(super) fn mark_sent(&self, now: Instant) {
         if self.sent_at.get().is_none() {
@@ -245,7 +238,6 @@
         suspects,
         trial: Cell::new(false),
         sent_at: Cell::new(None),
-        written: Cell::new(0),
     };
     if !core.try_suspect(&call, received_at) && core.is_suspect(&call, received_at) {
         // The latest Retry-After, as a new attempt hardly has a better chance.
--- a/edge/src/serve/core.rs
+++ b/edge/src/serve/core.rs
@@ -45,13 +45,10 @@
     },
     clock::boot_time,
     decide::{
-        AdmissionControl,
         Availability,
-        Capacity,
         CrashEvidence,
         PlannedStop,
         RetryBudget,
-        Rotation,
         RouteTimes,
         runner_key, //
     },
@@ -163,12 +160,6 @@
     stop: Cell<Option<PlannedStop>>,
     /// Notified when open requests are answered because the process ends.
     stop_answers: Notify,
-    /// Decides which requests are admitted.
-    pub(super) admission: RefCell<AdmissionControl>,
-    /// When this VM leaves the rotation of the load balancer.
-    pub(super) rotation: Cell<Rotation>,
-    /// Whether it is out of the rotation.
-    pub(super) out_of_rotation: Cell<bool>,
     /// Time that requests took, by route.
     pub(super) route_times: RefCell<RouteTimes>,
     /// State of the shutdown of the callers' listener.
@@ -219,9 +210,6 @@
             reservations: Reservations::default(),
             stop: Cell::new(None),
             stop_answers: Notify::new(),
-            admission: RefCell::new(AdmissionControl::new(Capacity::default())),
-            rotation: Cell::default(),
-            out_of_rotation: Cell::default(),
             route_times: RefCell::default(),
             shutdown: Shutdown::default(),
             unread_responses: OnceCell::new(),
@@ -274,9 +262,6 @@
         self.route_times
             .borrow_mut()
             .retain(|route| names.contains(route));
-        self.admission
-            .borrow_mut()
-            .retain(|route| names.contains(route));
         *self.version.borrow_mut() = Some(version);
         if old.is_none() {
             self.mark_cold_entries(Instant::now());
@@ -469,7 +454,6 @@
     /// Whether the load balancer may send new connections.
     pub fn is_ready(&self) -> bool {
         !self.is_stopping()
-            && !self.out_of_rotation.get()
             && self.version.borrow().is_some()
             && !self.directory.borrow().is_empty()
     }
--- a/edge/src/serve/exchange.rs
+++ b/edge/src/serve/exchange.rs
@@ -54,16 +54,9 @@
 ) -> bool {
     let _open = core.track_request();
     let keep_alive = head.keep_alive() && !core.is_stopping();
-    let resolved = resolve_call(core, head, body, received_at, keep_alive);
-    let admitted = resolved.map_err(|(refusal, id)| (refusal, id, keep_alive));
-    let admitted = admitted.and_then(|call| match core.admit(&call, received_at) {
-        Ok(()) => Ok(call),
-        // The retry reaches another daemon only over a new connection.
-        Err(refusal) => Err((refusal, Some(call.meta.id), false)),
-    });
-    let call = match admitted {
+    let call = match resolve_call(core, head, body, received_at, keep_alive) {
         Ok(call) => call,
-        Err((refusal, id, keep_alive)) => {
+        Err((refusal, id)) => {
             log::info!(
                 "event=request_done id={} status={} code={} verdict={} config={} config_age_ms={} ms={}",
                 id.as_deref().unwrap_or("-"),
@@ -163,9 +156,6 @@
         let mut times = core.route_times.borrow_mut();
         times.record(&call.route.name, time);
     }
-    if result.is_ok() {
-        core.record_cost(call);
-    }
     let (status, code, verdict, keep_alive) = match &result {
         Ok(status) => (*status, "answered", "ran", call.keep_alive),
         Err(ServeError::CallerLeft) => (0, "caller_left", Verdict::MayHaveRun.as_str(), false),
--- a/edge/src/serve/mod.rs
+++ b/edge/src/serve/mod.rs
@@ -13,7 +13,6 @@
 mod holders;
 mod load_reports;
 mod observations;
-mod overload;
 mod ready;
 mod receive;
 mod relay;
@@ -31,7 +30,6 @@
     Bounds,
     Core, //
 };
-pub use overload::measure_load;
 pub use ready::bind_ready;
 pub use upstream::{
     Probe,
--- a/edge/src/serve/relay.rs
+++ b/edge/src/serve/relay.rs
@@ -131,7 +131,6 @@
                     reply.in_flight.prompt_read();
                     upstream.mark_cached(Instant::now(), &call.meta.parts);
                 }
-                call.count_written(bytes.len());
                 write_all(out, &bytes)
                     .await
                     .map_err(|_| RelayError::Caller)?;
--- a/edge/src/telemetry/metrics.rs
+++ b/edge/src/telemetry/metrics.rs
@@ -37,9 +37,6 @@
     pub tokens: IntGaugeVec,
     /// Evacuated data centres, 1 each.
     pub evacuated: IntGaugeVec,
-    /// Use of the scarcer of link and processor and share of refused requests, in percent, and whether the VM
-    /// is out of the rotation.
-    pub overload: IntGaugeVec,
 }
 
 impl Metrics {
@@ -86,10 +83,6 @@
                 ),
                 &["zone"],
             )?,
-            overload: IntGaugeVec::new(
-                Opts::new("cuminloom_overload", "Load of this VM and what it refuses."),
-                &["figure"],
-            )?,
             registry,
         };
         metrics
@@ -114,9 +107,6 @@
         metrics
             .registry
             .register(Box::new(metrics.evacuated.clone()))?;
-        metrics
-            .registry
-            .register(Box::new(metrics.overload.clone()))?;
         Ok(metrics)
     }
 
