--- a/edge/src/serve/core.rs
+++ b/edge/src/serve/core.rs
@@ -45,13 +45,10 @@
     },
     clock::boot_time,
     decide::{
-        Admission,
         Availability,
-        Capacity,
         CrashEvidence,
         PlannedStop,
         RetryBudget,
-        Rotation,
         RouteTimes,
         runner_key, //
     },
@@ -86,10 +83,6 @@
     pub cold_overshoot: f64,
     /// Requests that a cold runner may get in any one second beyond that.
     pub cold_tolerance: f64,
-    /// Time after which an evacuation is in force.
-    pub evacuation: Duration,
-    /// Time for which a machine must be undisturbed to count as in contact.
-    pub contact: Duration,
 }
 
 impl Default for Bounds {
@@ -105,8 +98,6 @@
             lapse_grace: Duration::from_millis(1800),
             cold_overshoot: 1.0,
             cold_tolerance: 0.0,
-            evacuation: Duration::from_secs(5),
-            contact: Duration::from_secs(3),
         }
     }
 }
@@ -169,18 +160,12 @@
     stop: Cell<Option<PlannedStop>>,
     /// Notified when open requests are answered because the process ends.
     stop_answers: Notify,
-    /// Decides which requests are admitted.
-    pub(super) admission: RefCell<Admission>,
-    /// When this VM leaves the rotation of the load balancer.
-    pub(super) rotation: Cell<Rotation>,
-    /// Whether it is out of the rotation.
-    pub(super) out_of_rotation: Cell<bool>,
     /// Time that requests took, by route.
     pub(super) route_times: RefCell<RouteTimes>,
     /// State of the shutdown of the callers' listener.
     pub shutdown: Shutdown,
     /// Responses that wait for their callers; unbounded while it is not set.
-    pub answers: OnceCell<Rc<Clients>>,
+    pub unread_responses: OnceCell<Rc<Clients>>,
     /// Number of requests in progress.
     open_requests: Cell<u32>,
     /// Type that encodes and decodes the header fields.
@@ -225,12 +210,9 @@
             reservations: Reservations::default(),
             stop: Cell::new(None),
             stop_answers: Notify::new(),
-            admission: RefCell::new(Admission::new(Capacity::default())),
-            rotation: Cell::default(),
-            out_of_rotation: Cell::default(),
             route_times: RefCell::default(),
             shutdown: Shutdown::default(),
-            answers: OnceCell::new(),
+            unread_responses: OnceCell::new(),
             open_requests: Cell::new(0),
             dialect: PhantomData,
         })
@@ -280,9 +262,6 @@
         self.route_times
             .borrow_mut()
             .retain(|route| names.contains(route));
-        self.admission
-            .borrow_mut()
-            .retain(|route| names.contains(route));
         *self.version.borrow_mut() = Some(version);
         if old.is_none() {
             self.mark_cold_entries(Instant::now());
@@ -475,7 +454,6 @@
     /// Whether the load balancer may send new connections.
     pub fn is_ready(&self) -> bool {
         !self.is_stopping()
-            && !self.out_of_rotation.get()
             && self.version.borrow().is_some()
             && !self.directory.borrow().is_empty()
     }
