Ask the daemons with the newest rows first

Change: up to two of the three places of a round go to the twelve newest rows, in an order of each daemon's own.

--- a/edge/src/decide/peer_choice.rs
+++ b/edge/src/decide/peer_choice.rs
@@ -13,6 +13,8 @@
 /// What is known of the daemon at an address.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum PeerStanding {
+    /// Its row is one of the newest.
+    Newest,
     /// Its row was written recently.
     Running,
     /// The settings name it.
@@ -57,18 +59,20 @@
             let best = standings.entry(*address).or_insert(*standing);
             *best = (*best).min(*standing);
         }
-        let mut groups: [Vec<SocketAddr>; 3] = Default::default();
+        let mut groups: [Vec<SocketAddr>; 4] = Default::default();
         for (address, standing) in standings {
             groups[self.group(address, standing)].push(address);
         }
-        let (candidates, gone) = (groups[0].len(), groups[2].len());
-        let mut list = Vec::new();
-        for mut group in groups {
+        let (candidates, gone) = (groups[0].len() + groups[1].len(), groups[3].len());
+        for group in &mut groups {
             group.sort_by_key(|a| (rendezvous_weight(0, &format!("{own}/{a}")), *a));
             let turn = round as usize * count % group.len().max(1);
             group.rotate_left(turn);
-            list.extend(group);
         }
+        // One place is left for the others, so that hundreds of daemons don't ask the same few only.
+        let [mut newest, running, failed, gone_rows] = groups;
+        let later = newest.split_off(newest.len().min(count.saturating_sub(1)));
+        let mut list = [newest, running, later, failed, gone_rows].concat();
         // If none of those that run replies, what is known of the others may be wrong.
         if candidates == 0 && gone > 0 && count > 1 && list.len() > count {
             let first_gone = list.len() - gone;
@@ -87,11 +91,14 @@
         }
     }
 
-    /// Order in which daemons are asked: those that run or are seeds, the ones of them that did not reply, others.
+    /// Order in which daemons are asked: those with the newest rows, those that run or are seeds, the ones of these
+    /// that did not reply, others.
     fn group(&self, address: SocketAddr, standing: PeerStanding) -> usize {
         match standing {
-            PeerStanding::Gone => 2,
-            _ => usize::from(self.failed.contains_key(&address)),
+            PeerStanding::Gone => 3,
+            _ if self.failed.contains_key(&address) => 2,
+            PeerStanding::Newest => 0,
+            PeerStanding::Running | PeerStanding::Seed => 1,
         }
     }
 }
--- a/edge/src/fleet/peers.rs
+++ b/edge/src/fleet/peers.rs
@@ -89,6 +89,10 @@
 /// written every 7.5 s or more often.
 const MAX_ROW_AGE_MS: u64 = 20_000;
 
+/// Rows that count as the newest. Where machines are replaced all the time, most rows that were written recently are
+/// those of machines that are gone, while those that run write theirs again.
+const NEWEST_ROWS: usize = 12;
+
 /// Age of the replying daemon's own confirmation up to which its reply confirms the configuration.
 const MAX_CONFIRM_AGE: Duration = Duration::from_millis(1500);
 
@@ -325,9 +329,17 @@
     let now = ledger.store_now(Instant::now()).unwrap_or(u64::MAX);
     let seen = ledger.peer_rows().map(|(_, row)| row.seen);
     let newest = seen.filter(|seen| *seen <= now).max().unwrap_or(0);
+    let mut times: Vec<u64> = ledger
+        .peer_rows()
+        .filter(|(_, row)| !row.leaving && row.seen <= now)
+        .map(|(_, row)| row.seen)
+        .collect();
+    times.sort_unstable_by_key(|seen| Reverse(*seen));
+    let newest_from = times.get(NEWEST_ROWS - 1).copied().unwrap_or(0);
     let rows = ledger.peer_rows().filter_map(|(_, row)| {
         let recent = row.seen <= now && row.seen.saturating_add(MAX_ROW_AGE_MS) >= newest;
         let standing = match recent && !row.leaving {
+            true if row.seen >= newest_from => PeerStanding::Newest,
             true => PeerStanding::Running,
             false => PeerStanding::Gone,
         };
--- a/edge/tests/peer_choice.rs
+++ b/edge/tests/peer_choice.rs
@@ -10,6 +10,7 @@
     PeerStanding::{
         self,
         Gone,
+        Newest,
         Running,
         Seed, //
     },
@@ -74,3 +75,27 @@
     }
     assert!(gone >= 2, "{gone}");
 }
+
+/// Guards against rounds that reach only machines that were replaced seconds ago: of 500 rows that were written
+/// recently, only some of the newest are of daemons that run.
+#[test]
+fn newest_rows_are_asked_first() {
+    for own in 1..=50 {
+        let newest = (100..112).map(|port| (address(port), Newest));
+        let running = (1000..1500).map(|port| (address(port), Running));
+        let known: Vec<_> = newest.chain(running).collect();
+        let mut choice = PeerChoice::default();
+        let mut round = 0;
+        let mut reached = false;
+        while !reached {
+            round += 1;
+            for asked in choice.choose(address(own), &known, COUNT) {
+                // Four of the newest run.
+                let replies = (100..104).contains(&asked.port());
+                choice.record(asked, replies);
+                reached |= replies;
+            }
+        }
+        assert!(round <= 5, "own {own}: {round} rounds");
+    }
+}
