--- a/edge/src/accept/connection.rs
+++ b/edge/src/accept/connection.rs
@@ -143,7 +143,8 @@
     }
 }
 
-/// Tells a client without waiting for it that it gets no connection and that no request of it runs.
+/// Tells a client, without waiting for it, that its request has not run. One with unread input may see a reset
+/// instead.
 pub(super) fn try_reject<H: Handler>(handler: &H, stream: &TcpStream) {
     if let Err(e) = stream.try_write(&handler.reject(Rejection::TOO_MANY_CLIENTS)) {
         log::debug!("event=rejection_unsent error=\"{e}\"");
