review: case 10, a request that hangs its runners before it crashes them

An attempt that stalls for as long as callers wait, or whose caller leaves, ends before its runner does, and nobody connects the crash with the request. Change: the case as a script.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -4,6 +4,7 @@
 
 mod client;
 mod fleet;
+mod hang_crash;
 mod http;
 mod json;
 mod leaving_crash;
@@ -25,6 +26,7 @@
     let record = Record::new();
     record.add(format!("case {case}, trouble {trouble}"));
     let played = std::panic::catch_unwind(|| match case.as_str() {
+        "hang-crash" => hang_crash::play(&record, trouble),
         "leaving-crash" => leaving_crash::play(&record, trouble),
         "silent-store" => silent_store::play(&record, trouble),
         "slow-reader" => slow_reader::play(&record, trouble),
