--- a/review/standins-2/slow_reader.rs
+++ b/review/standins-2/slow_reader.rs
@@ -1,13 +1,14 @@
-//! A client reads a long answer so slowly that its route's timeout passes meanwhile.
+//! A client reads so slowly that its route's timeout passes while the daemon writes an answer: one long answer, or many
+//! of ordinary length to requests that were sent ahead on one connection.
 
-use std::io::Write;
+use std::io::{ErrorKind, Read, Write};
 use std::net::TcpStream;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::client::{Got, Pace, connect_small, exchange};
 use crate::fleet::{Daemon, Place, Record, temporary_folder};
-use crate::http::Request;
+use crate::http::{Request, head_end, parse_head};
 use crate::runner::{Runner, sealed_head};
 use crate::store::Store;
 
@@ -21,12 +22,25 @@
 /// Time for which a client reads nothing.
 const PAUSE: Duration = Duration::from_millis(1000);
 
-/// Requests, one after the other.
-const REQUESTS: usize = 20;
+/// Requests for a long answer, one after the other.
+const REQUESTS: usize = 15;
 
-/// Byte `i` of the answer to a request.
-fn byte(i: usize) -> u8 {
-    b'a' + (i % 23) as u8
+/// Longest answer of loan-lookup in the site file, in bytes.
+const ORDINARY: usize = 4800;
+
+/// Requests that are sent ahead on one connection, and connections.
+const AHEAD: usize = 120;
+const CONNECTIONS: usize = 10;
+
+/// Time for which a client that has sent requests ahead reads nothing.
+const PAUSE_AHEAD: Duration = Duration::from_millis(1300);
+
+/// Time that a runner works on a request.
+const WORK: Duration = Duration::from_millis(3);
+
+/// Byte `i` of the answer to the request `id`.
+fn byte(id: &str, i: usize) -> u8 {
+    id.as_bytes()[i % id.len()]
 }
 
 /// Runs the request at once and answers with as many bytes as its path says.
@@ -37,10 +51,11 @@
         .next()
         .and_then(|n| n.parse().ok())
         .unwrap_or(0);
-    std::thread::sleep(Duration::from_millis(15));
+    std::thread::sleep(WORK);
+    let id = request.field("x-cuminloom-attempt-id").unwrap_or("-");
     let head = sealed_head(request, "200 OK");
     let mut bytes = format!("{head}Content-Length: {length}\r\n\r\n").into_bytes();
-    bytes.extend((0..length).map(byte));
+    bytes.extend((0..length).map(|i| byte(id, i)));
     out.write_all(&bytes).is_ok()
 }
 
@@ -63,17 +78,16 @@
 }
 
 /// Position of the first byte of the body that is not the runner's.
-fn first_wrong(got: &Got) -> Option<usize> {
-    got.body
-        .iter()
+fn first_wrong(id: &str, body: &[u8]) -> Option<usize> {
+    body.iter()
         .enumerate()
-        .find(|(i, b)| **b != byte(*i))
+        .find(|(i, b)| **b != byte(id, *i))
         .map(|(i, _)| i)
 }
 
 /// Records what a client got; returns whether it is a success with bytes that the runner never sent.
 fn judge(record: &Record, id: &str, got: &Got) -> bool {
-    let wrong = first_wrong(got);
+    let wrong = first_wrong(id, &got.body);
     let sealed = got.field("x-cuminloom-response-seal").is_some();
     record.add(format!(
         "client {id} got status {} sealed={sealed} {} of {} body bytes, complete={}, {} bytes after it, closed={}, after {} ms, wrong from byte {}",
@@ -95,6 +109,68 @@
     got.status == 200 && wrong.is_some()
 }
 
+/// Sends requests ahead on one connection, pauses, and reads the answers in order. Returns how many successes that are
+/// complete by their length have a wrong body.
+fn send_ahead(record: &Record, place: &Place, name: &str, pause: Duration) -> usize {
+    let mut stream = connect_small(place.frontend).expect("connection");
+    let ids: Vec<String> = (0..AHEAD).map(|k| format!("{name}x{k:03}")).collect();
+    let texts: Vec<String> = ids.iter().map(|id| request(id, ORDINARY)).collect();
+    record.add(format!(
+        "client {name} sends {AHEAD} times GET /loan/{ORDINARY} ahead on one connection, reads nothing for {} ms",
+        pause.as_millis()
+    ));
+    let begun = Instant::now();
+    stream
+        .write_all(texts.concat().as_bytes())
+        .expect("requests");
+    std::thread::sleep(pause);
+    let _ = stream.set_read_timeout(Some(Duration::from_millis(50)));
+    let (mut bytes, mut piece) = (Vec::new(), vec![0; 64 * 1024]);
+    while begun.elapsed() < Duration::from_millis(2 * DEADLINE_MS) {
+        match stream.read(&mut piece) {
+            Ok(0) => break,
+            Ok(n) => bytes.extend_from_slice(&piece[..n]),
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
+            Err(_) => break,
+        }
+    }
+    let (mut answers, mut wrong, mut rest) = (0, 0, &bytes[..]);
+    while let Some(end) = head_end(rest) {
+        let (first, fields) = parse_head(&String::from_utf8_lossy(&rest[..end - 4]));
+        let field = |name: &str| {
+            fields
+                .iter()
+                .find(|(n, _)| n == name)
+                .map(|(_, v)| v.as_str())
+        };
+        let length: Option<usize> = field("content-length").and_then(|v| v.parse().ok());
+        let Some(body) = length.and_then(|n| rest.get(end..end + n)) else {
+            break;
+        };
+        let id = field("x-cuminloom-attempt-id").unwrap_or("-").to_owned();
+        let sealed = field("x-cuminloom-response-seal").is_some();
+        let found = first
+            .starts_with("HTTP/1.1 200")
+            .then(|| first_wrong(&id, body))
+            .flatten();
+        if let Some(at) = found {
+            wrong += 1;
+            let text = String::from_utf8_lossy(&body[at..(at + 400).min(body.len())]).into_owned();
+            record.add(format!(
+                "client {name} got a complete 200 for {id}, sealed={sealed}, wrong from byte {at} of {}: {text:?}",
+                body.len()
+            ));
+        }
+        answers += 1;
+        rest = &rest[end + body.len()..];
+    }
+    record.add(format!(
+        "client {name} got {answers} answers, {wrong} of them successes with a wrong body; {} bytes after them are no answer",
+        rest.len()
+    ));
+    wrong
+}
+
 /// Plays the case; returns whether the rule held.
 pub fn play(record: &Record, trouble: bool) -> bool {
     let folder = temporary_folder("slow-reader");
@@ -140,13 +216,21 @@
         let wrong = judge(record, &id, &got);
         broken += usize::from(wrong);
         complete += usize::from(wrong && got.is_whole());
-        if let Some(at) = first_wrong(&got) {
+        if let Some(at) = first_wrong(&id, &got.body) {
             length = at + 100;
         }
     }
     record.add(format!(
-        "{broken} of {} successes carry bytes that no runner sent; {complete} of them are complete by their length",
-        REQUESTS
+        "long answers: {broken} of {REQUESTS} successes carry bytes that no runner sent; {complete} of them are complete by \
+         their length"
+    ));
+    let pause = if trouble { PAUSE_AHEAD } else { Duration::ZERO };
+    let mut mixed = 0;
+    for n in 0..CONNECTIONS {
+        mixed += send_ahead(record, &places[n % 2], &format!("ahead{n:02}"), pause);
+    }
+    record.add(format!(
+        "requests sent ahead: {mixed} complete successes on {CONNECTIONS} connections have a wrong body"
     ));
-    broken == 0
+    broken + mixed == 0
 }
