Read the era of the store, and log rows that are older than known ones

After the store came back from a copy, all writes conflict and nothing says why. The client now passes on the era in each answer; a daemon logs a new one and counts the rows of a conflict that are older than known.

--- a/edge/src/adapter.rs
+++ b/edge/src/adapter.rs
@@ -153,6 +153,10 @@
     fn response_meta(fields: &Fields) -> ResponseMeta;
 }
 
+/// Number that rises by one each time the store comes back from an older copy of its rows, in which the newest
+/// writes are missing and from which versions are given out again.
+pub type Era = u64;
+
 /// Result of one read of a feed of the store.
 #[derive(Clone, Debug)]
 pub struct FeedUpdate<T> {
@@ -164,6 +168,8 @@
     pub version: u64,
     /// Steady clock of the store, in milliseconds.
     pub now_ms: u64,
+    /// Era of the store that answered.
+    pub era: Era,
 }
 
 /// Why a call to the store failed.
--- a/edge/src/fleet/feeds.rs
+++ b/edge/src/fleet/feeds.rs
@@ -78,6 +78,7 @@
         match store.watch_configs(since, CONFIG_POLL_WAIT).await {
             Ok(feed) => {
                 status.succeeded();
+                core.note_era(feed.era, "configs");
                 core.ledger
                     .borrow_mut()
                     .record_store_time(feed.now_ms, Instant::now());
@@ -129,6 +130,7 @@
         match store.watch_runners(since, RUNNER_POLL_WAIT).await {
             Ok(feed) => {
                 let now = Instant::now();
+                core.note_era(feed.era, "runners");
                 core.ledger.borrow_mut().record_store_time(feed.now_ms, now);
                 if status.succeeded() {
                     let grace = core.bounds.get().lapse_grace;
--- a/edge/src/fleet/rows.rs
+++ b/edge/src/fleet/rows.rs
@@ -51,6 +51,7 @@
             Ok(rows) => {
                 status.succeeded();
                 count_store_call(&core, "rows", "ok");
+                core.note_era(rows.era, "rows");
                 log::info!(
                     "event=rows_read count={} ms={}",
                     rows.rows.len(),
@@ -238,8 +239,12 @@
                 at.elapsed().as_millis()
             );
         }
+        core.note_era(commit.era(), "commit");
         let mut ledger = core.ledger.borrow_mut();
         ledger.apply_outcome(plan, commit, Instant::now());
+        if conflict && ledger.older_rows() > 0 {
+            log::warn!("event=rows_older count={}", ledger.older_rows());
+        }
         drop(ledger);
         core.restore_observations(Instant::now());
         if core.ledger.borrow().is_fenced() {
--- a/edge/src/prepaid/ledger/mod.rs
+++ b/edge/src/prepaid/ledger/mod.rs
@@ -147,6 +147,8 @@
     /// Whether all rows have been read once.
     rows_read: bool,
     accepted_writes: u64,
+    /// Rows in the newest answer that are older than known ones.
+    older_rows: usize,
 }
 
 impl Ledger {
@@ -180,6 +182,7 @@
             inherited: None,
             rows_read: false,
             accepted_writes: 0,
+            older_rows: 0,
         }
     }
 
@@ -241,6 +244,11 @@
         Some(time + passed.as_millis() as u64)
     }
 
+    /// Rows in the newest answer of the store that are older than those known before.
+    pub fn older_rows(&self) -> usize {
+        self.older_rows
+    }
+
     /// Number of writes that the store has accepted.
     pub fn accepted_writes(&self) -> u64 {
         self.accepted_writes
@@ -414,6 +422,7 @@
     pub fn apply_rows(&mut self, rows: Rows, whole: bool, asked: Instant, received: Instant) {
         let now = rows.now;
         self.record_store_time(now, received);
+        self.older_rows = rows.rows.iter().filter(|row| self.is_older(row)).count();
         if whole {
             self.rows_read = true;
             self.read_at = Some(received);
@@ -460,6 +469,20 @@
         }
     }
 
+    /// Whether a newer version of `row` is known.
+    fn is_older(&self, row: &Row) -> bool {
+        let known = match row {
+            Row::Customer(name, ..) => self.customer_rows.get(name).map(|(v, _)| *v),
+            Row::Daemon(name, ..) | Row::Unreadable(name, _) if *name == self.node => {
+                Some(self.version)
+            }
+            Row::Daemon(name, ..) | Row::Unreadable(name, _) => {
+                self.peer_rows.get(name).map(|(v, _)| *v)
+            }
+        };
+        known.is_some_and(|known| row.version() < known)
+    }
+
     /// Lets a time without a read of all rows count for no daemon: it says nothing about their writes, and
     /// in an outage of the store none of them can write. `asked` is the time of the present read.
     fn skip_unread_time(&mut self, asked: Instant) {
--- a/edge/src/prepaid/ledger/writes.rs
+++ b/edge/src/prepaid/ledger/writes.rs
@@ -254,7 +254,9 @@
     /// Applies the outcome of `plan`.
     pub fn apply_outcome(&mut self, plan: &WritePlan, commit: CommitOutcome, now: Instant) {
         match commit {
-            CommitOutcome::Done { version, now: time } => {
+            CommitOutcome::Done {
+                version, now: time, ..
+            } => {
                 self.confirm_write(version, plan.number, &plan.grants);
                 for (name, sum) in &plan.batch.customers {
                     self.customer_rows.insert(name.clone(), (version, *sum));
--- a/edge/src/prepaid/row.rs
+++ b/edge/src/prepaid/row.rs
@@ -11,7 +11,10 @@
 };
 
 use super::Grant;
-use crate::decide::Observations;
+use crate::{
+    adapter::Era,
+    decide::Observations, //
+};
 
 /// Largest total of tokens, or time in milliseconds, in a row: sums of many can't overflow, and JSON's numbers
 /// are exact up to it.
@@ -83,6 +86,16 @@
     Unreadable(String, u64),
 }
 
+impl Row {
+    /// Version of the row.
+    pub fn version(&self) -> u64 {
+        match self {
+            Row::Daemon(_, version, _) | Row::Customer(_, version, _) => *version,
+            Row::Unreadable(_, version) => *version,
+        }
+    }
+}
+
 /// Rows from one read of the store.
 #[derive(Clone, Debug, Default)]
 pub struct Rows {
@@ -90,6 +103,8 @@
     pub rows: Vec<Row>,
     /// Monotonic clock of the store, in milliseconds.
     pub now: u64,
+    /// Era of the store that answered.
+    pub era: Era,
 }
 
 /// Name of a row and the version that it must have for a batch to take effect; 0 if it must not
@@ -122,7 +137,19 @@
         version: u64,
         /// Monotonic clock of the store, in milliseconds.
         now: u64,
+        /// Era of the store that answered.
+        era: Era,
     },
     /// A precondition failed, and nothing was written; contains the current rows.
     Conflict(Rows),
 }
+
+impl CommitOutcome {
+    /// Era of the store that answered.
+    pub fn era(&self) -> Era {
+        match self {
+            CommitOutcome::Done { era, .. } => *era,
+            CommitOutcome::Conflict(rows) => rows.era,
+        }
+    }
+}
--- a/edge/src/serve/core.rs
+++ b/edge/src/serve/core.rs
@@ -32,7 +32,10 @@
         Clients,
         Shutdown, //
     },
-    adapter::ConfigVersion,
+    adapter::{
+        ConfigVersion,
+        Era, //
+    },
     catalog::{
         Config,
         CustomerId,
@@ -142,6 +145,8 @@
     version: RefCell<Option<ConfigVersion>>,
     /// Time at which the configuration was last known to be the newest.
     config_confirmed: Cell<Option<Instant>>,
+    /// Newest era of the store that any of its answers has named.
+    store_era: Cell<Option<Era>>,
     /// Time at which the runner entries were last read from the store.
     runners_confirmed: Cell<Option<Instant>>,
     /// State of each runner that has been considered for a request.
@@ -201,6 +206,7 @@
             started: Instant::now(),
             version: RefCell::new(None),
             config_confirmed: Cell::new(None),
+            store_era: Cell::new(None),
             runners_confirmed: Cell::new(None),
             upstreams: RefCell::default(),
             retry_budgets: RefCell::default(),
@@ -283,6 +289,19 @@
             .is_some_and(|at| now.duration_since(at) < MAX_CONFIRMATION_AGE)
     }
 
+    /// Records the era that an answer of the store to `call` has named.
+    pub fn note_era(&self, era: Era, call: &str) {
+        let known = self.store_era.get();
+        if known == Some(era) {
+            return;
+        }
+        log::info!(
+            "event=store_era era={era} known={} call={call}",
+            known.map_or_else(|| "-".to_owned(), |e| e.to_string())
+        );
+        self.store_era.set(known.max(Some(era)));
+    }
+
     /// Records that the runner entries were read from the store at `now`.
     pub fn confirm_runners(&self, now: Instant) {
         self.runners_confirmed.set(Some(now));
--- a/edge/tests/budget_world/store.rs
+++ b/edge/tests/budget_world/store.rs
@@ -16,6 +16,7 @@
 #[derive(Default)]
 pub(crate) struct FakeStore {
     version: u64,
+    pub(crate) era: u64,
     pub(crate) daemons: HashMap<String, (u64, DaemonRow)>,
     customers: HashMap<String, (u64, CustomerRow)>,
 }
@@ -37,7 +38,11 @@
                 .iter()
                 .filter_map(|e| self.row(e))
                 .collect();
-            return CommitOutcome::Conflict(Rows { rows, now });
+            return CommitOutcome::Conflict(Rows {
+                rows,
+                now,
+                era: self.era,
+            });
         }
         self.version += 1;
         if let Some((name, row)) = &batch.daemon {
@@ -50,6 +55,7 @@
         CommitOutcome::Done {
             version: self.version,
             now,
+            era: self.era,
         }
     }
 
@@ -80,6 +86,7 @@
         Rows {
             rows: daemons.chain(customers).collect(),
             now,
+            era: self.era,
         }
     }
 
--- a/edge/tests/whereabouts.rs
+++ b/edge/tests/whereabouts.rs
@@ -53,6 +53,7 @@
             Row::Customer("ann".to_owned(), 9, CustomerRow { committed: 500 }),
         ],
         now: 1000,
+        era: 1,
     };
     ledger.apply_rows(rows(6), true, start, start);
     let found = ledger.whereabouts("ann", start);
