--- a/edge/tests/budget_run.rs
+++ b/edge/tests/budget_run.rs
@@ -8,11 +8,11 @@
 };
 
 use budget_world::{
-    Faults,
-    Outcome,
-    World,
-    limits,
-    store::FakeStore, //
+    Faults, Outcome, World, limits,
+    store::{
+        FakeStore,
+        Restoration, //
+    },
 };
 use cuminloom_edge::prepaid::{
     Admission,
@@ -87,6 +87,41 @@
     assert_limits_kept("all faults", DEMAND / 3, faults);
 }
 
+/// Guards against tokens that are drawn once more after the store came back from a copy that does not show them, with
+/// writes that take effect only then, kills, cuts and suspended VMs.
+#[test]
+fn stores_from_copies_never_overspend() {
+    let faults = Faults {
+        kill: 3,
+        partition: 4,
+        freeze: 4,
+        lost: 10,
+        delayed: 10,
+        restorations: &[
+            Restoration {
+                at: 12_000,
+                away: 1000,
+                age: 6000,
+            },
+            Restoration {
+                at: 24_000,
+                away: 500,
+                age: 9000,
+            },
+        ],
+        kill_in_outage: 15,
+        ..Faults::default()
+    };
+    for seed in 1..=SEEDS {
+        let outcome = run_seed(seed, DEMAND / 2, faults);
+        assert_eq!(outcome.overspent, 0, "seed {seed}: {outcome:?}");
+        assert!(
+            outcome.served * 4 > outcome.asked,
+            "seed {seed}: {outcome:?}"
+        );
+    }
+}
+
 /// Checks that the runs above can fail: a successor that ignores the age of the row overspends.
 #[test]
 fn trusting_restart_overspends() {
--- a/edge/tests/budget_world/faults.rs
+++ b/edge/tests/budget_world/faults.rs
@@ -1,5 +1,7 @@
 //! Faults to inject into a simulated run, and the counts that it returns.
 
+use super::store::Restoration;
+
 /// Faults of a run. The rates are percentages: `kill`, `partition` and `freeze` per daemon and
 /// second, `lost` and `delayed` per write.
 #[derive(Clone, Copy, Default)]
@@ -20,6 +22,10 @@
     pub(crate) down_ms: Option<u64>,
     /// Time at which all daemons are partitioned from the store, in milliseconds.
     pub(crate) partition_all_at: Option<u64>,
+    /// Outages after which the store comes back from an older copy.
+    pub(crate) restorations: &'static [Restoration],
+    /// Processes killed in each of these outages, in percent.
+    pub(crate) kill_in_outage: u64,
     /// Makes a restarted process assume that nothing was spent after the row was written.
     pub(crate) trusting_restart: bool,
 }
--- a/edge/tests/budget_world/mod.rs
+++ b/edge/tests/budget_world/mod.rs
@@ -193,7 +193,9 @@
         let end = self.now + seconds * 1000;
         while self.now < end {
             self.now += STEP_MS;
+            self.store.keep_copy(self.now);
             self.inject_faults();
+            self.restore_store();
             self.deliver_delayed();
             for i in 0..self.nodes.len() {
                 self.step(i);
@@ -229,6 +231,25 @@
         }
     }
 
+    /// Begins and ends the outages after which the store comes back from a copy.
+    fn restore_store(&mut self) {
+        for outage in self.faults.restorations {
+            if outage.at == self.now {
+                for i in 0..self.nodes.len() {
+                    let until = &mut self.nodes[i].partitioned_until;
+                    *until = outage.end().max(*until);
+                    if chance(&mut self.random, self.faults.kill_in_outage) {
+                        let down = 500 + below(&mut self.random, 4000);
+                        self.kill(i, self.faults.down_ms.unwrap_or(down));
+                    }
+                }
+            }
+            if outage.end() == self.now {
+                self.store.restore(outage.at - outage.age);
+            }
+        }
+    }
+
     /// Kills a process for `down_ms`. What its open requests have consumed is known only to the
     /// simulation.
     fn kill(&mut self, i: usize, down_ms: u64) {
--- a/edge/tests/budget_world/store.rs
+++ b/edge/tests/budget_world/store.rs
@@ -1,6 +1,9 @@
 //! In-memory store of versioned rows with the semantics of the platform's store.
 
-use std::collections::HashMap;
+use std::collections::{
+    HashMap,
+    VecDeque, //
+};
 
 use cuminloom_edge::prepaid::{
     Batch,
@@ -12,6 +15,38 @@
     Rows, //
 };
 
+/// Longest age of a copy, in milliseconds.
+const MAX_COPY_AGE_MS: u64 = 20_000;
+
+/// Interval between two copies, in milliseconds.
+const COPY_INTERVAL_MS: u64 = 250;
+
+/// An outage after which the store comes back from an older copy of its rows; in milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Restoration {
+    /// Begin of the outage.
+    pub(crate) at: u64,
+    /// Length of the outage.
+    pub(crate) away: u64,
+    /// Age of the copy at the begin.
+    pub(crate) age: u64,
+}
+
+impl Restoration {
+    /// End of the outage.
+    pub(crate) fn end(&self) -> u64 {
+        self.at + self.away
+    }
+}
+
+/// What a copy of the store contains.
+#[derive(Clone, Default)]
+struct Contents {
+    version: u64,
+    daemons: HashMap<String, (u64, DaemonRow)>,
+    customers: HashMap<String, (u64, CustomerRow)>,
+}
+
 /// Rows of daemons and customers, each with its version.
 #[derive(Default)]
 pub(crate) struct FakeStore {
@@ -19,9 +54,39 @@
     pub(crate) era: u64,
     pub(crate) daemons: HashMap<String, (u64, DaemonRow)>,
     customers: HashMap<String, (u64, CustomerRow)>,
+    /// Older copies with the time at which they were made.
+    copies: VecDeque<(u64, Contents)>,
 }
 
 impl FakeStore {
+    /// Makes a copy at the time `now` if the newest one is old enough.
+    pub(crate) fn keep_copy(&mut self, now: u64) {
+        let newest = self.copies.back().map(|(at, _)| *at);
+        if newest.is_some_and(|at| now < at + COPY_INTERVAL_MS) {
+            return;
+        }
+        self.copies
+            .retain(|(at, _)| now < at + MAX_COPY_AGE_MS + COPY_INTERVAL_MS);
+        let contents = Contents {
+            version: self.version,
+            daemons: self.daemons.clone(),
+            customers: self.customers.clone(),
+        };
+        self.copies.push_back((now, contents));
+    }
+
+    /// Comes back from the newest copy that is not newer than `at`, in a new era.
+    pub(crate) fn restore(&mut self, at: u64) {
+        let before = self.copies.iter().rev().find(|(made, _)| *made <= at);
+        let contents = before.map(|(_, contents)| contents.clone());
+        let contents = contents.unwrap_or_default();
+        self.copies.retain(|(made, _)| *made <= at);
+        self.version = contents.version;
+        self.daemons = contents.daemons;
+        self.customers = contents.customers;
+        self.era += 1;
+    }
+
     /// Whether the row has the expected version.
     fn holds(&self, precondition: &Precondition) -> bool {
         match precondition {
--- a/edge/tests/holder_world/mod.rs
+++ b/edge/tests/holder_world/mod.rs
@@ -154,6 +154,15 @@
     outcome: Outcome,
 }
 
+/// Time at which VM `i` of `count` starts.
+fn first_start(i: usize, count: usize, faults: &Faults) -> u64 {
+    let outage = faults.restorations.first();
+    match outage.filter(|_| i + faults.added >= count) {
+        Some(outage) => outage.at,
+        None => 0,
+    }
+}
+
 impl World {
     /// Starts `count` daemons in four data centres.
     pub(crate) fn new(seed: u64, count: usize, mechanism: Mechanism, faults: Faults) -> World {
@@ -183,7 +192,7 @@
                 name: format!("vm-{i}"),
                 zone,
                 ledger: None,
-                restart_at: 0,
+                restart_at: first_start(i, count, &faults),
                 cut_until: 0,
                 frozen_until: 0,
                 clock: 0,
@@ -204,6 +213,10 @@
         let end = self.now + seconds * 1000;
         while self.now < end {
             self.now += STEP_MS;
+            if !self.faults.restorations.is_empty() {
+                self.store.keep_copy(self.now);
+                self.restore_store();
+            }
             self.inject_faults();
             self.end_requests();
             for i in 0..self.nodes.len() {
@@ -254,6 +267,40 @@
         }
     }
 
+    /// Begins and ends the outages after which the store comes back from a copy.
+    fn restore_store(&mut self) {
+        for outage in self.faults.restorations {
+            if outage.at == self.now {
+                for i in 0..self.nodes.len() {
+                    self.begin_outage(i, outage.end());
+                }
+            }
+            if outage.end() == self.now {
+                self.store.restore(outage.at - outage.age);
+            }
+        }
+    }
+
+    /// Cuts node `i` off from the store, which is away until `end`, with the other faults of an outage.
+    fn begin_outage(&mut self, i: usize, end: u64) {
+        let (now, f) = (self.now, self.faults);
+        let cut = if self.chance(f.cut_in_outage) {
+            now + 8000
+        } else {
+            end
+        };
+        self.nodes[i].cut_until = cut.max(self.nodes[i].cut_until);
+        if let Some(write) = &mut self.nodes[i].in_flight {
+            write.commit = None;
+        }
+        if self.chance(f.freeze_in_outage) {
+            self.nodes[i].frozen_until = now + 6000;
+        }
+        if self.chance(f.kill_in_outage) {
+            self.kill(i);
+        }
+    }
+
     /// Kills the process of node `i`. Its callers' requests end; those of other daemons that hold
     /// tokens here go on.
     fn kill(&mut self, i: usize) {
--- a/edge/tests/holder_world/outcome.rs
+++ b/edge/tests/holder_world/outcome.rs
@@ -1,5 +1,7 @@
 //! What a run simulates and what it counts.
 
+use super::super::store::Restoration;
+
 /// Who holds grants.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Mechanism {
@@ -23,6 +25,16 @@
     pub(crate) kill_all_at: Option<u64>,
     /// Time for which a killed process is down; random if absent. The processes of a fleet start within 0.3 s.
     pub(crate) down_ms: Option<u64>,
+    /// Outages after which the store comes back from an older copy.
+    pub(crate) restorations: &'static [Restoration],
+    /// Processes killed in each of these outages, in percent.
+    pub(crate) kill_in_outage: u64,
+    /// VMs suspended for 6 s from the begin of each of these outages, in percent.
+    pub(crate) freeze_in_outage: u64,
+    /// Daemons cut off from the store for 8 s from the begin of each of these outages, in percent.
+    pub(crate) cut_in_outage: u64,
+    /// VMs that start for the first time when the first of these outages begins.
+    pub(crate) added: usize,
     /// Makes the holders forget a reservation when its process is killed, as if it had used nothing. The
     /// holders themselves are not killed then, as what is charged for them would hide the error.
     pub(crate) forgets_reservations: bool,
