Write rows again after the store came back from a copy, and spend only what others know of

Cause: the store's acknowledgement was taken for good. Writes expected versions that the store no longer had, rows of the copy were ignored as older, and what daemons had drawn since the copy looked uncommitted in it.

A daemon now knows the era of each row. In a new one it writes its own row again, and after 0.5 s the newest rows that it knew of daemons that do not; committed totals follow by the differences. Nobody draws tokens, and no process takes a row of the copy over, until all have done so or 10 s have passed. A daemon spends no more than a grant of which another VM knows, by a notice or by its reads, so a dead one's draws are known. Marks of eras keep late writes of an earlier era from taking effect.

--- a/edge/src/adapter.rs
+++ b/edge/src/adapter.rs
@@ -157,6 +157,24 @@
 /// writes are missing and from which versions are given out again.
 pub type Era = u64;
 
+/// Version of a row or of the whole store. Those of a later era are newer, whatever their number.
+///
+/// # Examples
+///
+/// ```
+/// use cuminloom_edge::adapter::StoreVersion;
+///
+/// let old = StoreVersion { era: 1, number: 900 };
+/// assert!(StoreVersion { era: 2, number: 7 } > old);
+/// ```
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct StoreVersion {
+    /// Era of the store.
+    pub era: Era,
+    /// Version within the era.
+    pub number: u64,
+}
+
 /// Result of one read of a feed of the store.
 #[derive(Clone, Debug)]
 pub struct FeedUpdate<T> {
--- a/edge/src/fleet/peers.rs
+++ b/edge/src/fleet/peers.rs
@@ -34,10 +34,11 @@
     },
 };
 use tokio_tungstenite::{
-    WebSocketStream,
-    accept_async_with_config,
-    client_async,
-    tungstenite::protocol::WebSocketConfig, //
+    WebSocketStream, accept_async_with_config, client_async,
+    tungstenite::{
+        Message,
+        protocol::WebSocketConfig, //
+    },
 };
 
 use crate::{
@@ -58,13 +59,16 @@
     },
     http::configure_stream,
     peer::{
+        GrantsKnown,
         PeerMessage,
         PeerQuery,
         PeerReply,
         ReserveReply,
+        TextMessage,
         decode,
-        decode_loads,
-        encode, //
+        decode_text,
+        encode,
+        encode_text, //
     },
     serve::Core,
 };
@@ -169,11 +173,10 @@
                 };
                 let message = message.map_err(io::Error::other)?;
                 client.set_stage(Stage::Idle);
-                if message.is_text() {
-                    match decode_loads(&message) {
-                        Ok(loads) => core.merge_loads(&loads, Instant::now()),
-                        Err(e) => log::debug!("event=loads_unusable error=\"{e}\""),
-                    }
+                if message.is_text()
+                    && let Some(reply) = handle_text(core, &message)
+                {
+                    sink.send(encode_text(&reply)?).await.map_err(io::Error::other)?;
                 }
                 if !message.is_binary() {
                     continue;
@@ -189,6 +192,23 @@
     }
 }
 
+/// Handles one text message; returns the reply to a notice. One that can't be decoded may be of a later version.
+fn handle_text<D>(core: &Core<D>, message: &Message) -> Option<GrantsKnown> {
+    match decode_text(message) {
+        Ok(TextMessage::Loads(loads)) => core.merge_loads(&loads, Instant::now()),
+        Ok(TextMessage::Grants { grants }) if grants.is_plausible() => {
+            let known = grants.number;
+            core.ledger.borrow_mut().record_notice(grants);
+            return Some(GrantsKnown { known });
+        }
+        Ok(TextMessage::Grants { grants }) => {
+            log::warn!("event=notice_unusable node={}", grants.node.escape_debug());
+        }
+        Err(e) => log::debug!("event=text_unusable error=\"{e}\""),
+    }
+    None
+}
+
 /// Handles one message. The outcomes of a reservation are sent to `reserved`, as it may have to wait;
 /// returns the reply to a query.
 fn handle_message<D: 'static>(
@@ -200,6 +220,9 @@
     match message {
         PeerMessage::Query(query) => return Some(build_reply(core, &query)),
         PeerMessage::Loads { loads } => core.merge_loads(&loads, Instant::now()),
+        PeerMessage::Grants { grants } => {
+            log::debug!("event=notice_unusable node={}", grants.node.escape_debug());
+        }
         PeerMessage::Settle { settle } => core.settle_for_peer(&settle),
         PeerMessage::Reclaim { reclaim } => {
             log::info!("event=reserve_reclaimed customer={reclaim}");
--- a/edge/src/fleet/rows.rs
+++ b/edge/src/fleet/rows.rs
@@ -64,7 +64,7 @@
                 export_audits(&core, &core.ledger.borrow(), &old);
                 merge_observations(&core);
                 core.tokens_freed.notify_waiters();
-                sleep(after_read(&core)).await;
+                let _ = timeout(after_read(&core), core.reader_wake.notified()).await;
             }
             Err(fault) => {
                 count_store_call(&core, "rows", "failed");
@@ -78,7 +78,7 @@
 /// Wakes the writer if this daemon holds grants, and returns the pause before the next read.
 fn after_read<D>(core: &Core<D>) -> Duration {
     let ledger = core.ledger.borrow();
-    if ledger.is_holder() || ledger.has_waiting() {
+    if ledger.is_holder() || ledger.has_waiting() || ledger.is_recovering() {
         core.writer_wake.notify_one();
     }
     read_interval(&ledger, Instant::now(), rand::random())
@@ -113,7 +113,7 @@
 }
 
 /// Writes the daemon's row at the intervals of [`write_interval`], and at once when requests wait for tokens.
-pub async fn write_rows<D, S: Store>(core: Rc<Core<D>>, store: Rc<S>) {
+pub async fn write_rows<D: 'static, S: Store>(core: Rc<Core<D>>, store: Rc<S>) {
     let mut writer = Writer::default();
     loop {
         let _ = timeout(writer.interval(&core), core.writer_wake.notified()).await;
@@ -204,7 +204,11 @@
     }
 
     /// Writes the row once.
-    async fn write_once<D, S: Store>(&mut self, core: &Core<D>, store: &S) -> WriteResult {
+    async fn write_once<D: 'static, S: Store>(
+        &mut self,
+        core: &Rc<Core<D>>,
+        store: &S,
+    ) -> WriteResult {
         let now = Instant::now();
         let observed = core.own_observations(now);
         let scope = self.pacing.scope(&core.ledger.borrow(), now);
@@ -223,9 +227,9 @@
     }
 
     /// Applies the store's answer to the write `plan`, which was sent at `sent`.
-    fn apply_commit<D>(
+    fn apply_commit<D: 'static>(
         &mut self,
-        core: &Core<D>,
+        core: &Rc<Core<D>>,
         plan: &WritePlan,
         commit: CommitOutcome,
         sent: Instant,
@@ -246,6 +250,7 @@
             log::warn!("event=rows_older count={}", ledger.older_rows());
         }
         drop(ledger);
+        core.tell_grants();
         core.restore_observations(Instant::now());
         if core.ledger.borrow().is_fenced() {
             log::error!("event=row_lost cause=\"another process has taken it over\"");
--- a/edge/src/peer/link.rs
+++ b/edge/src/peer/link.rs
@@ -34,6 +34,7 @@
 };
 
 use super::{
+    GrantsKnown,
     PassedLoad,
     PeerMessage,
     ReserveOutcome,
@@ -41,12 +42,16 @@
     ReserveRequest,
     Settlement,
     decode,
+    decode_text,
     encode_for_link, //
 };
-use crate::http::{
-    ConnectionError,
-    LinkActivity,
-    configure_stream, //
+use crate::{
+    http::{
+        ConnectionError,
+        LinkActivity,
+        configure_stream, //
+    },
+    prepaid::GrantNotice,
 };
 
 /// Longest time for opening a connection, with the WebSocket handshake.
@@ -74,6 +79,8 @@
     outgoing: flume::Sender<PeerMessage>,
     /// Reservations without a final reply.
     pending: RefCell<HashMap<u64, flume::Sender<ReserveOutcome>>>,
+    /// Notices that it has not acknowledged, by number of the write.
+    untold: RefCell<Vec<(u64, flume::Sender<()>)>>,
     /// Time until which the daemon is not asked.
     down_until: Cell<Option<Instant>>,
     /// Time for which the next failure keeps the daemon from being asked.
@@ -91,6 +98,7 @@
             activity,
             outgoing,
             pending: RefCell::default(),
+            untold: RefCell::default(),
             down_until: Cell::new(None),
             down_time: Cell::new(MIN_DOWN_TIME),
             reset: Notify::new(),
@@ -147,6 +155,14 @@
         });
     }
 
+    /// Sends a notice. The receiver yields its acknowledgement, and ends if the connection fails.
+    pub fn tell(&self, grants: GrantNotice) -> flume::Receiver<()> {
+        let (sender, receiver) = flume::bounded(1);
+        self.untold.borrow_mut().push((grants.number, sender));
+        self.send(PeerMessage::Grants { grants });
+        receiver
+    }
+
     /// Passes load reports on, unless the daemon is not reached or earlier messages wait: late reports are of
     /// no use, and must not delay reservations.
     pub fn pass_loads(&self, loads: Vec<PassedLoad>, now: Instant) {
@@ -171,10 +187,16 @@
             if let Err(e) = self.exchange(socket, message, &queue).await {
                 log::info!("event=peer_link_lost peer={} error=\"{e}\"", self.address);
             }
-            self.pending.borrow_mut().clear();
+            self.drop_pending();
         }
     }
 
+    /// Ends the wait for all replies.
+    fn drop_pending(&self) {
+        self.pending.borrow_mut().clear();
+        self.untold.borrow_mut().clear();
+    }
+
     /// Connects to send `message`; `None` if that failed. Only settlements are worth another attempt.
     async fn connect_for(&self, message: &PeerMessage) -> Option<WebSocketStream<TcpStream>> {
         for _ in 0..MAX_DELIVERIES {
@@ -186,7 +208,7 @@
                 "event=peer_unreachable peer={} error=\"{error}\"",
                 self.address
             );
-            self.pending.borrow_mut().clear();
+            self.drop_pending();
             if !matches!(message, PeerMessage::Settle { .. }) {
                 return None;
             }
@@ -255,12 +277,27 @@
                     };
                     if message.is_binary() {
                         self.deliver(decode(&message)?);
+                    } else if message.is_text() {
+                        self.confirm_told(decode_text(&message)?);
                     }
                 }
             }
         }
     }
 
+    /// Passes an acknowledgement to those that wait for it. Notices arrive in order, so it covers all before it.
+    fn confirm_told(&self, reply: GrantsKnown) {
+        self.down_until.set(None);
+        self.down_time.set(MIN_DOWN_TIME);
+        let mut untold = self.untold.borrow_mut();
+        untold.retain(|(number, told)| {
+            let covered = *number <= reply.known;
+            // Nobody waits for a late one any more.
+            let _ = covered.then(|| told.try_send(()));
+            !covered
+        });
+    }
+
     /// Passes a reply to the request that waits for it.
     fn deliver(&self, reply: ReserveReply) {
         self.down_until.set(None);
--- a/edge/src/peer/message.rs
+++ b/edge/src/peer/message.rs
@@ -22,7 +22,10 @@
         Observations,
         RunnerKey, //
     },
-    prepaid::Admission,
+    prepaid::{
+        Admission,
+        GrantNotice, //
+    },
 };
 
 /// Message of a daemon that opened a connection.
@@ -49,6 +52,12 @@
         /// The reports, newest first.
         loads: Vec<PassedLoad>,
     },
+    /// Tells of tokens that were committed to the sender. It is sent as a text message, which daemons of the earlier
+    /// version ignore; the reply is one too.
+    Grants {
+        /// The tokens.
+        grants: GrantNotice,
+    },
     /// Asks for newer state. It has no tag, so that daemons of the earlier version understand it.
     Query(PeerQuery),
 }
@@ -59,6 +68,26 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PassedLoad(pub RunnerKey, pub u32, pub u32, pub u32, pub u32);
 
+/// Text message of a daemon that opened a connection.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum TextMessage {
+    /// Load reports of runners.
+    Loads(Vec<PassedLoad>),
+    /// Tokens that were committed to the sender.
+    Grants {
+        /// The tokens.
+        grants: GrantNotice,
+    },
+}
+
+/// Reply to [`PeerMessage::Grants`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GrantsKnown {
+    /// Sequence number of the write in the notice.
+    pub known: u64,
+}
+
 /// Reservation of tokens at a holder.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReserveRequest {
@@ -240,7 +269,7 @@
     }
 }
 
-/// Encodes a message of a link: load reports as JSON in a text message, others by [`encode`].
+/// Encodes a message of a link: load reports and notices as JSON in a text message, others by [`encode`].
 ///
 /// # Errors
 ///
@@ -249,26 +278,36 @@
 /// # Examples
 ///
 /// ```
-/// use cuminloom_edge::peer::{PassedLoad, PeerMessage, decode_loads, encode_for_link};
+/// use cuminloom_edge::peer::{PassedLoad, PeerMessage, TextMessage, decode_text, encode_for_link};
 ///
 /// let loads = vec![PassedLoad(7, 3, 0, 110, 40)];
 /// let message = encode_for_link(&PeerMessage::Loads { loads: loads.clone() }).unwrap();
 /// assert!(message.is_text());
-/// assert_eq!(decode_loads(&message).unwrap(), loads);
+/// assert_eq!(decode_text::<TextMessage>(&message).unwrap(), TextMessage::Loads(loads));
 /// ```
 pub fn encode_for_link(message: &PeerMessage) -> io::Result<Message> {
     match message {
-        PeerMessage::Loads { loads } => Ok(Message::text(serde_json::to_string(loads)?)),
+        PeerMessage::Loads { loads } => encode_text(loads),
+        PeerMessage::Grants { .. } => encode_text(message),
         message => encode(message),
     }
 }
 
-/// Decodes load reports from a text message.
+/// Encodes a value as JSON in a text message.
+///
+/// # Errors
+///
+/// Fails if the value can't be encoded.
+pub fn encode_text<T: Serialize>(value: &T) -> io::Result<Message> {
+    Ok(Message::text(serde_json::to_string(value)?))
+}
+
+/// Decodes a text message.
 ///
 /// # Errors
 ///
-/// Fails if the text is no list of load reports.
-pub fn decode_loads(message: &Message) -> io::Result<Vec<PassedLoad>> {
+/// Fails if the text is no such message.
+pub fn decode_text<T: for<'de> Deserialize<'de>>(message: &Message) -> io::Result<T> {
     let text = message.to_text().map_err(io::Error::other)?;
     Ok(serde_json::from_str(text)?)
 }
--- a/edge/src/peer/mod.rs
+++ b/edge/src/peer/mod.rs
@@ -8,6 +8,7 @@
 
 pub use link::PeerLink;
 pub use message::{
+    GrantsKnown,
     PassedLoad,
     PeerEvacuations,
     PeerMessage,
@@ -18,8 +19,10 @@
     ReserveReply,
     ReserveRequest,
     Settlement,
+    TextMessage,
     decode,
-    decode_loads,
+    decode_text,
     encode,
-    encode_for_link, //
+    encode_for_link,
+    encode_text, //
 };
--- a/edge/src/prepaid/audit.rs
+++ b/edge/src/prepaid/audit.rs
@@ -48,10 +48,11 @@
 /// let row = DaemonRow { grants: [("ann".into(), grant)].into(), ..DaemonRow::default() };
 /// let rows = Rows {
 ///     rows: vec![
-///         Row::Daemon("vm-1".into(), 7, row),
+///         Row::Daemon("vm-1".into(), 7, row.into()),
 ///         Row::Customer("ann".into(), 7, CustomerRow { committed: 40 }),
 ///     ],
 ///     now: 0,
+///     era: 1,
 /// };
 /// let limits = HashMap::from([("ann".into(), 100)]);
 /// let ann = audit(&rows, &limits, |_| false)["ann"];
@@ -75,7 +76,7 @@
         .collect();
     for row in &rows.rows {
         match row {
-            Row::Unreadable(..) => {}
+            Row::Unreadable(..) | Row::Era(..) => {}
             Row::Customer(name, _, sum) => {
                 audits.entry(name.clone()).or_default().committed = sum.committed;
             }
--- a/edge/src/prepaid/grant.rs
+++ b/edge/src/prepaid/grant.rs
@@ -1,6 +1,9 @@
 //! Grants: one customer's tokens at one daemon.
 
-use std::time::Instant;
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 use serde::{
     Deserialize,
@@ -10,6 +13,7 @@
 use super::{
     DemandRate,
     LinearRelease,
+    MAX_TOTAL,
     release::RELEASE_DELAY_S, //
 };
 
@@ -71,6 +75,12 @@
         self.issued + by_time.min(by_pace).min(linear)
     }
 
+    /// Whether a daemon can have written it.
+    pub fn is_plausible(&self) -> bool {
+        let figures = [self.cap, self.issued, self.spent, self.open, self.rate];
+        figures.iter().all(|n| *n <= MAX_TOTAL)
+    }
+
     /// Whether nothing is committed to the daemon and nothing was consumed.
     pub fn is_empty(&self) -> bool {
         self.cap == 0 && self.spent == 0 && self.open == 0
@@ -107,22 +117,44 @@
 /// Weight of the newest request in [`Account::mean_cost`].
 const COST_WEIGHT: f64 = 0.1;
 
-/// A grant in a write whose outcome is unknown.
+/// A grant in a row that this process wrote.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct UncertainGrant {
+pub struct DatedGrant {
     /// The grant.
     pub grant: Grant,
     /// Local time at which the store time in the written row was received.
     pub basis: Instant,
 }
 
+/// Time after which other VMs have read a row: more than two of their reading intervals.
+const READ_BY_OTHERS: Duration = Duration::from_millis(2500);
+
+/// Shortest time between two rows that are remembered until others have read them.
+const REMEMBERED_SPACING: Duration = Duration::from_millis(250);
+
+/// A grant in an own row of which other VMs may not know yet.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct OwnGrant {
+    /// The grant.
+    pub dated: DatedGrant,
+    /// Sequence number of the write.
+    pub number: u64,
+    /// Time at which the store had the row.
+    pub at: Instant,
+}
+
 /// A daemon's own account of one customer: its grant and what has been spent of it.
 #[derive(Clone, Debug, Default)]
 pub struct Account {
     /// Grant in the newest row that the store is known to contain.
     pub confirmed: Grant,
+    /// Newest grant of which another VM knows. No more is spent than it releases: the store can lose its newest rows,
+    /// and this process can end before it writes them again.
+    pub witnessed: Option<OwnGrant>,
+    /// Later grants, oldest first.
+    pub unwitnessed: Vec<OwnGrant>,
     /// Grants in writes whose outcome is unknown.
-    pub uncertain: Vec<UncertainGrant>,
+    pub uncertain: Vec<DatedGrant>,
     /// Tokens that finished requests consumed.
     pub spent: u64,
     /// Tokens that open requests may consume at most.
@@ -152,6 +184,12 @@
     /// `contact`. While the outcome of writes is unknown, this is the minimum over all rows that
     /// the store may contain, each released by the age that a successor would compute for that row.
     pub fn spend_limit(&self, contact: Option<Instant>, now: Instant) -> u64 {
+        self.write_limit(contact, now)
+            .min(self.witnessed_limit(now))
+    }
+
+    /// Tokens that the daemon may spend in total at `now` if other VMs knew all its rows.
+    pub fn write_limit(&self, contact: Option<Instant>, now: Instant) -> u64 {
         let age = |at: Instant| now.saturating_duration_since(at).as_secs_f64();
         let confirmed = self.confirmed.released(contact.map_or(0.0, age));
         self.uncertain
@@ -160,6 +198,58 @@
             .fold(confirmed, u64::min)
     }
 
+    /// Tokens that the daemon may spend in total at `now` by the newest grant of which another VM knows.
+    pub fn witnessed_limit(&self, now: Instant) -> u64 {
+        let read = |own: &&OwnGrant| now.saturating_duration_since(own.at) >= READ_BY_OTHERS;
+        let known = self.unwitnessed.iter().rfind(read);
+        let known = known.or(self.witnessed.as_ref());
+        known.map_or(0, |own| {
+            let age = now.saturating_duration_since(own.dated.basis);
+            own.dated.grant.released(age.as_secs_f64())
+        })
+    }
+
+    /// Records that the store has `own` as the newest grant. Others know of it at once if there are none.
+    pub fn record_row(&mut self, own: OwnGrant, alone: bool) {
+        let read = |old: &OwnGrant| own.at.saturating_duration_since(old.at) >= READ_BY_OTHERS;
+        if let Some(i) = self.unwitnessed.iter().rposition(read) {
+            self.witnessed = self.unwitnessed.drain(..=i).next_back();
+        }
+        if alone {
+            self.witnessed = Some(own);
+            self.unwitnessed.clear();
+            return;
+        }
+        // What was returned is not spent, though others knew that it was held.
+        let cap = own.dated.grant.cap;
+        for old in self.witnessed.iter_mut().chain(&mut self.unwitnessed) {
+            let least = old.dated.grant.cap.min(cap);
+            old.dated.grant.keep_cap(least);
+        }
+        let last = self.unwitnessed.last();
+        if last.is_none_or(|last| own.at >= last.at + REMEMBERED_SPACING) {
+            self.unwitnessed.push(own);
+        }
+    }
+
+    /// Records that another VM knows of `own`.
+    pub fn record_witness(&mut self, own: OwnGrant) {
+        if self
+            .witnessed
+            .is_some_and(|known| known.number > own.number)
+        {
+            return;
+        }
+        self.witnessed = Some(own);
+        self.unwitnessed.retain(|later| later.number > own.number);
+    }
+
+    /// Tokens that are committed to this daemon whichever of its writes took effect.
+    pub fn least_cap(&self) -> u64 {
+        let uncertain = self.uncertain.iter().map(|d| d.grant.cap);
+        uncertain.fold(self.confirmed.cap, u64::min)
+    }
+
     /// Reserves `cost` tokens for a request, if the spend limit allows it.
     pub fn reserve(&mut self, cost: u64, contact: Option<Instant>, now: Instant) -> bool {
         if self.used().saturating_add(cost) > self.spend_limit(contact, now) {
--- a/edge/src/prepaid/ledger/membership.rs
+++ b/edge/src/prepaid/ledger/membership.rs
@@ -49,7 +49,10 @@
     }
 
     /// Rows of the other daemons that are known to run, with the names of their VMs.
-    fn running_peers(&self, now: Instant) -> impl Iterator<Item = (&String, &DaemonRow)> {
+    pub(super) fn running_peers(
+        &self,
+        now: Instant,
+    ) -> impl Iterator<Item = (&String, &DaemonRow)> {
         self.peer_rows
             .iter()
             .map(|(name, (_, row))| (name, row))
--- a/edge/src/prepaid/ledger/mod.rs
+++ b/edge/src/prepaid/ledger/mod.rs
@@ -2,7 +2,10 @@
 
 mod admission;
 mod membership;
+mod notices;
 mod prospects;
+mod reads;
+mod recovery;
 mod sizing;
 mod takeover;
 mod turns;
@@ -21,6 +24,7 @@
 };
 
 pub use admission::Admission;
+pub use notices::GrantNotice;
 pub use writes::{
     WritePlan,
     WriteScope, //
@@ -33,13 +37,20 @@
     DaemonRow,
     Grant,
     Member,
-    Row,
-    Rows,
     TokenPlace,
-    Whereabouts,
-    audit, //
+    Whereabouts, //
+};
+use crate::{
+    adapter::{
+        Era,
+        StoreVersion, //
+    },
+    catalog::CustomerId,
+};
+use notices::{
+    NoticedGrants,
+    OwnNotice, //
 };
-use crate::catalog::CustomerId;
 
 /// Interval between two writes of the daemon's row. The age of the row after a restart includes up
 /// to two intervals.
@@ -60,10 +71,6 @@
 /// Time for which a reclaimed reserve is not held again: several writes of the daemon that lacks tokens.
 const RECLAIM_TIME: Duration = Duration::from_millis(1500);
 
-/// Longest time between two reads of all rows that is not an outage: more than two of the interval of a
-/// daemon without grants.
-const MAX_READ_GAP: Duration = Duration::from_secs(5);
-
 /// Tokens reserved for one open request.
 #[derive(Clone, Debug)]
 pub struct Reservation {
@@ -93,7 +100,7 @@
 /// for version in [1, 2] {
 ///     ledger.adjust_waiting("ann", 100, true);
 ///     let plan = ledger.plan_write(now, Default::default()).unwrap();
-///     ledger.apply_outcome(&plan, CommitOutcome::Done { version, now: version }, now);
+///     ledger.apply_outcome(&plan, CommitOutcome::Done { version, now: version, era: 0 }, now);
 /// }
 /// assert_eq!(ledger.admit("ann", 100, now), Admission::Taken);
 /// ```
@@ -120,7 +127,29 @@
     leaving: bool,
     /// Sequence number of the newest write.
     number: u64,
-    /// Version of the own row.
+    /// Newest era of the store that any answer has named.
+    era: Option<Era>,
+    /// Era in which this process began.
+    began: Option<Era>,
+    /// Time at which this process learned of the newest era.
+    era_since: Option<Instant>,
+    /// Whether the store has the mark of the era.
+    era_marked: bool,
+    /// Newest era in which the store has all that this process knows of the rows of others.
+    reconciled: Option<Era>,
+    /// Tokens committed to this daemon by customer, from the begin of an era until its row has them again.
+    claims: Option<BTreeMap<String, u64>>,
+    /// Own row in the store while it is not one that this process wrote in this era.
+    stored: Option<DaemonRow>,
+    /// Newest rows of other daemons known from before this era, until the store has them or later ones.
+    former: BTreeMap<String, DaemonRow>,
+    /// Number of processes on this VM that had a row before this one.
+    takeovers: u64,
+    /// What others have told of tokens that their rows may not show yet.
+    notices: HashMap<String, NoticedGrants>,
+    /// Own notices that no other VM has acknowledged.
+    unacknowledged: Vec<OwnNotice>,
+    /// Version of the own row in this era.
     version: u64,
     /// Newest known store time, in milliseconds, and the local time at which it was received.
     store_time: (u64, Option<Instant>),
@@ -130,9 +159,9 @@
     exclusive_since: Option<Instant>,
     accounts: HashMap<String, Account>,
     /// Version and content of the customer rows.
-    customer_rows: HashMap<String, (u64, CustomerRow)>,
+    customer_rows: HashMap<String, (StoreVersion, CustomerRow)>,
     /// Version and content of the rows of other daemons.
-    peer_rows: HashMap<String, (u64, DaemonRow)>,
+    peer_rows: HashMap<String, (StoreVersion, DaemonRow)>,
     /// Time of the newest read of all rows.
     last_read: Option<Instant>,
     /// Time at which it was received.
@@ -144,7 +173,7 @@
     limits: HashMap<String, u64>,
     /// Row of the previous process with its possible reservation charged; empty if there was none.
     inherited: Option<DaemonRow>,
-    /// Whether all rows have been read once.
+    /// Whether all rows have been read once in this era.
     rows_read: bool,
     accepted_writes: u64,
     /// Rows in the newest answer that are older than known ones.
@@ -167,6 +196,17 @@
             fenced: false,
             leaving: false,
             number: 0,
+            era: None,
+            began: None,
+            era_since: None,
+            era_marked: false,
+            reconciled: None,
+            claims: None,
+            stored: None,
+            former: BTreeMap::new(),
+            takeovers: 0,
+            notices: HashMap::new(),
+            unacknowledged: Vec::new(),
             version: 0,
             store_time: (0, None),
             contact: None,
@@ -302,8 +342,8 @@
     /// Where the tokens of `customer` are, as far as this daemon knows.
     pub fn whereabouts(&self, customer: &str, now: Instant) -> Whereabouts {
         let limit = self.limits.get(customer).copied().unwrap_or(0);
-        let row = self.customer_rows.get(customer);
-        let mut found = Whereabouts::new(limit, row.map_or(0, |(_, sum)| sum.committed));
+        let (_, sum) = self.customer_row(customer);
+        let mut found = Whereabouts::new(limit, sum.committed);
         if let Some(account) = self.accounts.get(customer) {
             let grant = Grant {
                 spent: account.spent,
@@ -327,14 +367,22 @@
         found
     }
 
-    /// Tokens of `customer` that are not committed to any daemon.
-    fn free(&self, customer: &str) -> u64 {
+    /// Version and content of the customer's row in this era; version 0 if there is none.
+    fn customer_row(&self, customer: &str) -> (u64, CustomerRow) {
+        let row = self.customer_rows.get(customer);
+        row.filter(|(version, _)| Some(version.era) == self.era)
+            .map_or_else(Default::default, |(version, sum)| (version.number, *sum))
+    }
+
+    /// Tokens of `customer` that are not committed to any daemon. After the store came back from a copy, what
+    /// daemons have drawn since is not known before they have written it again.
+    fn free(&self, customer: &str, now: Instant) -> u64 {
+        if !self.is_settled(now) {
+            return 0;
+        }
         let limit = self.limits.get(customer).copied().unwrap_or(0);
-        let committed = self
-            .customer_rows
-            .get(customer)
-            .map_or(0, |(_, s)| s.committed);
-        limit.saturating_sub(committed)
+        let (_, sum) = self.customer_row(customer);
+        limit.saturating_sub(sum.committed)
     }
 
     /// Reserves `cost` tokens of `customer` for a request.
@@ -417,82 +465,6 @@
         }
     }
 
-    /// Applies rows that were requested at `asked` and received at `received`; `whole` if these are
-    /// all rows of the store.
-    pub fn apply_rows(&mut self, rows: Rows, whole: bool, asked: Instant, received: Instant) {
-        let now = rows.now;
-        self.record_store_time(now, received);
-        self.older_rows = rows.rows.iter().filter(|row| self.is_older(row)).count();
-        if whole {
-            self.rows_read = true;
-            self.read_at = Some(received);
-            self.skip_unread_time(asked);
-            self.audits = audit(&rows, &self.limits, |name| self.is_silent(name, asked));
-        }
-        for row in rows.rows {
-            match row {
-                Row::Customer(name, version, sum) => {
-                    let entry = self
-                        .customer_rows
-                        .entry(name)
-                        .or_insert((0, CustomerRow::default()));
-                    if version >= entry.0 {
-                        *entry = (version, sum);
-                    }
-                }
-                // What another writer has put in place of the row of the previous process hides its grants:
-                // they stay committed, and this process begins without any.
-                Row::Unreadable(name, version) if name == self.node && !self.owned => {
-                    self.apply_own_row(version, DaemonRow::default(), now, asked..received);
-                }
-                Row::Unreadable(..) => {}
-                Row::Daemon(name, version, row) if name == self.node => {
-                    self.apply_own_row(version, row, now, asked..received);
-                }
-                Row::Daemon(name, version, row) => {
-                    let newer = self.peer_rows.get(&name).is_none_or(|(v, _)| version >= *v);
-                    if newer {
-                        let old = self.peer_rows.insert(name.clone(), (version, row));
-                        if old.is_none_or(|(v, _)| v != version) {
-                            self.changed_at.insert(name, asked);
-                        }
-                    }
-                }
-            }
-        }
-        if whole && !self.owned && self.inherited.is_none() {
-            // There is no row of a previous process to take over.
-            self.inherited = Some(DaemonRow::default());
-        }
-        if whole {
-            self.update_holders(asked, received);
-        }
-    }
-
-    /// Whether a newer version of `row` is known.
-    fn is_older(&self, row: &Row) -> bool {
-        let known = match row {
-            Row::Customer(name, ..) => self.customer_rows.get(name).map(|(v, _)| *v),
-            Row::Daemon(name, ..) | Row::Unreadable(name, _) if *name == self.node => {
-                Some(self.version)
-            }
-            Row::Daemon(name, ..) | Row::Unreadable(name, _) => {
-                self.peer_rows.get(name).map(|(v, _)| *v)
-            }
-        };
-        known.is_some_and(|known| row.version() < known)
-    }
-
-    /// Lets a time without a read of all rows count for no daemon: it says nothing about their writes, and
-    /// in an outage of the store none of them can write. `asked` is the time of the present read.
-    fn skip_unread_time(&mut self, asked: Instant) {
-        let last = self.last_read.replace(asked);
-        let gap = last.map_or(Duration::ZERO, |at| asked.saturating_duration_since(at));
-        if gap > MAX_READ_GAP {
-            self.changed_at.values_mut().for_each(|at| *at += gap);
-        }
-    }
-
     /// Whether the daemon on the VM `name` has not written its row for [`SILENT_AFTER`], not counting
     /// times without a read.
     fn is_silent(&self, name: &str, now: Instant) -> bool {
--- a/edge/src/prepaid/ledger/prospects.rs
+++ b/edge/src/prepaid/ledger/prospects.rs
@@ -50,9 +50,9 @@
     /// the rest of the grant are too few.
     pub fn is_pool_short(&self, customer: &str, cost: u64, now: Instant) -> bool {
         let rest = self.accounts.get(customer).map_or(0, |a| {
-            a.spend_limit(self.contact, now).saturating_sub(a.used())
+            a.write_limit(self.contact, now).saturating_sub(a.used())
         });
-        self.free(customer) + rest < cost
+        self.free(customer, now) + rest < cost
     }
 
     /// Addresses of daemons that are not holders but have unused tokens of `customer`, most tokens first.
--- a/edge/src/prepaid/ledger/sizing.rs
+++ b/edge/src/prepaid/ledger/sizing.rs
@@ -59,7 +59,7 @@
 
 /// Tokens of the users' largest request. A burst is no larger, and once the store has been unreachable for long
 /// the release adds as many.
-const LARGEST_REQUEST: u64 = 70_000;
+pub(super) const LARGEST_REQUEST: u64 = 70_000;
 
 /// Surplus or shortfall of a small grant that is not worth changing the customer's row, in tokens.
 const MIN_SLACK_TOKENS: u64 = 3000;
@@ -138,7 +138,7 @@
             let shortfall = wanted - old.cap;
             let worth_write = needed > old.cap || shortfall > slack;
             if worth_write {
-                old.cap + shortfall.min(self.free(name))
+                old.cap + shortfall.min(self.free(name, now))
             } else {
                 old.cap
             }
--- a/edge/src/prepaid/ledger/takeover.rs
+++ b/edge/src/prepaid/ledger/takeover.rs
@@ -37,13 +37,18 @@
         if version < self.version {
             return;
         }
+        let is_own = row.process == self.process && row.era == self.era;
+        if self.claims.is_some() && !is_own {
+            self.apply_copied_row(version, row);
+            return;
+        }
         if self.owned && row.process != self.process {
             self.fenced = true;
             return;
         }
         if row.process == self.process {
             if version > self.version {
-                self.confirm_write(version, row.number, &row.grants);
+                self.confirm_write(version, row.number, &row.grants, (call.end, call.end));
                 // The row may contain a later store time than the last accepted write, so the
                 // release starts again.
                 self.contact = self.contact.max(Some(call.end));
@@ -59,10 +64,19 @@
         let elapsed = Duration::from_millis(now.saturating_sub(row.seen)).saturating_sub(exclusive);
         let age = elapsed.as_secs_f64() * CLOCK_DRIFT;
         let mut inherited = row.clone();
-        for grant in inherited.grants.values_mut() {
-            grant.spent = grant.released(age);
+        let doubtful = self.is_doubtful(&row);
+        let vouched = !doubtful || self.has_witness();
+        for (name, grant) in &mut inherited.grants {
+            let released = grant.released(age);
+            grant.spent = match vouched {
+                true => released,
+                false => released.max(self.likely_spent(name, grant, age)),
+            };
             grant.issued = grant.spent;
             grant.open = 0;
+            if doubtful {
+                grant.cap = grant.spent;
+            }
         }
         let charged: u64 = row
             .grants
@@ -74,11 +88,13 @@
             })
             .sum();
         log::info!(
-            "event=grants_inherited process={} age_ms={} customers={} charged_unknown={charged}",
+            "event=grants_inherited process={} age_ms={} customers={} charged_unknown={charged} doubtful={doubtful} vouched={vouched}",
             row.process,
             elapsed.as_millis(),
             inherited.grants.len()
         );
+        self.takeovers = row.takeovers + 1;
         self.inherited = Some(inherited);
+        self.stored = Some(row);
     }
 }
--- a/edge/src/prepaid/ledger/writes.rs
+++ b/edge/src/prepaid/ledger/writes.rs
@@ -12,13 +12,21 @@
         CommitOutcome,
         CustomerRow,
         DaemonRow,
+        DatedGrant,
         Grant,
-        Precondition,
-        UncertainGrant, //
+        OwnGrant,
+        Precondition, //
     },
     Ledger,
+    recovery::cap_changes,
+};
+use crate::{
+    adapter::{
+        Era,
+        StoreVersion, //
+    },
+    decide::Observations,
 };
-use crate::decide::Observations;
 
 /// Which rows a write contains.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -35,7 +43,7 @@
 
 /// Most customers' rows in one write: a transaction of the store holds at most 100 entries, two for each
 /// row.
-const MAX_CUSTOMER_ROWS: usize = 45;
+pub(super) const MAX_CUSTOMER_ROWS: usize = 45;
 
 /// A customer whose row a write concerns.
 #[derive(Debug)]
@@ -54,17 +62,43 @@
     }
 }
 
-/// A planned write of the daemon's row, to be passed back with its outcome.
+/// Which daemon's row a write contains.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum PlannedRow {
+    /// Row of this process.
+    Own,
+    /// Row of an earlier process on this VM, whose name it is.
+    Copied(String),
+}
+
+/// A planned write of a daemon's row, to be passed back with its outcome.
 #[derive(Clone, Debug)]
 pub struct WritePlan {
     /// Rows to write.
     pub batch: Batch,
+    row: PlannedRow,
+    /// Era in which the write was planned. It tells nothing of another one.
+    era: Option<Era>,
     number: u64,
     grants: BTreeMap<String, Grant>,
     /// Time at which the write was planned.
     sent: Instant,
 }
 
+impl WritePlan {
+    /// Plan of a write that is not the next one of this process.
+    pub(super) fn new(batch: Batch, row: PlannedRow, era: Option<Era>, sent: Instant) -> WritePlan {
+        WritePlan {
+            batch,
+            row,
+            era,
+            number: 0,
+            grants: BTreeMap::new(),
+            sent,
+        }
+    }
+}
+
 impl Ledger {
     /// Plans the next write; `None` if the rows have not been read yet or another process has
     /// replaced the own row.
@@ -83,12 +117,15 @@
             return None;
         }
         if !self.owned {
-            return self.plan_first(now, observed);
+            return self.plan_takeover(now, observed, scope);
         }
-        let mut batch = Batch {
-            preconditions: vec![Precondition::Daemon(self.node.clone(), self.version)],
-            ..Batch::default()
-        };
+        if self.claims.is_some() {
+            return self.plan_reassertion(now, observed, scope);
+        }
+        if let Some(plan) = self.plan_restoration(now) {
+            return Some(plan);
+        }
+        let mut batch = self.own_batch();
         let (mut grants, mut changes) = self.next_grants(now);
         changes.sort_by_key(|change| Reverse(change.urgency));
         let most = match scope {
@@ -139,8 +176,7 @@
     /// Adds the customer's row to `batch`. Without a change it is only a precondition: the write conflicts
     /// if the row is newer than known, and so tells of tokens that others have returned.
     fn add_change(&self, batch: &mut Batch, change: GrantChange) {
-        let row = self.customer_rows.get(&change.customer);
-        let (version, sum) = row.copied().unwrap_or_default();
+        let (version, sum) = self.customer_row(&change.customer);
         batch
             .preconditions
             .push(Precondition::Customer(change.customer.clone(), version));
@@ -159,7 +195,7 @@
     }
 
     /// Names of all customers with a limit or an account, sorted.
-    fn account_names(&self) -> Vec<String> {
+    pub(super) fn account_names(&self) -> Vec<String> {
         let mut names: Vec<String> = self.limits.keys().cloned().collect();
         names.extend(self.accounts.keys().cloned());
         names.sort();
@@ -167,20 +203,40 @@
         names
     }
 
-    /// Plans the write that replaces the row of the previous process.
-    fn plan_first(&mut self, now: Instant, observed: Observations) -> Option<WritePlan> {
+    /// Plans the write that replaces the row of the previous process. A row of the copy is left alone until all
+    /// daemons have written what they know of it; what its process cannot have spent of it is returned, as others may
+    /// have got it since.
+    fn plan_takeover(
+        &mut self,
+        now: Instant,
+        observed: Observations,
+        scope: WriteScope,
+    ) -> Option<WritePlan> {
+        if let Some(plan) = self.plan_restoration(now) {
+            return Some(plan);
+        }
         let row = self.inherited.clone()?;
-        let batch = Batch {
-            preconditions: vec![Precondition::Daemon(self.node.clone(), self.version)],
-            ..Batch::default()
+        let Some(stored) = self.stored.clone().filter(|row| self.is_doubtful(row)) else {
+            return Some(self.finish_plan(self.own_batch(), row.grants, observed, now));
         };
-        Some(self.finish_plan(batch, row.grants, observed, now))
+        if !self.is_settled(now) {
+            return self.plan_attestation(now);
+        }
+        let caps = row
+            .grants
+            .iter()
+            .map(|(name, grant)| (name.clone(), grant.cap));
+        let changes = cap_changes(&stored, &caps.collect(), |old, new| old != new);
+        match self.plan_changes(stored, changes, scope, now) {
+            Ok(batch) => Some(self.finish_plan(batch, row.grants, observed, now)),
+            Err(plan) => Some(*plan),
+        }
     }
 
     /// Adds this daemon's row with `grants` and `observed` to `batch`, and returns the plan of the
     /// write. The grants count as uncertain from then on, until the outcome of the write is known.
     /// `observed` is what this daemon reports to the others; `sent` is the time of planning.
-    fn finish_plan(
+    pub(super) fn finish_plan(
         &mut self,
         mut batch: Batch,
         grants: BTreeMap<String, Grant>,
@@ -205,12 +261,17 @@
                     .collect(),
                 strikes: Vec::new(),
                 observed,
+                era: self.era,
+                began: self.began,
+                takeovers: self.takeovers,
+                reconciled: self.reconciled,
             },
         ));
+        self.guard_era(&mut batch);
         if self.owned {
             for (name, grant) in &grants {
                 let account = self.accounts.entry(name.clone()).or_default();
-                account.uncertain.push(UncertainGrant {
+                account.uncertain.push(DatedGrant {
                     grant: *grant,
                     basis: self.store_time.1.unwrap_or(sent),
                 });
@@ -218,18 +279,22 @@
         }
         WritePlan {
             batch,
+            row: PlannedRow::Own,
+            era: self.era,
             number: self.number,
             grants,
             sent,
         }
     }
 
-    /// Records that the store contains the write `number` as `version` of the own row.
+    /// Records that the store contains the write `number` as `version` of the own row, since `at` at the latest. The
+    /// store time in the row was received at `basis` or before.
     pub(super) fn confirm_write(
         &mut self,
         version: u64,
         number: u64,
         grants: &BTreeMap<String, Grant>,
+        (basis, at): (Instant, Instant),
     ) {
         let first = !self.owned;
         if first {
@@ -238,32 +303,56 @@
         self.owned = true;
         self.version = version;
         self.number = self.number.max(number);
+        self.claims = None;
+        self.stored = None;
         for name in grants.keys() {
             self.accounts.entry(name.clone()).or_default();
         }
+        let alone = self.peer_rows.values().all(|(_, row)| row.leaving);
+        let mut returned = Vec::new();
         for (name, account) in &mut self.accounts {
             // A row does not contain empty grants.
-            account.confirmed = grants.get(name).copied().unwrap_or_default();
+            let grant = grants.get(name).copied().unwrap_or_default();
+            if grant.cap < account.confirmed.cap {
+                returned.push(name.clone());
+            }
+            let dated = DatedGrant { grant, basis };
+            account.record_row(OwnGrant { dated, number, at }, alone || first);
+            account.confirmed = grant;
             account.uncertain.clear();
             if first {
                 account.spent += account.confirmed.spent;
             }
         }
+        returned.iter().for_each(|name| self.withdraw_notices(name));
     }
 
     /// Applies the outcome of `plan`.
     pub fn apply_outcome(&mut self, plan: &WritePlan, commit: CommitOutcome, now: Instant) {
         match commit {
             CommitOutcome::Done {
-                version, now: time, ..
+                version,
+                now: time,
+                era,
             } => {
-                self.confirm_write(version, plan.number, &plan.grants);
+                // In a later era the store has performed it on the rows of the copy.
+                if !self.enter_era(era, now) || plan.era.is_some_and(|planned| planned != era) {
+                    return;
+                }
+                self.record_store_time(time, now);
+                self.era_marked |= !plan.batch.eras.is_empty();
+                let number = version;
+                let version = StoreVersion { era, number };
                 for (name, sum) in &plan.batch.customers {
                     self.customer_rows.insert(name.clone(), (version, *sum));
                 }
+                if let PlannedRow::Copied(name) = &plan.row {
+                    self.confirm_copied_row(name, &plan.batch, version);
+                    return;
+                }
+                self.confirm_write(number, plan.number, &plan.grants, (plan.sent, now));
                 self.contact = Some(now);
                 self.accepted_writes += 1;
-                self.record_store_time(time, now);
             }
             CommitOutcome::Conflict(rows) => {
                 // The write had no effect. An earlier write of unknown outcome either shows in the
--- a/edge/src/prepaid/mod.rs
+++ b/edge/src/prepaid/mod.rs
@@ -23,8 +23,9 @@
 };
 pub use grant::{
     Account,
+    DatedGrant,
     Grant,
-    UncertainGrant, //
+    OwnGrant, //
 };
 pub use holders::{
     Member,
@@ -33,6 +34,7 @@
 };
 pub use ledger::{
     Admission,
+    GrantNotice,
     Ledger,
     Reservation,
     WRITE_INTERVAL,
@@ -54,6 +56,7 @@
     MAX_TOTAL,
     Precondition,
     Row,
+    RowOrder,
     Rows, //
 };
 pub use whereabouts::{
--- a/edge/src/prepaid/pacing.rs
+++ b/edge/src/prepaid/pacing.rs
@@ -14,6 +14,9 @@
 /// Interval between two reads of all rows by a daemon that holds grants.
 const READ_INTERVAL: Duration = Duration::from_millis(1000);
 
+/// Interval between two reads while daemons that hold grants wait for others to write their rows again.
+const RECOVERY_READ_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Shortest time between two reads, as a fraction of [`READ_INTERVAL`]; a nearer turn is skipped.
 const MIN_READ_FRACTION: f64 = 0.3;
 
@@ -144,7 +147,7 @@
 
 /// Interval until the next regular write of the own row.
 pub fn write_interval(ledger: &Ledger, random: f64) -> Duration {
-    if ledger.has_waiting() {
+    if ledger.has_waiting() || ledger.is_recovering() {
         return WAITING_WRITE_INTERVAL;
     }
     if !ledger.is_owned() || ledger.is_holder() || ledger.is_leaving() {
@@ -158,6 +161,9 @@
 
 /// Interval until the next read of all rows. A holder reads at its turn.
 pub fn read_interval(ledger: &Ledger, now: Instant, random: f64) -> Duration {
+    if !ledger.is_settled(now) && (ledger.is_holder() || !ledger.is_owned()) {
+        return RECOVERY_READ_INTERVAL;
+    }
     if let Some(wait) = ledger.turn_wait(READ_INTERVAL, now) {
         return match wait < READ_INTERVAL.mul_f64(MIN_READ_FRACTION) {
             true => wait + READ_INTERVAL,
--- a/edge/src/prepaid/row.rs
+++ b/edge/src/prepaid/row.rs
@@ -40,6 +40,19 @@
     /// Whether the daemon is stopping.
     #[serde(default)]
     pub leaving: bool,
+    /// Era of the store in which the process wrote the row; `None` in rows of earlier versions.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub era: Option<Era>,
+    /// Era in which the process began.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub began: Option<Era>,
+    /// Number of processes on this VM that had a row before this one.
+    #[serde(default)]
+    pub takeovers: u64,
+    /// Newest era in which the store has all that this VM knows of the rows of others; `None` in rows of earlier
+    /// versions, whose daemons compare nothing.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub reconciled: Option<Era>,
     /// Grants by customer.
     pub grants: BTreeMap<String, Grant>,
     /// Always empty; daemons of the earlier version read it.
@@ -50,14 +63,23 @@
     pub observed: Observations,
 }
 
+/// Order in which the processes of one VM write its row: era, process, write.
+pub type RowOrder = (Option<Era>, u64, u64);
+
 impl DaemonRow {
+    /// Place of the row among all that were written for its VM. It does not depend on the versions of the store.
+    pub fn order(&self) -> RowOrder {
+        (self.era, self.takeovers, self.number)
+    }
+
+    /// Tokens of `customer` that are committed to the daemon.
+    pub fn cap(&self, customer: &str) -> u64 {
+        self.grants.get(customer).map_or(0, |g| g.cap)
+    }
+
     /// Whether a daemon can have written it.
     pub fn is_plausible(&self) -> bool {
-        let fits = |g: &Grant| {
-            let figures = [g.cap, g.issued, g.spent, g.open, g.rate];
-            figures.iter().all(|n| *n <= MAX_TOTAL)
-        };
-        self.seen <= MAX_TOTAL && self.grants.values().all(fits)
+        self.seen <= MAX_TOTAL && self.grants.values().all(Grant::is_plausible)
     }
 }
 
@@ -79,11 +101,13 @@
 #[derive(Clone, Debug)]
 pub enum Row {
     /// Row of a daemon.
-    Daemon(String, u64, DaemonRow),
+    Daemon(String, u64, Box<DaemonRow>),
     /// Row of a customer.
     Customer(String, u64, CustomerRow),
     /// Row of a daemon that can't be decoded: name and version.
     Unreadable(String, u64),
+    /// Mark of an era, with its version.
+    Era(Era, u64),
 }
 
 impl Row {
@@ -91,7 +115,7 @@
     pub fn version(&self) -> u64 {
         match self {
             Row::Daemon(_, version, _) | Row::Customer(_, version, _) => *version,
-            Row::Unreadable(_, version) => *version,
+            Row::Unreadable(_, version) | Row::Era(_, version) => *version,
         }
     }
 }
@@ -115,6 +139,8 @@
     Daemon(String, u64),
     /// Row of a customer.
     Customer(String, u64),
+    /// No mark of this era.
+    NoEra(Era),
 }
 
 /// Writes that the store applies atomically.
@@ -126,6 +152,8 @@
     pub daemon: Option<(String, DaemonRow)>,
     /// New rows of customers.
     pub customers: Vec<(String, CustomerRow)>,
+    /// Eras to mark.
+    pub eras: Vec<Era>,
 }
 
 /// Outcome of a batch.
--- a/edge/src/serve/core.rs
+++ b/edge/src/serve/core.rs
@@ -123,6 +123,8 @@
     pub tokens_freed: Notify,
     /// Wakes the task that writes the daemon's row.
     pub writer_wake: Notify,
+    /// Wakes the task that reads the rows.
+    pub reader_wake: Notify,
     /// Notified when a runner may have become available; wakes requests that wait for one.
     pub runner_freed: Notify,
     /// Notified when state changes that other daemons are told of.
@@ -195,6 +197,7 @@
             ledger: RefCell::new(ledger),
             tokens_freed: Notify::new(),
             writer_wake: Notify::new(),
+            reader_wake: Notify::new(),
             runner_freed: Notify::new(),
             state_changed: Notify::new(),
             directory: RefCell::default(),
@@ -289,17 +292,25 @@
             .is_some_and(|at| now.duration_since(at) < MAX_CONFIRMATION_AGE)
     }
 
-    /// Records the era that an answer of the store to `call` has named.
-    pub fn note_era(&self, era: Era, call: &str) {
+    /// Records the era that an answer of the store to `call` has named. Returns whether the answer counts: what the
+    /// store said in an earlier era does not hold any more.
+    pub fn note_era(&self, era: Era, call: &str) -> bool {
         let known = self.store_era.get();
         if known == Some(era) {
-            return;
+            return true;
         }
         log::info!(
             "event=store_era era={era} known={} call={call}",
             known.map_or_else(|| "-".to_owned(), |e| e.to_string())
         );
-        self.store_era.set(known.max(Some(era)));
+        if known > Some(era) {
+            return false;
+        }
+        self.store_era.set(Some(era));
+        self.ledger.borrow_mut().enter_era(era, Instant::now());
+        self.reader_wake.notify_one();
+        self.writer_wake.notify_one();
+        true
     }
 
     /// Records that the runner entries were read from the store at `now`.
--- a/edge/src/serve/mod.rs
+++ b/edge/src/serve/mod.rs
@@ -9,6 +9,7 @@
 mod evacuations;
 mod even_load;
 mod exchange;
+mod grant_notices;
 mod handler;
 mod holders;
 mod load_reports;
--- a/edge/tests/budget_world/mod.rs
+++ b/edge/tests/budget_world/mod.rs
@@ -396,6 +396,30 @@
         if let Some(ledger) = &mut self.nodes[i].ledger {
             ledger.apply_outcome(plan, commit, instant);
         }
+        self.tell(i);
+    }
+
+    /// Tells up to seven other daemons of the tokens that node `i` has drawn.
+    fn tell(&mut self, i: usize) {
+        let instant = self.instant(i);
+        let ledger = self.nodes[i].ledger.as_mut();
+        let Some(notice) = ledger.and_then(|l| l.take_notice(instant)) else {
+            return;
+        };
+        let (now, count) = (self.now, self.nodes.len());
+        let others = (1..count).map(|step| (i + step) % count);
+        let up: Vec<usize> = others
+            .filter(|j| self.nodes[*j].ledger.is_some() && now >= self.nodes[*j].frozen_until)
+            .take(7)
+            .collect();
+        for j in &up {
+            if let Some(ledger) = &mut self.nodes[*j].ledger {
+                ledger.record_notice(notice.clone());
+            }
+        }
+        if let Some(ledger) = self.nodes[i].ledger.as_mut().filter(|_| !up.is_empty()) {
+            ledger.acknowledge(notice.number);
+        }
     }
 
     /// Tokens of `customer` that were really consumed. Open requests count with the tokens that
--- a/edge/tests/holder_world/rows.rs
+++ b/edge/tests/holder_world/rows.rs
@@ -81,6 +81,11 @@
         self.outcome.commit_ms += now - write.sent;
         let conflict = matches!(commit, CommitOutcome::Conflict(_));
         ledger.apply_outcome(&write.plan, commit, instant);
+        self.tell(i);
+        let node = &mut self.nodes[i];
+        let Some(ledger) = &node.ledger else {
+            return;
+        };
         if !conflict && !node.pacing.leaves_rows() {
             node.pacing.record_success();
             return;
@@ -97,4 +102,26 @@
         };
         node.next_write = now + pause.as_millis() as u64;
     }
+
+    /// Tells up to seven other daemons of the tokens that node `i` has drawn.
+    fn tell(&mut self, i: usize) {
+        let instant = self.instant(i);
+        let Some(ledger) = &mut self.nodes[i].ledger else {
+            return;
+        };
+        let Some(notice) = ledger.take_notice(instant) else {
+            return;
+        };
+        let witnesses = ledger.witnesses(instant).into_iter();
+        let nodes = witnesses.map(|a| usize::from(a.port()) - 10_000);
+        let up: Vec<usize> = nodes.filter(|j| self.is_up(*j)).take(7).collect();
+        for j in &up {
+            if let Some(ledger) = &mut self.nodes[*j].ledger {
+                ledger.record_notice(notice.clone());
+            }
+        }
+        if let Some(ledger) = self.nodes[i].ledger.as_mut().filter(|_| !up.is_empty()) {
+            ledger.acknowledge(notice.number);
+        }
+    }
 }
--- a/edge/tests/holders.rs
+++ b/edge/tests/holders.rs
@@ -88,6 +88,7 @@
             let plan = ledger.plan_write(at, Default::default()).unwrap();
             let commit = store.apply(&plan.batch, beat * 400);
             ledger.apply_outcome(&plan, commit, at);
+            tell(ledger, at);
         }
     }
     let now = start + Duration::from_millis(1200);
@@ -102,6 +103,14 @@
         let plan = ledger.plan_write(now, Default::default()).unwrap();
         let commit = store.apply(&plan.batch, 1200);
         ledger.apply_outcome(&plan, commit, now);
+        tell(ledger, now);
+    }
+}
+
+/// Lets another daemon acknowledge the tokens that `ledger` has drawn.
+fn tell(ledger: &mut Ledger, now: Instant) {
+    if let Some(notice) = ledger.take_notice(now) {
+        ledger.acknowledge(notice.number);
     }
 }
 
