Read all again when a feed answers in a new era

A daemon that did not see the store come back from a copy would go on from its old version and miss what was written since the copy, until the next change: callers would get 404 for new routes.

--- a/edge/src/fleet/feeds.rs
+++ b/edge/src/fleet/feeds.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     adapter::{
+        Era,
         FeedUpdate,
         OperatorChange,
         Store,
@@ -69,23 +70,69 @@
     }
 }
 
+/// Where a feed goes on.
+#[derive(Default)]
+struct FeedPosition {
+    /// Era of the newest answer.
+    era: Option<Era>,
+    /// Version after which the next read continues; `None` to read all.
+    version: Option<u64>,
+    /// Time at which all is read again: what a copy lacks has been written again by then.
+    reread_at: Option<Instant>,
+    /// Whether the newest answer is the first one of an era that is not the first.
+    is_first: bool,
+}
+
+impl FeedPosition {
+    /// Version after which the read at `now` continues, if the newest known era is `era`; `None` to read all.
+    fn since(&mut self, era: Option<Era>, now: Instant) -> Option<u64> {
+        let is_due = self.reread_at.take_if(|at| now >= *at).is_some();
+        if is_due || self.era != era {
+            self.version = None;
+        }
+        self.version
+    }
+
+    /// Continues after `feed`, which was received at `now`. Returns whether its items are all changes since the
+    /// position before: versions are given out again in a new era, so there they may not be.
+    fn advance<T>(&mut self, feed: &FeedUpdate<T>, now: Instant, grace: Duration) -> bool {
+        let is_new = self.era.is_some_and(|era| era != feed.era);
+        self.era = Some(feed.era);
+        if is_new {
+            self.reread_at = Some(now + grace);
+        }
+        self.is_first = is_new;
+        let is_complete = feed.is_snapshot || !is_new;
+        self.version = is_complete.then_some(feed.version);
+        is_complete
+    }
+
+    /// Reads all next: changes may have been missed.
+    fn restart(&mut self) {
+        self.version = None;
+    }
+}
+
 /// Follows the operator's configuration and evacuations until the process ends.
 pub async fn follow_configs<D, S: Store>(core: Rc<Core<D>>, store: Rc<S>) {
     let mut status = FeedStatus::new("config");
-    let mut since = None;
+    let mut position = FeedPosition::default();
     loop {
         let asked = Instant::now();
+        let since = position.since(core.store_era(), asked);
         match store.watch_configs(since, CONFIG_POLL_WAIT).await {
             Ok(feed) => {
                 status.succeeded();
-                core.note_era(feed.era, "configs");
-                core.ledger
-                    .borrow_mut()
-                    .record_store_time(feed.now_ms, Instant::now());
-                since = Some(feed.version);
+                let now = Instant::now();
+                let grace = core.bounds.get().lapse_grace;
+                if !core.note_era(feed.era, "configs") || !position.advance(&feed, now, grace) {
+                    continue;
+                }
+                core.ledger.borrow_mut().record_store_time(feed.now_ms, now);
                 let empty = feed.items.is_empty();
                 apply_operator_changes(&core, feed);
-                if core.config().is_some() {
+                // A copy may lack a newer configuration that was in force.
+                if core.config().is_some() && !core.is_settling(asked) {
                     core.confirm_config(asked);
                 }
                 count_store_call(&core, "configs", "ok");
@@ -96,9 +143,7 @@
             Err(fault) => {
                 status.failed(&fault);
                 count_store_call(&core, "configs", "failed");
-                // Changes during the failure may be missing from the feed: start from the newest
-                // version.
-                since = None;
+                position.restart();
                 sleep(RETRY_PAUSE).await;
             }
         }
@@ -125,18 +170,24 @@
 /// Follows the runners' entries until the process ends.
 pub async fn follow_runners<D, S: Store>(core: Rc<Core<D>>, store: Rc<S>) {
     let mut status = FeedStatus::new("runners");
-    let mut since = None;
+    let mut position = FeedPosition::default();
     loop {
+        let since = position.since(core.store_era(), Instant::now());
         match store.watch_runners(since, RUNNER_POLL_WAIT).await {
             Ok(feed) => {
                 let now = Instant::now();
-                core.note_era(feed.era, "runners");
-                core.ledger.borrow_mut().record_store_time(feed.now_ms, now);
-                if status.succeeded() {
-                    let grace = core.bounds.get().lapse_grace;
+                let grace = core.bounds.get().lapse_grace;
+                if !core.note_era(feed.era, "runners") {
+                    continue;
+                }
+                let is_complete = position.advance(&feed, now, grace);
+                if status.succeeded() || position.is_first {
                     core.directory.borrow_mut().start_grace(now, grace);
                 }
-                since = Some(feed.version);
+                if !is_complete {
+                    continue;
+                }
+                core.ledger.borrow_mut().record_store_time(feed.now_ms, now);
                 core.confirm_runners(now);
                 count_store_call(&core, "runners", "ok");
                 apply_entries(&core, feed.items, feed.is_snapshot, now);
@@ -145,7 +196,7 @@
             Err(fault) => {
                 status.failed(&fault);
                 count_store_call(&core, "runners", "failed");
-                since = None;
+                position.restart();
                 sleep(RETRY_PAUSE).await;
             }
         }
--- a/edge/src/serve/core.rs
+++ b/edge/src/serve/core.rs
@@ -149,6 +149,8 @@
     config_confirmed: Cell<Option<Instant>>,
     /// Newest era of the store that any of its answers has named.
     store_era: Cell<Option<Era>>,
+    /// Time at which this process learned that the store had come back from a copy.
+    restored_at: Cell<Option<Instant>>,
     /// Time at which the runner entries were last read from the store.
     runners_confirmed: Cell<Option<Instant>>,
     /// State of each runner that has been considered for a request.
@@ -210,6 +212,7 @@
             version: RefCell::new(None),
             config_confirmed: Cell::new(None),
             store_era: Cell::new(None),
+            restored_at: Cell::new(None),
             runners_confirmed: Cell::new(None),
             upstreams: RefCell::default(),
             retry_budgets: RefCell::default(),
@@ -306,13 +309,29 @@
         if known > Some(era) {
             return false;
         }
+        let now = Instant::now();
+        if known.is_some() {
+            self.restored_at.set(Some(now));
+        }
         self.store_era.set(Some(era));
-        self.ledger.borrow_mut().enter_era(era, Instant::now());
+        self.ledger.borrow_mut().enter_era(era, now);
         self.reader_wake.notify_one();
         self.writer_wake.notify_one();
         true
     }
 
+    /// Newest era of the store.
+    pub fn store_era(&self) -> Option<Era> {
+        self.store_era.get()
+    }
+
+    /// Whether the store has come back from a copy so recently that the operator and the runners may not have written
+    /// again what it has lost.
+    pub fn is_settling(&self, now: Instant) -> bool {
+        let since = self.restored_at.get();
+        since.is_some_and(|at| now.saturating_duration_since(at) < self.bounds.get().lapse_grace)
+    }
+
     /// Records that the runner entries were read from the store at `now`.
     pub fn confirm_runners(&self, now: Instant) {
         self.runners_confirmed.set(Some(now));
