Order evacuations by the era of the store, and keep those that a copy lacks

After the store came back from a copy a daemon ignored evacuations, and their ends, until the versions had grown past the old ones: states are compared by version. States are now ordered by era and version, also between daemons, and an evacuation that the copy lacks holds until the operator has had time to write it again.

--- a/edge/src/catalog/evacuations.rs
+++ b/edge/src/catalog/evacuations.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use super::ZoneId;
+use crate::adapter::StoreVersion;
 
 /// Evacuation of a data centre, or its return to service.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -21,20 +22,23 @@
 /// # Examples
 ///
 /// ```
-/// use cuminloom_edge::catalog::{EvacuationChange, Evacuations};
+/// use cuminloom_edge::{adapter::StoreVersion, catalog::{EvacuationChange, Evacuations}};
 ///
+/// let at = |era, number| StoreVersion { era, number };
 /// let mut evacuations = Evacuations::default();
 /// let change = EvacuationChange { zone: "z-1".into(), evacuated: true };
-/// evacuations.update(vec![change], 7);
+/// evacuations.update(vec![change], at(1, 7));
 /// assert!(evacuations.contains("z-1"));
 /// // A daemon that has missed the change reports an older state.
-/// assert!(evacuations.replace(Vec::new(), 6).is_empty());
+/// assert!(evacuations.replace(Vec::new(), at(1, 6)).is_empty());
 /// assert!(evacuations.contains("z-1"));
+/// // The store came back from a copy, and the operator has ended it since.
+/// assert_eq!(evacuations.replace(Vec::new(), at(2, 3)).len(), 1);
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Evacuations {
     /// Version of the store for which the data centres are complete; `None` before the first state.
-    version: Option<u64>,
+    version: Option<StoreVersion>,
     zones: BTreeSet<ZoneId>,
 }
 
@@ -44,7 +48,7 @@
     pub fn replace(
         &mut self,
         zones: impl IntoIterator<Item = ZoneId>,
-        version: u64,
+        version: StoreVersion,
     ) -> Vec<EvacuationChange> {
         if self.is_newer_than(version) {
             return Vec::new();
@@ -62,12 +66,23 @@
             .collect()
     }
 
+    /// Adds `zones` to the state, as the complete one of `version` but for data centres whose evacuation the store may
+    /// have lost. Returns what has changed.
+    pub fn extend(
+        &mut self,
+        zones: impl IntoIterator<Item = ZoneId>,
+        version: StoreVersion,
+    ) -> Vec<EvacuationChange> {
+        let all: Vec<ZoneId> = self.zones.iter().cloned().chain(zones).collect();
+        self.replace(all, version)
+    }
+
     /// Applies all changes up to `version` in their order, unless a newer state is known. Returns those that
     /// change something.
     pub fn update(
         &mut self,
         changes: impl IntoIterator<Item = EvacuationChange>,
-        version: u64,
+        version: StoreVersion,
     ) -> Vec<EvacuationChange> {
         let mut zones = self.zones.clone();
         for change in changes {
@@ -81,7 +96,7 @@
     }
 
     /// Whether a state newer than `version` is known.
-    fn is_newer_than(&self, version: u64) -> bool {
+    fn is_newer_than(&self, version: StoreVersion) -> bool {
         self.version.is_some_and(|known| version < known)
     }
 
@@ -96,7 +111,7 @@
     }
 
     /// Version of the store up to which the state is complete; `None` before the first state.
-    pub fn version(&self) -> Option<u64> {
+    pub fn version(&self) -> Option<StoreVersion> {
         self.version
     }
 }
--- a/edge/src/fleet/feeds.rs
+++ b/edge/src/fleet/feeds.rs
@@ -16,7 +16,8 @@
         FeedUpdate,
         OperatorChange,
         Store,
-        StoreError, //
+        StoreError,
+        StoreVersion, //
     },
     catalog::RunnerChange,
     serve::Core, //
@@ -161,7 +162,11 @@
             OperatorChange::Config(version) => configs.push(version),
         }
     }
-    core.apply_evacuations(evacuations, feed.is_snapshot, feed.version);
+    let version = StoreVersion {
+        era: feed.era,
+        number: feed.version,
+    };
+    core.apply_evacuations(evacuations, feed.is_snapshot, version);
     for version in configs {
         core.apply_config(version, "store");
     }
--- a/edge/src/peer/message.rs
+++ b/edge/src/peer/message.rs
@@ -14,6 +14,7 @@
 use tokio_tungstenite::tungstenite::Message;
 
 use crate::{
+    adapter::Era,
     catalog::{
         Runner,
         RunnerState, //
@@ -214,6 +215,9 @@
 /// The evacuated data centres as encoded in a reply.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PeerEvacuations {
+    /// Era of the store; daemons of the earlier version leave it out.
+    #[serde(default)]
+    pub era: Era,
     /// Version of the store up to which the list is complete.
     pub version: u64,
     /// Names of the data centres.
--- a/edge/src/serve/evacuations.rs
+++ b/edge/src/serve/evacuations.rs
@@ -4,6 +4,7 @@
 
 use super::Core;
 use crate::{
+    adapter::StoreVersion,
     catalog::{
         EvacuationChange,
         Runner, //
@@ -18,14 +19,22 @@
 
 impl<D> Core<D> {
     /// Applies what the feed of the store has said of evacuations up to `version`; `whole` if `changes` are all
-    /// evacuations in force.
-    pub fn apply_evacuations(&self, changes: Vec<EvacuationChange>, whole: bool, version: u64) {
+    /// evacuations in force. Those that a copy of the store lacks hold until they may be written again.
+    pub fn apply_evacuations(
+        &self,
+        changes: Vec<EvacuationChange>,
+        whole: bool,
+        version: StoreVersion,
+    ) {
         let mut evacuations = self.evacuations.borrow_mut();
-        let changed = if whole {
+        let begun = |changes: Vec<EvacuationChange>| {
             let begun = changes.into_iter().filter(|c| c.evacuated);
-            evacuations.replace(begun.map(|c| c.zone), version)
-        } else {
-            evacuations.update(changes, version)
+            begun.map(|c| c.zone)
+        };
+        let changed = match whole {
+            true if self.is_settling(Instant::now()) => evacuations.extend(begun(changes), version),
+            true => evacuations.replace(begun(changes), version),
+            false => evacuations.update(changes, version),
         };
         drop(evacuations);
         self.announce_evacuations(&changed, "store", version);
@@ -34,33 +43,46 @@
     /// Applies the evacuations that the daemon `source` knows, if its state is newer.
     pub fn merge_evacuations(&self, source: &str, state: PeerEvacuations) {
         let zones = state.zones.into_iter().map(Into::into);
-        let changed = self.evacuations.borrow_mut().replace(zones, state.version);
-        self.announce_evacuations(&changed, source, state.version);
+        let version = StoreVersion {
+            era: state.era,
+            number: state.version,
+        };
+        let changed = self.evacuations.borrow_mut().replace(zones, version);
+        self.announce_evacuations(&changed, source, version);
     }
 
     /// The evacuations that this daemon knows, for others that can't read the store; `None` before it knows any
     /// state.
     pub fn known_evacuations(&self) -> Option<PeerEvacuations> {
         let evacuations = self.evacuations.borrow();
+        let version = evacuations.version()?;
         Some(PeerEvacuations {
-            version: evacuations.version()?,
+            era: version.era,
+            version: version.number,
             zones: evacuations.zones().map(ToString::to_string).collect(),
         })
     }
 
     /// Logs and counts changes, closes idle connections to evacuated runners and wakes waiting requests.
-    fn announce_evacuations(&self, changed: &[EvacuationChange], source: &str, version: u64) {
+    fn announce_evacuations(
+        &self,
+        changed: &[EvacuationChange],
+        source: &str,
+        version: StoreVersion,
+    ) {
         for change in changed {
             let directory = self.directory.borrow();
             let runners = directory.all().filter(|r| r.zone == change.zone).count();
             log::info!(
-                "event={} zone=\"{}\" source={source} row_version={version} runners={runners}",
+                "event={} zone=\"{}\" source={source} era={} row_version={} runners={runners}",
                 if change.evacuated {
                     "evacuation_begun"
                 } else {
                     "evacuation_ended"
                 },
                 change.zone.escape_debug(),
+                version.era,
+                version.number,
             );
             let labels = [&*change.zone];
             if change.evacuated {
--- a/edge/tests/evacuations.rs
+++ b/edge/tests/evacuations.rs
@@ -3,6 +3,7 @@
 mod test_core;
 
 use cuminloom_edge::{
+    adapter::StoreVersion,
     catalog::{
         EvacuationChange,
         Evacuations,
@@ -30,6 +31,11 @@
     }
 }
 
+/// Version `number` of the first era.
+fn at(number: u64) -> StoreVersion {
+    StoreVersion { era: 1, number }
+}
+
 fn zones(evacuations: &Evacuations) -> Vec<ZoneId> {
     evacuations.zones().cloned().collect()
 }
@@ -38,8 +44,8 @@
 #[test]
 fn a_whole_read_ends_evacuations_whose_rows_are_gone() {
     let mut known = Evacuations::default();
-    known.update([change("z-1", true), change("z-2", true)], 5);
-    let changed = known.replace([ZoneId::from("z-2")], 9);
+    known.update([change("z-1", true), change("z-2", true)], at(5));
+    let changed = known.replace([ZoneId::from("z-2")], at(9));
     assert_eq!(changed, [change("z-1", false)]);
     assert_eq!(zones(&known), ["z-2".into()]);
 }
@@ -48,16 +54,16 @@
 #[test]
 fn repeated_changes_lead_to_the_newest_state() {
     let mut known = Evacuations::default();
-    known.update([change("z-1", true)], 5);
+    known.update([change("z-1", true)], at(5));
     // Rows 6 to 8: z-1 returns, z-2 is evacuated, z-1 is evacuated again.
-    known.replace(["z-1".into(), "z-2".into()], 8);
-    assert!(known.update([change("z-1", false)], 6).is_empty());
+    known.replace(["z-1".into(), "z-2".into()], at(8));
+    assert!(known.update([change("z-1", false)], at(6)).is_empty());
     let rows = [
         change("z-2", true),
         change("z-1", true),
         change("z-3", true),
     ];
-    assert_eq!(known.update(rows, 9), [change("z-3", true)]);
+    assert_eq!(known.update(rows, at(9)), [change("z-3", true)]);
     assert_eq!(zones(&known).len(), 3);
 }
 
@@ -81,7 +87,7 @@
             let mut newest = 0;
             for version in order {
                 newest = newest.max(version);
-                known.replace(history[version].clone(), version as u64);
+                known.replace(history[version].clone(), at(version as u64));
                 assert_eq!(zones(&known), history[newest], "{count} daemons");
             }
         }
@@ -94,7 +100,7 @@
     let start = || test_core::start_core(Ledger::new("vm-1", 1, None), 1_000);
     let (informed, started) = (start(), start());
     assert_eq!(informed.known_evacuations(), None);
-    informed.apply_evacuations(vec![change("z-1", true)], true, 40);
+    informed.apply_evacuations(vec![change("z-1", true)], true, at(40));
     let state = informed.known_evacuations().unwrap();
     assert_eq!(
         (state.version, &*state.zones),
