Withhold runners that had left when the store came back from a copy

A departure is now remembered for 30 s; when the store comes back, entries of the same process are not used for 6 s, in which the runner reports again or the store removes its entry.

--- a/edge/src/catalog/directory.rs
+++ b/edge/src/catalog/directory.rs
@@ -54,6 +54,24 @@
     Gone(RunnerId),
 }
 
+/// Time after the store came back from a copy for which an entry of a runner that had left before is not used: the
+/// runner reports again that it drains, or the store removes its entry, within that time.
+const WITHHOLD_TIME: Duration = Duration::from_secs(6);
+
+/// Age of a copy of the store, at most.
+const MAX_COPY_AGE: Duration = Duration::from_secs(30);
+
+/// A process of a runner that drained or whose entry was removed.
+#[derive(Clone, Debug)]
+struct Departure {
+    born: u64,
+    address: SocketAddr,
+    /// Time at which it was last known to leave.
+    at: Instant,
+    /// Time until which an entry that says otherwise is not used; `None` while none is known to be of a copy.
+    withheld_until: Option<Instant>,
+}
+
 /// Entries of all known runners.
 ///
 /// Entries that lapse because the store was unreachable stay usable for a grace period, in which
@@ -90,6 +108,8 @@
     lapsed: HashMap<RunnerId, Instant>,
     /// End of the current grace period.
     grace_until: Option<Instant>,
+    /// Runners that have left or drain.
+    departures: HashMap<RunnerId, Departure>,
 }
 
 impl Directory {
@@ -98,6 +118,7 @@
         match change {
             RunnerChange::Put(runner) => {
                 self.lapsed.remove(&runner.id);
+                self.note_state(&runner, now);
                 let old = self
                     .runners
                     .insert(Arc::clone(&runner.id), Arc::new(runner.clone()));
@@ -119,12 +140,55 @@
                 false
             }
             _ => {
+                let runner = Arc::clone(runner);
+                self.note_departure(&runner, now);
                 self.lapsed.remove(&id);
                 self.runners.remove(&id).is_some()
             }
         }
     }
 
+    /// Records whether the process of `runner` drains.
+    fn note_state(&mut self, runner: &Runner, now: Instant) {
+        if runner.state == RunnerState::Draining {
+            self.note_departure(runner, now);
+            return;
+        }
+        let known = self.departures.get(&runner.id);
+        if known.is_some_and(|d| d.withheld_until.is_none_or(|until| now >= until)) {
+            self.departures.remove(&runner.id);
+        }
+    }
+
+    /// Records that the process of `runner` drains or has left.
+    fn note_departure(&mut self, runner: &Runner, now: Instant) {
+        let departure = Departure {
+            born: runner.born,
+            address: runner.address,
+            at: now,
+            withheld_until: None,
+        };
+        self.departures.insert(Arc::clone(&runner.id), departure);
+    }
+
+    /// Records that the store has come back from a copy, in which runners that have left may look ready.
+    pub fn withhold_departed(&mut self, now: Instant) {
+        self.departures
+            .retain(|_, d| now.saturating_duration_since(d.at) < MAX_COPY_AGE);
+        for departure in self.departures.values_mut() {
+            departure.withheld_until = Some(now + WITHHOLD_TIME);
+        }
+    }
+
+    /// Whether `runner` has left as far as was known before the store came back from a copy.
+    fn is_withheld(&self, runner: &Runner, now: Instant) -> bool {
+        let departure = self.departures.get(&runner.id);
+        departure.is_some_and(|d| {
+            let same = (d.born, d.address) == (runner.born, runner.address);
+            same && d.withheld_until.is_some_and(|until| now < until)
+        })
+    }
+
     /// Replaces all entries by a full list. Returns whether the set of usable runners has changed.
     pub fn replace(&mut self, entries: Vec<Runner>, now: Instant) -> bool {
         let mut gone: Vec<RunnerId> = self.runners.keys().cloned().collect();
@@ -171,6 +235,7 @@
             .values()
             .filter(move |r| &*r.service == service && r.state == RunnerState::Ready)
             .filter(move |r| self.lapsed.get(&r.id).is_none_or(|until| now < *until))
+            .filter(move |r| !self.is_withheld(r, now))
     }
 
     /// State in the entry of the process of `runner`; `None` if there is none, or its grace period is over.
@@ -181,7 +246,11 @@
             .lapsed
             .get(&runner.id)
             .is_some_and(|until| now >= *until);
-        (same && !lapsed).then_some(entry.state)
+        let state = match self.is_withheld(entry, now) {
+            true => RunnerState::Draining,
+            false => entry.state,
+        };
+        (same && !lapsed).then_some(state)
     }
 
     /// Entry of the runner `id`.
--- a/edge/src/fleet/feeds.rs
+++ b/edge/src/fleet/feeds.rs
@@ -189,6 +189,9 @@
                 if status.succeeded() || position.is_first {
                     core.directory.borrow_mut().start_grace(now, grace);
                 }
+                if position.is_first {
+                    core.directory.borrow_mut().withhold_departed(now);
+                }
                 if !is_complete {
                     continue;
                 }
