--- a/edge/src/adapter.rs
+++ b/edge/src/adapter.rs
@@ -50,6 +50,8 @@
     pub parts: Vec<PromptPart>,
     /// Id of the event after which a stream resumes.
     pub last_event: Option<u64>,
+    /// Id of the attempt that brought the caller the first event of the stream that it resumes.
+    pub resumed: Option<Arc<str>>,
 }
 
 /// Values that the daemon adds to a request that it forwards to a runner.
--- a/edge/src/catalog/directory.rs
+++ b/edge/src/catalog/directory.rs
@@ -35,6 +35,8 @@
     pub address: SocketAddr,
     /// Data centre in which it runs.
     pub zone: Arc<str>,
+    /// Version of its software. What two versions write in a stream does not fit together.
+    pub version: Arc<str>,
     /// Requests that it runs at once.
     pub slots: u32,
     /// Whether it takes new requests.
@@ -89,6 +91,7 @@
 ///     service: "desk".into(),
 ///     address: "127.0.0.1:8080".parse().unwrap(),
 ///     zone: "z-1".into(),
+///     version: "v1".into(),
 ///     slots: 8,
 ///     state: RunnerState::Ready,
 ///     born: 1_700_000_000_000,
--- a/edge/src/peer/message.rs
+++ b/edge/src/peer/message.rs
@@ -237,6 +237,9 @@
     /// Time for which it stays cold, in milliseconds; daemons of the earlier version leave it out.
     #[serde(default)]
     cold_ms: u64,
+    /// Version of its software; daemons of the earlier version leave it out.
+    #[serde(default)]
+    version: String,
 }
 
 impl From<&Runner> for PeerRunner {
@@ -250,6 +253,7 @@
             ready: runner.state == RunnerState::Ready,
             born: runner.born,
             cold_ms: runner.cold_time.as_millis() as u64,
+            version: runner.version.to_string(),
         }
     }
 }
@@ -261,6 +265,7 @@
             service: Arc::from(peer.service),
             address: peer.address,
             zone: Arc::from(peer.zone),
+            version: Arc::from(peer.version),
             slots: peer.slots,
             state: if peer.ready {
                 RunnerState::Ready
--- a/edge/src/serve/choose.rs
+++ b/edge/src/serve/choose.rs
@@ -26,7 +26,10 @@
 };
 use crate::{
     adapter::Dialect,
-    catalog::ServiceId,
+    catalog::{
+        Runner,
+        ServiceId, //
+    },
     decide::{
         Candidate,
         RequestNeeds,
@@ -253,7 +256,7 @@
         }
         return wait_choice(core, &upstreams, &candidates, now);
     };
-    log_placement(call, &runners[chosen].id, &candidates, chosen, &needs);
+    log_placement(call, &runners[chosen], &candidates, chosen, &needs);
     Choice::Runner(Rc::clone(&upstreams[chosen]))
 }
 
@@ -291,7 +294,7 @@
 /// Logs the figures on which a placement was based.
 fn log_placement(
     call: &Call,
-    runner: &str,
+    runner: &Runner,
     candidates: &[Candidate],
     chosen: usize,
     needs: &RequestNeeds,
@@ -299,8 +302,10 @@
     let c = &candidates[chosen];
     let count = |f: fn(&Candidate) -> bool| candidates.iter().filter(|c| f(c)).count();
     log::info!(
-        "event=placed id={} runner={runner} of={} tried={} suspect={} full={} prompt={} shared={} affinity={} warm={} running={:.0} waiting={:.0} backlog={} failing={:.2} config={}",
+        "event=placed id={} runner={} version=\"{}\" of={} tried={} suspect={} full={} prompt={} shared={} affinity={} warm={} running={:.0} waiting={:.0} backlog={} failing={:.2} config={} last_event={} resumed={}",
         call.meta.id,
+        runner.id,
+        runner.version.escape_debug(),
         candidates.len(),
         count(|c| c.tried),
         count(|c| c.suspect),
@@ -313,6 +318,8 @@
         c.waiting,
         c.backlog_tokens,
         c.failure_rate,
-        call.config.version
+        call.config.version,
+        call.meta.last_event.map_or(-1, |id| id as i64),
+        call.meta.resumed.as_deref().unwrap_or("-")
     );
 }
--- a/edge/tests/decisions.rs
+++ b/edge/tests/decisions.rs
@@ -229,6 +229,7 @@
         state,
         born: 0,
         cold_time: Duration::ZERO,
+        version: "v1".into(),
     }
 }
 
--- a/edge/tests/silence.rs
+++ b/edge/tests/silence.rs
@@ -46,6 +46,7 @@
         state: RunnerState::Ready,
         born: 1,
         cold_time: Duration::ZERO,
+        version: "v1".into(),
     };
     let upstream = Upstream::new(Arc::new(runner), Rc::clone(&link));
     link.record(now.checked_sub(quiet).unwrap());
