Keep a stream at the software version of the runner that began it

Cause: the version in a runner's entry was dropped, and nothing read Resumes; class: identity of the producer left out of the key under which work is handed on.

The version of a new stream is a weighted rendezvous of its attempt id over the versions' shares, which lie in the store with their changes of the last 40 s. So any daemon works it out from Resumes alone, also after a kill of all. Streams that the shares do not tell, because these have changed or the version had no runner, stand in their daemon's row; one that takes up a stream of which nothing is known waits 0.4 s for such word and is refused with 503. After the first event a daemon goes on only at the same version.

--- a/edge/src/decide/mod.rs
+++ b/edge/src/decide/mod.rs
@@ -21,6 +21,7 @@
 mod runner_limits;
 mod speeds;
 mod turn_order;
+mod versions;
 
 pub use availability::{
     Availability,
@@ -101,3 +102,13 @@
     TurnOrder,
     TurnPlace, //
 };
+pub use versions::{
+    StreamKey,
+    StreamLog,
+    StreamReport,
+    VersionHistory,
+    VersionKey,
+    VersionShares,
+    stream_key,
+    version_key, //
+};
--- a/edge/src/decide/observations.rs
+++ b/edge/src/decide/observations.rs
@@ -8,6 +8,7 @@
 use super::{
     LeavingReport,
     LimitReport,
+    StreamReport,
     SuspectReport, //
 };
 
@@ -23,4 +24,7 @@
     /// Runners that leave.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub leaving: Vec<LeavingReport>,
+    /// Streams of which others can't work out the version that began them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub streams: Vec<StreamReport>,
 }
--- /dev/null
+++ b/edge/src/decide/versions.rs
@@ -0,0 +1,248 @@
+//! Software version of the runner for a stream.
+//!
+//! What two versions write does not fit together, so a stream goes on only at the version that began it. Which one that
+//! is follows from the id of the attempt that began it and the versions' shares, which lie in the store: any daemon can
+//! work it out, also after a restart of all. Streams for which the shares have changed meanwhile, or whose version had
+//! no runner, are told to the others.
+
+use std::{
+    collections::HashMap,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use super::{
+    FleetTime,
+    rendezvous_weight, //
+};
+
+/// Hash of the name of a version.
+pub type VersionKey = u64;
+
+/// Hash of the id of the attempt that began a stream.
+pub type StreamKey = u64;
+
+/// Time for which a stream can be taken up: longer than any caller waits.
+const RESUME_TIME: Duration = Duration::from_secs(20);
+
+/// Time after which shares that were replaced have begun no stream that can still be taken up, in milliseconds: a daemon
+/// may learn late that they were.
+const SHARES_KEPT_MS: u64 = 40_000;
+
+/// Tables that a history holds, at most.
+const MAX_TABLES: usize = 16;
+
+/// Difference between the share of a version in the table and among the runners from which the table is replaced.
+const MAX_DRIFT: f64 = 0.2;
+
+/// Streams that a daemon reports, at most.
+const MAX_REPORTS: usize = 256;
+
+/// Streams that are remembered, at most.
+const MAX_STREAMS: usize = 8192;
+
+/// Hash of the name of a version.
+pub fn version_key(name: &str) -> VersionKey {
+    rendezvous_weight(1, name)
+}
+
+/// Hash of an attempt id.
+pub fn stream_key(id: &str) -> StreamKey {
+    rendezvous_weight(2, id)
+}
+
+/// Shares of the versions of one service, from one time on.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionShares {
+    /// Store time from which they hold, in milliseconds.
+    pub since: FleetTime,
+    /// Version and weight.
+    pub weights: Vec<(VersionKey, u32)>,
+}
+
+impl VersionShares {
+    /// Version at which the stream `key` begins. A change of weights moves as few streams as it can.
+    fn version_of(&self, key: StreamKey) -> Option<VersionKey> {
+        if let [(version, 1..)] = self.weights[..] {
+            return Some(version);
+        }
+        let score = |version: VersionKey, weight: u32| {
+            let hash = rendezvous_weight(key, &format!("{version:x}"));
+            // In (0, 1], with the 53 bits that a float holds exactly.
+            let unit = ((hash >> 11) + 1) as f64 / (1_u64 << 53) as f64;
+            -unit.ln() / f64::from(weight)
+        };
+        let weights = self.weights.iter().filter(|(_, weight)| *weight > 0);
+        let scores = weights.map(|(version, weight)| (*version, score(*version, *weight)));
+        let best = scores.min_by(|a, b| a.1.total_cmp(&b.1).then(a.0.cmp(&b.0)));
+        best.map(|(version, _)| version)
+    }
+
+    /// Share of `version`, 0 to 1.
+    fn share(&self, version: VersionKey) -> f64 {
+        let total: u64 = self.weights.iter().map(|(_, w)| u64::from(*w)).sum();
+        let own = self.weights.iter().find(|(v, _)| *v == version);
+        own.map_or(0.0, |(_, w)| f64::from(*w) / total.max(1) as f64)
+    }
+}
+
+/// Shares of the versions of one service over the time in which streams that can be taken up have begun.
+///
+/// # Examples
+///
+/// ```
+/// use cuminloom_edge::decide::{VersionHistory, stream_key, version_key};
+///
+/// let (v1, v2) = (version_key("v1"), version_key("v2"));
+/// let history = VersionHistory::default().next(vec![(v1, 8)], 1_000);
+/// let key = stream_key("a1");
+/// assert_eq!((history.version_of(key), history.began_at(key, 1_000)), (Some(v1), Some(v1)));
+/// let history = history.next(vec![(v2, 8)], 2_000);
+/// assert_eq!((history.version_of(key), history.began_at(key, 2_000)), (Some(v2), None));
+/// assert_eq!(history.began_at(key, 90_000), Some(v2));
+/// ```
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionHistory {
+    /// Number of changes.
+    pub epoch: u64,
+    /// Shares, oldest first.
+    pub tables: Vec<VersionShares>,
+}
+
+impl VersionHistory {
+    /// The history with new weights from `now` on.
+    #[must_use]
+    pub fn next(&self, weights: Vec<(VersionKey, u32)>, now: FleetTime) -> VersionHistory {
+        let mut tables = self.kept(now).to_vec();
+        tables.push(VersionShares {
+            since: now,
+            weights,
+        });
+        let surplus = tables.len().saturating_sub(MAX_TABLES);
+        tables.drain(..surplus);
+        VersionHistory {
+            epoch: self.epoch + 1,
+            tables,
+        }
+    }
+
+    /// Shares by which streams that can be taken up at `now` may have begun.
+    fn kept(&self, now: FleetTime) -> &[VersionShares] {
+        let old = |next: &VersionShares| next.since.saturating_add(SHARES_KEPT_MS) < now;
+        let replaced = self.tables.iter().skip(1).take_while(|next| old(next));
+        &self.tables[replaced.count()..]
+    }
+
+    /// Version at which a new stream begins.
+    pub fn version_of(&self, key: StreamKey) -> Option<VersionKey> {
+        self.tables.last()?.version_of(key)
+    }
+
+    /// Version at which the stream `key` has begun, if the shares alone tell it at `now`.
+    pub fn began_at(&self, key: StreamKey, now: FleetTime) -> Option<VersionKey> {
+        let mut versions = self.kept(now).iter().map(|t| t.version_of(key));
+        let first = versions.next()??;
+        versions.all(|v| v == Some(first)).then_some(first)
+    }
+
+    /// Whether the runners, with their slots by version, differ so much from the newest shares that these should be
+    /// replaced.
+    pub fn is_outdated(&self, slots: &HashMap<VersionKey, u32>) -> bool {
+        let Some(newest) = self.tables.last() else {
+            return true;
+        };
+        let total: u64 = slots.values().map(|s| u64::from(*s)).sum();
+        let weighted = newest.weights.iter().filter(|(_, w)| *w > 0);
+        let left = weighted.clone().any(|(v, _)| !slots.contains_key(v));
+        let drifts = |(version, slots): (&VersionKey, &u32)| {
+            let share = f64::from(*slots) / total.max(1) as f64;
+            let known = newest.share(*version);
+            known == 0.0 || (share - known).abs() > MAX_DRIFT
+        };
+        left || slots.iter().any(drifts)
+    }
+}
+
+/// A stream and the version that began it, in a daemon's row.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamReport(pub StreamKey, pub VersionKey);
+
+/// What is known of one stream.
+#[derive(Clone, Copy, Debug)]
+struct Known {
+    version: VersionKey,
+    /// Time at which it was last known to run.
+    at: Instant,
+    /// Whether this daemon reports it.
+    own: bool,
+}
+
+/// Streams that have not ended whole, with the versions that began them.
+#[derive(Debug, Default)]
+pub struct StreamLog(HashMap<StreamKey, Known>);
+
+impl StreamLog {
+    /// Records that this daemon passes on the stream `key`, which `version` began.
+    pub fn record(&mut self, key: StreamKey, version: VersionKey, now: Instant) {
+        self.insert(key, version, true, now);
+    }
+
+    fn insert(&mut self, key: StreamKey, version: VersionKey, own: bool, now: Instant) {
+        if self.0.len() >= MAX_STREAMS {
+            self.prune(now);
+        }
+        if self.0.len() < MAX_STREAMS {
+            let known = self.0.entry(key).or_insert(Known {
+                version,
+                at: now,
+                own,
+            });
+            known.at = now;
+            known.own |= own;
+        }
+    }
+
+    /// Records that the caller has the whole stream `key`, so that nobody takes it up.
+    pub fn end(&mut self, key: StreamKey) {
+        self.0.remove(&key);
+    }
+
+    /// Version that began the stream `key`.
+    pub fn version_of(&self, key: StreamKey) -> Option<VersionKey> {
+        self.0.get(&key).map(|known| known.version)
+    }
+
+    /// Adds what another daemon has reported, or the previous process on this VM if `own`.
+    pub fn merge(&mut self, reports: &[StreamReport], own: bool, now: Instant) {
+        for StreamReport(key, version) in reports.iter().take(MAX_REPORTS) {
+            if !self.0.contains_key(key) {
+                self.insert(*key, *version, own, now);
+            }
+        }
+    }
+
+    /// Streams of this daemon of which others can't tell the version by `is_clear`, newest first.
+    pub fn reports(&self, is_clear: impl Fn(StreamKey, VersionKey) -> bool) -> Vec<StreamReport> {
+        let own = self.0.iter().filter(|(_, known)| known.own);
+        let mut unclear: Vec<(Instant, StreamReport)> = own
+            .filter(|(key, known)| !is_clear(**key, known.version))
+            .map(|(key, known)| (known.at, StreamReport(*key, known.version)))
+            .collect();
+        unclear.sort_unstable_by_key(|(at, StreamReport(key, _))| (std::cmp::Reverse(*at), *key));
+        unclear.truncate(MAX_REPORTS);
+        unclear.into_iter().map(|(_, report)| report).collect()
+    }
+
+    /// Forgets the streams that nobody can take up any more.
+    pub fn prune(&mut self, now: Instant) {
+        self.0
+            .retain(|_, known| now.saturating_duration_since(known.at) < RESUME_TIME);
+    }
+}
--- a/edge/src/fleet/mod.rs
+++ b/edge/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 mod rows;
 mod service;
 mod shutdown;
+mod versions;
 
 pub use feeds::{
     follow_configs,
@@ -26,3 +27,4 @@
 };
 pub use service::spawn_service;
 pub use shutdown::run_until_stopped;
+pub use versions::keep_shares;
--- a/edge/src/fleet/rows.rs
+++ b/edge/src/fleet/rows.rs
@@ -57,6 +57,7 @@
                     rows.rows.len(),
                     asked.elapsed().as_millis()
                 );
+                core.apply_shares(&rows.rows, rows.era);
                 let old = core.ledger.borrow().audits().clone();
                 core.ledger
                     .borrow_mut()
--- a/edge/src/prepaid/audit.rs
+++ b/edge/src/prepaid/audit.rs
@@ -76,7 +76,7 @@
         .collect();
     for row in &rows.rows {
         match row {
-            Row::Unreadable(..) | Row::Era(..) => {}
+            Row::Unreadable(..) | Row::Era(..) | Row::Versions(..) => {}
             Row::Customer(name, _, sum) => {
                 audits.entry(name.clone()).or_default().committed = sum.committed;
             }
--- a/edge/src/prepaid/ledger/mod.rs
+++ b/edge/src/prepaid/ledger/mod.rs
@@ -289,6 +289,11 @@
         self.older_rows
     }
 
+    /// Whether all rows have been read in this era.
+    pub fn has_read_rows(&self) -> bool {
+        self.rows_read
+    }
+
     /// Number of writes that the store has accepted.
     pub fn accepted_writes(&self) -> u64 {
         self.accepted_writes
--- a/edge/src/prepaid/ledger/reads.rs
+++ b/edge/src/prepaid/ledger/reads.rs
@@ -70,6 +70,7 @@
                     self.apply_own_row(number, *row, now, asked..received);
                 }
                 Row::Daemon(name, _, row) => self.apply_peer_row(name, version, *row, asked),
+                Row::Versions(..) => {}
                 Row::Era(marked, _) => self.era_marked |= Some(marked) == self.era,
             }
         }
@@ -120,7 +121,7 @@
             Row::Daemon(name, ..) | Row::Unreadable(name, _) => {
                 self.peer_rows.get(name).map(|(v, _)| *v)
             }
-            Row::Era(..) => None,
+            Row::Era(..) | Row::Versions(..) => None,
         };
         let number = row.version();
         known.is_some_and(|known| StoreVersion { era, number } < known)
--- a/edge/src/prepaid/row.rs
+++ b/edge/src/prepaid/row.rs
@@ -13,7 +13,10 @@
 use super::Grant;
 use crate::{
     adapter::Era,
-    decide::Observations, //
+    decide::{
+        Observations,
+        VersionHistory, //
+    },
 };
 
 /// Largest total of tokens, or time in milliseconds, in a row: sums of many can't overflow, and JSON's numbers
@@ -108,13 +111,17 @@
     Unreadable(String, u64),
     /// Mark of an era, with its version.
     Era(Era, u64),
+    /// Shares of the software versions of a service's runners.
+    Versions(String, u64, VersionHistory),
 }
 
 impl Row {
     /// Version of the row.
     pub fn version(&self) -> u64 {
         match self {
-            Row::Daemon(_, version, _) | Row::Customer(_, version, _) => *version,
+            Row::Daemon(_, version, _)
+            | Row::Customer(_, version, _)
+            | Row::Versions(_, version, _) => *version,
             Row::Unreadable(_, version) | Row::Era(_, version) => *version,
         }
     }
@@ -141,6 +148,8 @@
     Customer(String, u64),
     /// No mark of this era.
     NoEra(Era),
+    /// Shares of the versions of a service's runners.
+    Versions(String, u64),
 }
 
 /// Writes that the store applies atomically.
@@ -154,6 +163,8 @@
     pub customers: Vec<(String, CustomerRow)>,
     /// Eras to mark.
     pub eras: Vec<Era>,
+    /// New shares of the versions of services' runners.
+    pub versions: Vec<(String, VersionHistory)>,
 }
 
 /// Outcome of a batch.
--- a/edge/src/serve/attempts.rs
+++ b/edge/src/serve/attempts.rs
@@ -44,6 +44,7 @@
         take_tokens, //
     },
     upstream::Probe,
+    versions::VersionChoice,
 };
 use crate::{
     adapter::Dialect,
@@ -53,10 +54,17 @@
         RetryDecision,
         Verdict,
         decide_retry,
-        retry_after, //
+        retry_after,
+        version_key, //
     },
 };
 
+/// Code of requests that take up a stream of which no version is known.
+const VERSION_CODE: &str = "version_unknown";
+
+/// `Retry-After` of such a request: another daemon writes its row and this one reads it within that time.
+const VERSION_RETRY_AFTER: Duration = Duration::from_millis(1000);
+
 /// Results of the sends of one request so far.
 #[derive(Default)]
 pub(super) struct SendHistory {
@@ -120,13 +128,17 @@
     let service = choose_service(call);
     core.with_retry_budget(&service, |a| a.record_request(call.received_at));
     relay.last_id = call.meta.last_event;
+    let Some(mut version) = core.version_for(call, &service).await else {
+        let refusal = final_refusal(call, history, VERSION_CODE, VERSION_RETRY_AFTER);
+        return Err(ServeError::Refused(refusal));
+    };
     loop {
         if !core.may_send(&call.route) {
             let refusal = final_refusal(call, history, STOP_CODE, STOP_RETRY_AFTER);
             return Err(ServeError::Refused(refusal));
         }
         let span = call.start_span("place");
-        let upstream = match wait_for_runner(core, call, &history.tried, &service).await {
+        let upstream = match wait_for_runner(core, call, &history.tried, &service, version).await {
             Ok(upstream) => upstream,
             Err(none) => {
                 let refusal = final_refusal(call, history, none.code, none.retry_after);
@@ -151,7 +163,7 @@
             started: history.started,
             rejected: history.rejected,
         };
-        relay.start_attempt();
+        relay.start_attempt(version_key(&upstream.runner.borrow().version));
         let sent = send_once(&attempt, &charge, relay, out).await;
         if let Some(span) = &mut span {
             span.add_field("runner", &runner);
@@ -167,6 +179,9 @@
             Err(RelayError::Caller) => return Err(ServeError::CallerLeft),
             Err(RelayError::Runner(error)) => error,
         };
+        if let Some(begun) = relay.version {
+            version = VersionChoice::Only(begun);
+        }
         history.add_summary(&runner, error.failure.as_str(), &error.detail, since);
         core.metrics
             .sends
--- a/edge/src/serve/choose.rs
+++ b/edge/src/serve/choose.rs
@@ -22,7 +22,8 @@
         RUNNER_RETRY_AFTER, //
     },
     even_load::select_by_load,
-    turns::QueuePlace, //
+    turns::QueuePlace,
+    versions::VersionChoice, //
 };
 use crate::{
     adapter::Dialect,
@@ -113,6 +114,7 @@
     call: &Call,
     tried: &[Arc<str>],
     service: &ServiceId,
+    version: VersionChoice,
 ) -> Result<Rc<Upstream>, NoRunner> {
     let wait = (call.route.objective / WAIT_DIVISOR).max(MIN_WAIT);
     let deadline = tokio::time::Instant::from_std((Instant::now() + wait).min(call.deadline));
@@ -125,7 +127,7 @@
             None => core.turn_queue.ahead_of_new(service, call.rank),
             Some(place) => QueuePlace::ahead(place),
         };
-        match choose_runner(core, call, tried, service, ahead == 0) {
+        match choose_version(core, call, tried, service, ahead == 0, version) {
             Choice::Runner(upstream) => {
                 core.take_turn(&upstream, now);
                 return Ok(upstream);
@@ -190,7 +192,31 @@
     );
 }
 
-/// Chooses a runner among those that are ready now; `first` says that no other request waits before this one
+/// Chooses a runner as [`choose_runner`] does. A stream that has not begun leaves its version if that has no runner that
+/// is known to answer.
+fn choose_version<D: Dialect>(
+    core: &Rc<Core<D>>,
+    call: &Call,
+    tried: &[Arc<str>],
+    service: &ServiceId,
+    first: bool,
+    version: VersionChoice,
+) -> Choice {
+    let choice = choose_runner(core, call, tried, service, first, version);
+    let VersionChoice::Prefer(_) = version else {
+        return choice;
+    };
+    let answers = match &choice {
+        Choice::Runner(upstream) => !core.view(upstream, Instant::now()).doubtful,
+        _ => false,
+    };
+    if answers {
+        return choice;
+    }
+    choose_runner(core, call, tried, service, first, VersionChoice::Any)
+}
+
+/// Chooses a runner among those of `version` that are ready now; `first` says that no other request waits before this one
 /// for a turn.
 fn choose_runner<D: Dialect>(
     core: &Rc<Core<D>>,
@@ -198,6 +224,7 @@
     tried: &[Arc<str>],
     service: &ServiceId,
     first: bool,
+    version: VersionChoice,
 ) -> Choice {
     let now = Instant::now();
     let parts = &call.meta.parts;
@@ -213,7 +240,7 @@
         .directory
         .borrow()
         .ready(service, now)
-        .filter(|runner| core.is_allowed_region(call, runner))
+        .filter(|runner| core.is_allowed_region(call, runner) && version.admits(runner))
         .cloned()
         .collect();
     let upstreams: Vec<Rc<Upstream>> = runners.iter().map(|r| core.upstream(r)).collect();
--- a/edge/src/serve/core.rs
+++ b/edge/src/serve/core.rs
@@ -25,7 +25,8 @@
 use super::{
     Upstream,
     reservations::Reservations,
-    turns::TurnQueue, //
+    turns::TurnQueue,
+    versions::KnownShares, //
 };
 use crate::{
     accept::{
@@ -53,6 +54,7 @@
         PlannedStop,
         RetryBudget,
         RouteTimes,
+        StreamLog,
         runner_key, //
     },
     http::LinkActivity,
@@ -139,6 +141,10 @@
     pub(super) evidence: RefCell<CrashEvidence>,
     /// What is known of whether runners may be sent requests.
     pub(super) availability: RefCell<Availability>,
+    /// Shares of the runners' software versions, by service.
+    pub(super) versions: RefCell<HashMap<ServiceId, KnownShares>>,
+    /// Streams that callers may take up.
+    pub(super) streams: RefCell<StreamLog>,
     /// Requests that wait for a turn at runners with limits.
     pub(super) turn_queue: Rc<TurnQueue>,
     /// Start of the process.
@@ -207,6 +213,8 @@
             regions: RefCell::default(),
             evidence: RefCell::default(),
             availability: RefCell::default(),
+            versions: RefCell::default(),
+            streams: RefCell::default(),
             turn_queue: Rc::default(),
             started: Instant::now(),
             version: RefCell::new(None),
--- a/edge/src/serve/mod.rs
+++ b/edge/src/serve/mod.rs
@@ -26,6 +26,7 @@
 mod turns;
 mod unread;
 mod upstream;
+mod versions;
 
 pub use self::core::{
     Bounds,
--- a/edge/src/serve/observations.rs
+++ b/edge/src/serve/observations.rs
@@ -22,6 +22,7 @@
             suspects: self.evidence.borrow().own_reports(time),
             limits: self.availability.borrow().limits.own_reports(time),
             leaving: self.own_leaving(),
+            streams: self.own_streams(now),
         }
     }
 
@@ -32,6 +33,7 @@
             suspects: self.evidence.borrow().all_reports(time),
             limits: self.availability.borrow().limits.all_reports(),
             leaving: self.availability.borrow().all_leaving(),
+            streams: self.own_streams(now),
         }
     }
 
@@ -41,6 +43,9 @@
         self.merge_suspects(source, &observed.suspects, time);
         self.merge_limits(source, &observed.limits, time, now);
         self.merge_leaving(Some(source), &observed.leaving, now);
+        self.streams
+            .borrow_mut()
+            .merge(&observed.streams, false, now);
     }
 
     /// Takes over what the previous process on this VM has reported, once.
@@ -50,5 +55,8 @@
         self.restore_suspects(&observed.suspects, time);
         self.merge_limits("own", &observed.limits, time, now);
         self.merge_leaving(None, &observed.leaving, now);
+        self.streams
+            .borrow_mut()
+            .merge(&observed.streams, true, now);
     }
 }
--- a/edge/src/serve/relay.rs
+++ b/edge/src/serve/relay.rs
@@ -26,6 +26,7 @@
 use crate::{
     decide::{
         Failure,
+        VersionKey,
         stall_limit, //
     },
     http::{
@@ -55,6 +56,10 @@
     pub event_count: Rc<Cell<u64>>,
     /// Whether the response head has been sent to the caller.
     pub head_sent: bool,
+    /// Version of the runner that sent the first event of this response.
+    pub version: Option<VersionKey>,
+    /// Version of the present runner.
+    present: VersionKey,
     /// Time at which the first event was sent.
     pub first_event: Option<Instant>,
     /// Longest time between two writes of events.
@@ -80,8 +85,9 @@
 }
 
 impl Relay {
-    /// Starts an attempt at another runner.
-    pub(super) fn start_attempt(&mut self) {
+    /// Starts an attempt at another runner, of the software version `version`.
+    pub(super) fn start_attempt(&mut self, version: VersionKey) {
+        self.present = version;
         self.received = 0;
         self.begun_at = None;
         self.answered = false;
@@ -124,6 +130,10 @@
             let done = decode_events(reply, &mut events).map_err(RelayError::Runner)?;
             let gap = self.push_events(call, reply, &mut events, &mut bytes);
             if !bytes.is_empty() {
+                if self.version.is_none() {
+                    self.version = Some(self.present);
+                    attempt.core.record_stream(call, self.present);
+                }
                 self.record_pause(Instant::now());
                 if self.first_event.is_none() {
                     self.first_event = Some(Instant::now());
@@ -224,7 +234,11 @@
             self.push_head(attempt.call, reply, &mut bytes);
         }
         bytes.extend_from_slice(b"0\r\n\r\n");
-        write_all(out, &bytes).await.map_err(|_| RelayError::Caller)
+        write_all(out, &bytes)
+            .await
+            .map_err(|_| RelayError::Caller)?;
+        attempt.core.end_stream(attempt.call);
+        Ok(())
     }
 
     /// Appends the head of a chunked response.
--- /dev/null
+++ b/edge/src/serve/versions.rs
@@ -0,0 +1,297 @@
+//! Keeps a stream at the software version that began it.
+
+use std::{
+    collections::HashMap,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use tokio::time::timeout;
+
+use super::{
+    Core,
+    call::Call, //
+};
+use crate::{
+    adapter::{
+        Era,
+        StoreVersion, //
+    },
+    catalog::{
+        Runner,
+        ServiceId, //
+    },
+    decide::{
+        StreamKey,
+        StreamReport,
+        VersionHistory,
+        VersionKey,
+        rendezvous_weight,
+        stream_key,
+        version_key, //
+    },
+    prepaid::{
+        Batch,
+        Precondition,
+        Row, //
+    },
+};
+
+/// Time for which a request waits for word of the stream that it takes up.
+const WORD_WAIT: Duration = Duration::from_millis(400);
+
+/// Interval between two looks for such word.
+const WORD_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Time between two daemons that write the shares of a service, so that only one does if the first succeeds.
+const WRITE_STEP: Duration = Duration::from_millis(150);
+
+/// Daemons between which [`WRITE_STEP`] passes.
+const MAX_WRITE_STEPS: u32 = 10;
+
+/// Runners at which a request may be served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum VersionChoice {
+    /// Any.
+    Any,
+    /// Of this version, or any if it has none: the stream has not begun.
+    Prefer(VersionKey),
+    /// Only of this version, which began the stream.
+    Only(VersionKey),
+}
+
+impl VersionChoice {
+    /// Whether `runner` fits best.
+    pub(super) fn admits(self, runner: &Runner) -> bool {
+        match self {
+            VersionChoice::Any => true,
+            VersionChoice::Prefer(version) | VersionChoice::Only(version) => {
+                version_key(&runner.version) == version
+            }
+        }
+    }
+}
+
+/// The shares of one service as this daemon knows them.
+#[derive(Debug, Default)]
+pub(super) struct KnownShares {
+    history: VersionHistory,
+    /// Version of the row in the store, and the epoch in it.
+    stored: Option<(StoreVersion, u64)>,
+    /// Time since which the runners differ from the shares.
+    outdated_since: Option<Instant>,
+}
+
+/// Key of the stream of which `call` is an attempt.
+fn key_of(call: &Call) -> Option<StreamKey> {
+    if call.meta.last_event.is_none() {
+        return Some(stream_key(&call.meta.id));
+    }
+    call.meta.resumed.as_deref().map(stream_key)
+}
+
+/// Whether callers may take up the streams of the route of `call`.
+fn may_resume(call: &Call) -> bool {
+    call.route.retry.is_stream() && call.route.retry.allows_rerun()
+}
+
+impl<D> Core<D> {
+    /// The version at which `call` has to be served; `None` if the version that began its stream is not known. Waits a
+    /// moment for word of it.
+    pub(super) async fn version_for(
+        &self,
+        call: &Call,
+        service: &ServiceId,
+    ) -> Option<VersionChoice> {
+        if !may_resume(call) {
+            return Some(VersionChoice::Any);
+        }
+        if call.meta.last_event.is_none() {
+            let key = stream_key(&call.meta.id);
+            let version = self.shares_of(service, |history| history.version_of(key));
+            return Some(version.map_or(VersionChoice::Any, VersionChoice::Prefer));
+        }
+        let begun = Instant::now();
+        loop {
+            if let Some(version) = self.find_version(call, service) {
+                return Some(VersionChoice::Only(version));
+            }
+            if begun.elapsed() >= WORD_WAIT {
+                return None;
+            }
+            self.reader_wake.notify_one();
+            let changed = self.state_changed.notified();
+            let _ = timeout(WORD_INTERVAL, changed).await;
+        }
+    }
+
+    /// The version that began the stream that `call` takes up, as far as this daemon knows.
+    fn find_version(&self, call: &Call, service: &ServiceId) -> Option<VersionKey> {
+        let now = Instant::now();
+        let Some(key) = key_of(call) else {
+            return self.only_version(service, now);
+        };
+        let logged = self.streams.borrow().version_of(key);
+        if logged.is_some() {
+            return logged;
+        }
+        let time = self.fleet_time(now);
+        let version = self.shares_of(service, |history| history.began_at(key, time))?;
+        // A stream whose version has no runner may have begun at another one.
+        let directory = self.directory.borrow();
+        let mut ready = directory.ready(service, now);
+        ready
+            .any(|r| version_key(&r.version) == version)
+            .then_some(version)
+    }
+
+    /// The version of all runners of `service`, if there was no other one lately.
+    fn only_version(&self, service: &ServiceId, now: Instant) -> Option<VersionKey> {
+        let time = self.fleet_time(now);
+        let versions = self.ready_slots(service, now);
+        let only = *versions.keys().next().filter(|_| versions.len() == 1)?;
+        let same = |key| self.shares_of(service, |h| h.began_at(key, time)) == Some(only);
+        // With one version in all shares, every stream began at it.
+        (0..64).all(same).then_some(only)
+    }
+
+    /// Applies `f` to the shares of `service`; `None` if there are none yet.
+    fn shares_of<R>(
+        &self,
+        service: &ServiceId,
+        f: impl FnOnce(&VersionHistory) -> Option<R>,
+    ) -> Option<R> {
+        let shares = self.versions.borrow();
+        f(&shares.get(service)?.history)
+    }
+
+    /// Records that a runner with `version` passes on an event of the stream of `call`.
+    pub(super) fn record_stream(&self, call: &Call, version: VersionKey) {
+        if let Some(key) = key_of(call).filter(|_| may_resume(call)) {
+            let now = Instant::now();
+            self.streams.borrow_mut().record(key, version, now);
+        }
+    }
+
+    /// Records that the caller has the whole stream of `call`.
+    pub(super) fn end_stream(&self, call: &Call) {
+        if let Some(key) = key_of(call) {
+            self.streams.borrow_mut().end(key);
+        }
+    }
+
+    /// The streams of this daemon of which others can't work out the version.
+    pub fn own_streams(&self, now: Instant) -> Vec<StreamReport> {
+        let time = self.fleet_time(now);
+        let mut streams = self.streams.borrow_mut();
+        streams.prune(now);
+        let shares = self.versions.borrow();
+        // The service of a stream is not kept: its version tells it.
+        let is_clear = |key, version| {
+            let histories = shares.values().map(|s| &s.history);
+            let mut known = histories.filter_map(|h| h.began_at(key, time));
+            known.any(|began| began == version)
+        };
+        streams.reports(is_clear)
+    }
+
+    /// Slots of the ready runners of `service`, by version.
+    fn ready_slots(&self, service: &str, now: Instant) -> HashMap<VersionKey, u32> {
+        let directory = self.directory.borrow();
+        let mut slots = HashMap::new();
+        for runner in directory.ready(service, now) {
+            let sum: &mut u32 = slots.entry(version_key(&runner.version)).or_default();
+            *sum = sum.saturating_add(runner.slots);
+        }
+        slots
+    }
+
+    /// Applies the shares among `rows`, which the store read in `era`.
+    pub fn apply_shares(&self, rows: &[Row], era: Era) {
+        let mut shares = self.versions.borrow_mut();
+        for row in rows {
+            let Row::Versions(service, number, history) = row else {
+                continue;
+            };
+            let number = *number;
+            let version = StoreVersion { era, number };
+            let known = shares.entry(service.as_str().into()).or_default();
+            if known.stored.is_some_and(|(stored, _)| version < stored) {
+                continue;
+            }
+            known.stored = Some((version, history.epoch));
+            if history.epoch > known.history.epoch {
+                log::info!(
+                    "event=version_shares service={service} epoch={} shares=\"{:x?}\"",
+                    history.epoch,
+                    history.tables.last().map(|t| &t.weights)
+                );
+                known.history = history.clone();
+            }
+        }
+    }
+
+    /// The write of shares that is due, with the service that it concerns: its runners have changed, or the store has
+    /// lost its shares.
+    pub fn plan_shares(&self, now: Instant) -> Option<(ServiceId, Batch)> {
+        let era = self.store_era()?;
+        let config = self.config()?;
+        let routes = config.hosts.values().flatten();
+        let resumable = routes.filter(|r| r.retry.is_stream() && r.retry.allows_rerun());
+        for (service, _) in resumable.flat_map(|r| &r.services) {
+            let slots = self.ready_slots(service, now);
+            if slots.is_empty() || !self.is_write_due(service, &slots, era, now) {
+                continue;
+            }
+            let mut weights: Vec<(VersionKey, u32)> = slots.into_iter().collect();
+            weights.sort_unstable();
+            let shares = self.versions.borrow();
+            let known = shares.get(service)?;
+            let history = known.history.next(weights, self.fleet_time(now));
+            let stored = known.stored.filter(|(version, _)| version.era == era);
+            let number = stored.map_or(0, |(version, _)| version.number);
+            let batch = Batch {
+                preconditions: vec![
+                    Precondition::Versions(service.to_string(), number),
+                    Precondition::NoEra(era + 1),
+                ],
+                versions: vec![(service.to_string(), history)],
+                ..Batch::default()
+            };
+            return Some((ServiceId::clone(service), batch));
+        }
+        None
+    }
+
+    /// Whether this daemon should write the shares of `service` now. The others wait longer, by a rank in which all
+    /// know them.
+    fn is_write_due(
+        &self,
+        service: &ServiceId,
+        slots: &HashMap<VersionKey, u32>,
+        era: Era,
+        now: Instant,
+    ) -> bool {
+        let (rank, _) = {
+            let ledger = self.ledger.borrow();
+            if !ledger.has_read_rows() {
+                return false;
+            }
+            ledger.rank_for(rendezvous_weight(3, service), now)
+        };
+        let mut shares = self.versions.borrow_mut();
+        let known = shares.entry(ServiceId::clone(service)).or_default();
+        let is_stored = known
+            .stored
+            .is_some_and(|(version, epoch)| version.era == era && epoch >= known.history.epoch);
+        if is_stored && !known.history.is_outdated(slots) {
+            known.outdated_since = None;
+            return false;
+        }
+        let since = *known.outdated_since.get_or_insert(now);
+        let steps = rank.map_or(MAX_WRITE_STEPS, |r| u32::try_from(r).unwrap_or(u32::MAX));
+        now >= since + WRITE_STEP * steps.min(MAX_WRITE_STEPS)
+    }
+}
--- a/edge/tests/budget_world/store.rs
+++ b/edge/tests/budget_world/store.rs
@@ -99,6 +99,7 @@
             Precondition::Daemon(name, v) => self.daemons.get(name).map_or(0, |r| r.0) == *v,
             Precondition::Customer(name, v) => self.customers.get(name).map_or(0, |r| r.0) == *v,
             Precondition::NoEra(era) => !self.marks.contains(era),
+            Precondition::Versions(..) => true,
         }
     }
 
@@ -147,6 +148,7 @@
                 let marked = self.marks.contains(era);
                 marked.then_some(Row::Era(*era, self.version))
             }
+            Precondition::Versions(..) => None,
         }
     }
 
--- a/edge/tests/fleet_world/daemon.rs
+++ b/edge/tests/fleet_world/daemon.rs
@@ -264,6 +264,7 @@
             suspects: evidence.own_reports(time),
             limits: runners.limits.own_reports(time),
             leaving: own_leaving(&node.name, ledger, runners),
+            streams: Vec::new(),
         };
         let bytes = serde_json::to_vec(&observed).unwrap().len();
         let Some(plan) = ledger.plan_scoped(instant, observed, WriteScope::OwnRow) else {
