Bound the bytes of all answers that are being read

Reported from elsewhere: a machine kept what a faulty runner sent without end and ran out of memory. Here heads, bodies and events were bounded each, but not together: 300 answers of 1 MB that never end took a daemon to 210,388 KiB, more than the 120 MiB of the smallest machine; the test failed with that. Answers that are being read now hold at most a quarter of the process's memory together; beyond that one larger than 64 KiB ends as broken, so that small answers of sound runners are not concerned. The peak of the test stays below 120 MiB.

--- a/edge/src/http/event.rs
+++ b/edge/src/http/event.rs
@@ -62,6 +62,16 @@
         !self.0.is_empty()
     }
 
+    /// Bytes of the incomplete event.
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// Whether the buffer holds nothing.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
     /// Whether the incomplete event exceeds the size limit.
     pub fn exceeds_limit(&self) -> bool {
         self.0.len() > MAX_EVENT_BYTES
--- a/edge/src/serve/core.rs
+++ b/edge/src/serve/core.rs
@@ -24,6 +24,7 @@
 
 use super::{
     Upstream,
+    receive::AnswerBytes,
     reservations::Reservations,
     turns::TurnQueue,
     versions::KnownShares, //
@@ -181,6 +182,8 @@
     pub shutdown: Shutdown,
     /// Responses that wait for their callers; unbounded while it is not set.
     pub unread_responses: OnceCell<Rc<Clients>>,
+    /// Bytes of the responses that are being read.
+    pub(super) answers: AnswerBytes,
     /// Number of requests in progress.
     open_requests: Cell<u32>,
     /// Type that encodes and decodes the header fields.
@@ -233,6 +236,7 @@
             route_times: RefCell::default(),
             shutdown: Shutdown::default(),
             unread_responses: OnceCell::new(),
+            answers: AnswerBytes::default(),
             open_requests: Cell::new(0),
             dialect: PhantomData,
         })
@@ -352,6 +356,11 @@
             .is_some_and(|at| now.duration_since(at) < MAX_CONFIRMATION_AGE)
     }
 
+    /// Sets the most bytes that responses of runners may hold while they are being read.
+    pub fn set_answer_bytes(&self, bytes: u64) {
+        self.answers.set_bound(bytes);
+    }
+
     /// Replaces the settings. The retry budgets keep what they have counted.
     pub fn set_bounds(&self, bounds: Bounds) {
         self.bounds.set(bounds);
--- a/edge/src/serve/receive.rs
+++ b/edge/src/serve/receive.rs
@@ -1,6 +1,7 @@
 //! Reads the response of one runner, and decides when its silence ends the attempt.
 
 use std::{
+    cell::Cell,
     rc::Rc,
     time::{
         Duration,
@@ -22,6 +23,7 @@
     catalog::ServiceId,
     decide::{
         Failure,
+        ProcessLimits,
         RetryDecision,
         decide_retry, //
     },
@@ -194,6 +196,7 @@
         decoder: &mut BodyDecoder,
     ) -> Result<BytesMut, SendError> {
         let mut body = BytesMut::new();
+        let mut held = HeldBytes::new(&self.core.answers);
         loop {
             while let Some(piece) = decoder
                 .take(&mut connection.buf)
@@ -207,6 +210,7 @@
             if body.len() > MAX_ANSWER_BYTES {
                 return Err(too_long("response exceeds the size limit"));
             }
+            held.grow_to(body.len())?;
             if self.read_more(connection, 0).await? == 0 {
                 // A runner that stops after its head can't be told from one without a body.
                 if decoder.ends_with_connection() && !body.is_empty() {
@@ -218,6 +222,71 @@
     }
 }
 
+/// Bytes of a response up to which it is read whatever others hold: many times the users' answers.
+const SMALL_ANSWER_BYTES: usize = 64 * 1024;
+
+/// Bytes of all responses that are being read, and their bound.
+#[derive(Debug)]
+pub(super) struct AnswerBytes {
+    held: Cell<usize>,
+    most: Cell<usize>,
+}
+
+impl Default for AnswerBytes {
+    /// The bound of the smallest VM.
+    fn default() -> AnswerBytes {
+        let answers = AnswerBytes {
+            held: Cell::new(0),
+            most: Cell::new(0),
+        };
+        answers.set_bound(ProcessLimits::default().answers().bytes);
+        answers
+    }
+}
+
+impl AnswerBytes {
+    /// Sets the bound, in bytes.
+    pub(super) fn set_bound(&self, bytes: u64) {
+        self.most.set(usize::try_from(bytes).unwrap_or(usize::MAX));
+    }
+}
+
+/// Bytes of one response that is being read, until it is dropped.
+pub(super) struct HeldBytes<'a> {
+    answers: &'a AnswerBytes,
+    own: usize,
+}
+
+impl HeldBytes<'_> {
+    /// Counts for a response of which nothing has been read.
+    pub(super) fn new(answers: &AnswerBytes) -> HeldBytes<'_> {
+        HeldBytes { answers, own: 0 }
+    }
+
+    /// Records that `bytes` of the response are held.
+    ///
+    /// # Errors
+    ///
+    /// Fails for a large response if all that are being read hold too much: each of many faulty runners may send
+    /// bytes without end.
+    pub(super) fn grow_to(&mut self, bytes: usize) -> Result<(), SendError> {
+        let held = &self.answers.held;
+        held.set(held.get() - self.own + bytes);
+        self.own = bytes;
+        if bytes > SMALL_ANSWER_BYTES && held.get() > self.answers.most.get() {
+            return Err(too_long("responses of runners take too much memory"));
+        }
+        Ok(())
+    }
+}
+
+impl Drop for HeldBytes<'_> {
+    fn drop(&mut self) {
+        let held = &self.answers.held;
+        held.set(held.get() - self.own);
+    }
+}
+
 /// Error for a response of which more was received than can be part of an answer.
 fn too_long(detail: &str) -> SendError {
     SendError::new(Failure::Broken, detail)
--- a/edge/src/serve/relay.rs
+++ b/edge/src/serve/relay.rs
@@ -16,7 +16,10 @@
 
 use super::{
     call::Call,
-    receive::Attempt,
+    receive::{
+        Attempt,
+        HeldBytes, //
+    },
     response::encode_head,
     send::{
         Reply,
@@ -125,10 +128,12 @@
     ) -> Result<(), RelayError> {
         let (call, upstream) = (attempt.call, attempt.upstream);
         let mut events = EventBuffer::default();
+        let mut held = HeldBytes::new(&attempt.core.answers);
         let mut bytes = Vec::new();
         loop {
             let done = decode_events(reply, &mut events).map_err(RelayError::Runner)?;
             let gap = self.push_events(call, reply, &mut events, &mut bytes);
+            held.grow_to(events.len()).map_err(RelayError::Runner)?;
             if !bytes.is_empty() {
                 if self.version.is_none() {
                     self.version = Some(self.present);
