Work out the version of a stream only by shares read since its caller came back

The log of streams searched itself at each insertion once it was full; it now does so once a second.

--- a/edge/src/decide/versions.rs
+++ b/edge/src/decide/versions.rs
@@ -45,6 +45,9 @@
 /// Streams that a daemon reports, at most.
 const MAX_REPORTS: usize = 256;
 
+/// Shortest time between two searches for streams that can be forgotten, while the log is full.
+const PRUNE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Streams that are remembered, at most.
 const MAX_STREAMS: usize = 8192;
 
@@ -152,6 +155,14 @@
         versions.all(|v| v == Some(first)).then_some(first)
     }
 
+    /// The only version of all streams that can be taken up at `now`; `None` if there are several.
+    pub fn only_version(&self, now: FleetTime) -> Option<VersionKey> {
+        let weights = self.kept(now).iter().flat_map(|t| &t.weights);
+        let mut versions = weights.map(|(version, _)| *version);
+        let first = versions.next()?;
+        versions.all(|v| v == first).then_some(first)
+    }
+
     /// Whether the runners, with their slots by version, differ so much from the newest shares that these should be
     /// replaced.
     pub fn is_outdated(&self, slots: &HashMap<VersionKey, u32>) -> bool {
@@ -186,7 +197,11 @@
 
 /// Streams that have not ended whole, with the versions that began them.
 #[derive(Debug, Default)]
-pub struct StreamLog(HashMap<StreamKey, Known>);
+pub struct StreamLog {
+    streams: HashMap<StreamKey, Known>,
+    /// Time at which those that can't be taken up any more were last forgotten.
+    pruned_at: Option<Instant>,
+}
 
 impl StreamLog {
     /// Records that this daemon passes on the stream `key`, which `version` began.
@@ -195,11 +210,12 @@
     }
 
     fn insert(&mut self, key: StreamKey, version: VersionKey, own: bool, now: Instant) {
-        if self.0.len() >= MAX_STREAMS {
+        let is_full = self.streams.len() >= MAX_STREAMS;
+        if is_full && self.pruned_at.is_none_or(|at| now >= at + PRUNE_INTERVAL) {
             self.prune(now);
         }
-        if self.0.len() < MAX_STREAMS {
-            let known = self.0.entry(key).or_insert(Known {
+        if self.streams.len() < MAX_STREAMS {
+            let known = self.streams.entry(key).or_insert(Known {
                 version,
                 at: now,
                 own,
@@ -211,18 +227,34 @@
 
     /// Records that the caller has the whole stream `key`, so that nobody takes it up.
     pub fn end(&mut self, key: StreamKey) {
-        self.0.remove(&key);
+        self.streams.remove(&key);
     }
 
     /// Version that began the stream `key`.
     pub fn version_of(&self, key: StreamKey) -> Option<VersionKey> {
-        self.0.get(&key).map(|known| known.version)
+        self.streams.get(&key).map(|known| known.version)
+    }
+
+    /// Version at which the stream `key` has to go on at `now`, by what is known of it and else by `history`; `None` if
+    /// that is not certain. `history` counts only if it `is_current`: another daemon may have begun the stream by newer
+    /// shares. `has_runner` tells whether a version has a ready runner: a stream of one without may have begun at
+    /// another one.
+    pub fn resume_at(
+        &self,
+        key: StreamKey,
+        (history, is_current): (&VersionHistory, bool),
+        now: FleetTime,
+        has_runner: impl Fn(VersionKey) -> bool,
+    ) -> Option<VersionKey> {
+        let known = || history.began_at(key, now).filter(|_| is_current);
+        let by_shares = || known().filter(|v| has_runner(*v));
+        self.version_of(key).or_else(by_shares)
     }
 
     /// Adds what another daemon has reported, or the previous process on this VM if `own`.
     pub fn merge(&mut self, reports: &[StreamReport], own: bool, now: Instant) {
         for StreamReport(key, version) in reports.iter().take(MAX_REPORTS) {
-            if !self.0.contains_key(key) {
+            if !self.streams.contains_key(key) {
                 self.insert(*key, *version, own, now);
             }
         }
@@ -230,7 +262,7 @@
 
     /// Streams of this daemon of which others can't tell the version by `is_clear`, newest first.
     pub fn reports(&self, is_clear: impl Fn(StreamKey, VersionKey) -> bool) -> Vec<StreamReport> {
-        let own = self.0.iter().filter(|(_, known)| known.own);
+        let own = self.streams.iter().filter(|(_, known)| known.own);
         let mut unclear: Vec<(Instant, StreamReport)> = own
             .filter(|(key, known)| !is_clear(**key, known.version))
             .map(|(key, known)| (known.at, StreamReport(*key, known.version)))
@@ -242,7 +274,8 @@
 
     /// Forgets the streams that nobody can take up any more.
     pub fn prune(&mut self, now: Instant) {
-        self.0
+        self.pruned_at = Some(now);
+        self.streams
             .retain(|_, known| now.saturating_duration_since(known.at) < RESUME_TIME);
     }
 }
--- a/edge/src/prepaid/ledger/mod.rs
+++ b/edge/src/prepaid/ledger/mod.rs
@@ -294,6 +294,11 @@
         self.rows_read
     }
 
+    /// Whether all rows have been read in a call that began after `at`.
+    pub fn has_read_since(&self, at: Instant) -> bool {
+        self.rows_read && self.last_read.is_some_and(|asked| asked >= at)
+    }
+
     /// Number of writes that the store has accepted.
     pub fn accepted_writes(&self) -> u64 {
         self.accepted_writes
--- a/edge/src/serve/versions.rs
+++ b/edge/src/serve/versions.rs
@@ -109,9 +109,7 @@
             return Some(VersionChoice::Any);
         }
         if call.meta.last_event.is_none() {
-            let key = stream_key(&call.meta.id);
-            let version = self.shares_of(service, |history| history.version_of(key));
-            return Some(version.map_or(VersionChoice::Any, VersionChoice::Prefer));
+            return self.version_for_new(call, service);
         }
         let begun = Instant::now();
         loop {
@@ -127,34 +125,46 @@
         }
     }
 
+    /// The version at which the stream of `call` begins; `None` if its runners have several and this daemon does not know
+    /// their shares, so that no other one could tell.
+    fn version_for_new(&self, call: &Call, service: &ServiceId) -> Option<VersionChoice> {
+        let key = stream_key(&call.meta.id);
+        let version = self.shares_of(service, |history| history.version_of(key));
+        let choice = version.map(VersionChoice::Prefer);
+        let alike = self.ready_slots(service, Instant::now()).len() <= 1;
+        choice.or(alike.then_some(VersionChoice::Any))
+    }
+
     /// The version that began the stream that `call` takes up, as far as this daemon knows.
     fn find_version(&self, call: &Call, service: &ServiceId) -> Option<VersionKey> {
         let now = Instant::now();
         let Some(key) = key_of(call) else {
             return self.only_version(service, now);
         };
-        let logged = self.streams.borrow().version_of(key);
-        if logged.is_some() {
-            return logged;
-        }
         let time = self.fleet_time(now);
-        let version = self.shares_of(service, |history| history.began_at(key, time))?;
-        // A stream whose version has no runner may have begun at another one.
+        let has_read = self.ledger.borrow().has_read_since(call.received_at);
+        let only = self.only_version(service, now);
         let directory = self.directory.borrow();
-        let mut ready = directory.ready(service, now);
-        ready
-            .any(|r| version_key(&r.version) == version)
-            .then_some(version)
+        let has_runner = |version| {
+            let mut ready = directory.ready(service, now);
+            ready.any(|r| version_key(&r.version) == version)
+        };
+        let streams = self.streams.borrow();
+        self.shares_of(service, |history| {
+            let is_current = has_read || only.is_some();
+            streams.resume_at(key, (history, is_current), time, has_runner)
+        })
+        .or_else(|| streams.version_of(key))
     }
 
-    /// The version of all runners of `service`, if there was no other one lately.
+    /// The version of all runners of `service`, if there was no other one lately, as far as the entries and the shares
+    /// tell. New shares follow the entries.
     fn only_version(&self, service: &ServiceId, now: Instant) -> Option<VersionKey> {
         let time = self.fleet_time(now);
-        let versions = self.ready_slots(service, now);
-        let only = *versions.keys().next().filter(|_| versions.len() == 1)?;
-        let same = |key| self.shares_of(service, |h| h.began_at(key, time)) == Some(only);
-        // With one version in all shares, every stream began at it.
-        (0..64).all(same).then_some(only)
+        let slots = self.ready_slots(service, now);
+        let in_entries = *slots.keys().next().filter(|_| slots.len() == 1)?;
+        let in_shares = self.shares_of(service, |history| history.only_version(time))?;
+        (in_entries == in_shares && self.runners_fresh(now)).then_some(in_entries)
     }
 
     /// Applies `f` to the shares of `service`; `None` if there are none yet.
