Let streams go on for 4 s of an outage if one version serves

With runners' entries older than 1.8 s every stream that was taken up in an outage of the store would have been refused, also where there is one version. Seen by reading; entries now count for 4 s.

--- a/edge/src/serve/core.rs
+++ b/edge/src/serve/core.rs
@@ -351,9 +351,13 @@
 
     /// Whether the runner entries were recently read from the store.
     pub fn runners_fresh(&self, now: Instant) -> bool {
-        self.runners_confirmed
-            .get()
-            .is_some_and(|at| now.duration_since(at) < MAX_CONFIRMATION_AGE)
+        self.runners_read_within(MAX_CONFIRMATION_AGE, now)
+    }
+
+    /// Whether the runner entries were read from the store less than `age` before `now`.
+    pub(super) fn runners_read_within(&self, age: Duration, now: Instant) -> bool {
+        let confirmed = self.runners_confirmed.get();
+        confirmed.is_some_and(|at| now.saturating_duration_since(at) < age)
     }
 
     /// Sets the most bytes that responses of runners may hold while they are being read.
--- a/edge/src/serve/versions.rs
+++ b/edge/src/serve/versions.rs
@@ -45,6 +45,10 @@
 /// Interval between two looks for such word.
 const WORD_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Age up to which the runners' entries tell that there is one version only: an outage of the store in which most
+/// streams that break off are taken up.
+const MAX_ENTRIES_AGE: Duration = Duration::from_secs(4);
+
 /// Time between two daemons that write the shares of a service, so that only one does if the first succeeds.
 const WRITE_STEP: Duration = Duration::from_millis(150);
 
@@ -164,7 +168,8 @@
         let slots = self.ready_slots(service, now);
         let in_entries = *slots.keys().next().filter(|_| slots.len() == 1)?;
         let in_shares = self.shares_of(service, |history| history.only_version(time))?;
-        (in_entries == in_shares && self.runners_fresh(now)).then_some(in_entries)
+        let is_recent = self.runners_read_within(MAX_ENTRIES_AGE, now);
+        (in_entries == in_shares && is_recent).then_some(in_entries)
     }
 
     /// Applies `f` to the shares of `service`; `None` if there are none yet.
