--- a/edge/src/serve/core.rs
+++ b/edge/src/serve/core.rs
@@ -44,11 +44,9 @@
         Directory,
         Evacuations,
         RegionId,
-        Route,
         RunnerId,
         ServiceId, //
     },
-    clock::boot_time,
     decide::{
         Availability,
         CrashEvidence,
@@ -155,9 +153,9 @@
     /// Time at which the configuration was last known to be the newest.
     config_confirmed: Cell<Option<Instant>>,
     /// Newest era of the store that any of its answers has named.
-    store_era: Cell<Option<Era>>,
+    pub(super) store_era: Cell<Option<Era>>,
     /// Time at which this process learned that the store had come back from a copy.
-    restored_at: Cell<Option<Instant>>,
+    pub(super) restored_at: Cell<Option<Instant>>,
     /// Time at which the runner entries were last read from the store.
     runners_confirmed: Cell<Option<Instant>>,
     /// State of each runner that has been considered for a request.
@@ -173,9 +171,9 @@
     /// Tokens reserved for requests of other daemons.
     pub(super) reservations: Reservations,
     /// The planned stop, once it has begun.
-    stop: Cell<Option<PlannedStop>>,
+    pub(super) stop: Cell<Option<PlannedStop>>,
     /// Notified when open requests are answered because the process ends.
-    stop_answers: Notify,
+    pub(super) stop_answers: Notify,
     /// Time that requests took, by route.
     pub(super) route_times: RefCell<RouteTimes>,
     /// State of the shutdown of the callers' listener.
@@ -307,43 +305,6 @@
             .is_some_and(|at| now.duration_since(at) < MAX_CONFIRMATION_AGE)
     }
 
-    /// Records the era that an answer of the store to `call` has named. Returns whether the answer counts: what the
-    /// store said in an earlier era does not hold any more.
-    pub fn note_era(&self, era: Era, call: &str) -> bool {
-        let known = self.store_era.get();
-        if known == Some(era) {
-            return true;
-        }
-        log::info!(
-            "event=store_era era={era} known={} call={call}",
-            known.map_or_else(|| "-".to_owned(), |e| e.to_string())
-        );
-        if known > Some(era) {
-            return false;
-        }
-        let now = Instant::now();
-        if known.is_some() {
-            self.restored_at.set(Some(now));
-        }
-        self.store_era.set(Some(era));
-        self.ledger.borrow_mut().enter_era(era, now);
-        self.reader_wake.notify_one();
-        self.writer_wake.notify_one();
-        true
-    }
-
-    /// Newest era of the store.
-    pub fn store_era(&self) -> Option<Era> {
-        self.store_era.get()
-    }
-
-    /// Whether the store has come back from a copy so recently that the operator and the runners may not have written
-    /// again what it has lost.
-    pub fn is_settling(&self, now: Instant) -> bool {
-        let since = self.restored_at.get();
-        since.is_some_and(|at| now.saturating_duration_since(at) < self.bounds.get().lapse_grace)
-    }
-
     /// Records that the runner entries were read from the store at `now`.
     pub fn confirm_runners(&self, now: Instant) {
         self.runners_confirmed.set(Some(now));
@@ -473,54 +434,6 @@
         number
     }
 
-    /// Begins the planned stop at `now`, a time since the start of the VM, unless it has begun. Returns its
-    /// plan.
-    pub fn begin_stop(&self, now: Duration) -> PlannedStop {
-        if let Some(stop) = self.stop.get() {
-            return stop;
-        }
-        let stop = PlannedStop::new(now, self.bounds.get().grace);
-        self.stop.set(Some(stop));
-        self.ledger.borrow_mut().leave();
-        self.state_changed.notify_waiters();
-        stop
-    }
-
-    /// Whether the planned stop has begun.
-    pub fn is_stopping(&self) -> bool {
-        self.stop.get().is_some()
-    }
-
-    /// Whether requests are taken: not in the later part of a planned stop.
-    pub(super) fn accepts_requests(&self) -> bool {
-        self.stop.get().is_none_or(|stop| stop.accepts(boot_time()))
-    }
-
-    /// Whether a request of `route` may be sent: during a planned stop only if it can end in time.
-    pub(super) fn may_send(&self, route: &Route) -> bool {
-        self.stop.get().is_none_or(|stop| {
-            let times = self.route_times.borrow();
-            let time = times.most(&route.name, route.objective);
-            stop.may_send(boot_time(), time)
-        })
-    }
-
-    /// Makes all open requests end with an answer, because the process is about to.
-    pub fn answer_open_requests(&self) {
-        self.stop_answers.notify_waiters();
-    }
-
-    /// Returns when open requests are to be answered because the process is about to end.
-    pub(super) async fn stop_answers(&self) {
-        loop {
-            let notified = self.stop_answers.notified();
-            if self.stop.get().is_some_and(|s| s.must_answer(boot_time())) {
-                return;
-            }
-            notified.await;
-        }
-    }
-
     /// Whether the load balancer may send new connections.
     pub fn is_ready(&self) -> bool {
         !self.is_stopping()
--- a/edge/src/serve/mod.rs
+++ b/edge/src/serve/mod.rs
@@ -21,6 +21,8 @@
 mod residency;
 mod response;
 mod send;
+mod stop;
+mod store_era;
 mod suspects;
 mod tokens;
 mod turns;
