Look at each service once when version shares are due

plan_shares went through all routes five times a second, and through all runners for each: with thousands of routes that is milliseconds of a core each time.

--- a/edge/src/serve/versions.rs
+++ b/edge/src/serve/versions.rs
@@ -1,7 +1,10 @@
 //! Keeps a stream at the software version that began it.
 
 use std::{
-    collections::HashMap,
+    collections::{
+        BTreeSet,
+        HashMap, //
+    },
     time::{
         Duration,
         Instant, //
@@ -255,7 +258,10 @@
         let config = self.config()?;
         let routes = config.hosts.values().flatten();
         let resumable = routes.filter(|r| r.retry.is_stream() && r.retry.allows_rerun());
-        for (service, _) in resumable.flat_map(|r| &r.services) {
+        // There may be thousands of routes to a few services.
+        let services = resumable.flat_map(|r| &r.services);
+        let services: BTreeSet<&ServiceId> = services.map(|(service, _)| service).collect();
+        for service in services {
             let slots = self.ready_slots(service, now);
             if slots.is_empty() || !self.is_write_due(service, &slots, era, now) {
                 continue;
