Choose among all versions only where there are several

While no runner was free, each waiting request looked at all runners twice, once for its version and once for any, and hashed their versions each time.

--- a/edge/src/catalog/directory.rs
+++ b/edge/src/catalog/directory.rs
@@ -14,6 +14,7 @@
     RunnerId,
     ServiceId, //
 };
+use crate::decide::VersionKey;
 
 /// Whether a runner takes new requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -37,6 +38,8 @@
     pub zone: Arc<str>,
     /// Version of its software. What two versions write in a stream does not fit together.
     pub version: Arc<str>,
+    /// Hash of the version, by which streams are compared.
+    pub version_key: VersionKey,
     /// Requests that it runs at once.
     pub slots: u32,
     /// Whether it takes new requests.
@@ -92,6 +95,7 @@
 ///     address: "127.0.0.1:8080".parse().unwrap(),
 ///     zone: "z-1".into(),
 ///     version: "v1".into(),
+///     version_key: cuminloom_edge::decide::version_key("v1"),
 ///     slots: 8,
 ///     state: RunnerState::Ready,
 ///     born: 1_700_000_000_000,
--- a/edge/src/peer/message.rs
+++ b/edge/src/peer/message.rs
@@ -21,7 +21,8 @@
     },
     decide::{
         Observations,
-        RunnerKey, //
+        RunnerKey,
+        version_key, //
     },
     prepaid::{
         Admission,
@@ -265,6 +266,7 @@
             service: Arc::from(peer.service),
             address: peer.address,
             zone: Arc::from(peer.zone),
+            version_key: version_key(&peer.version),
             version: Arc::from(peer.version),
             slots: peer.slots,
             state: if peer.ready {
--- a/edge/src/serve/attempts.rs
+++ b/edge/src/serve/attempts.rs
@@ -54,8 +54,7 @@
         RetryDecision,
         Verdict,
         decide_retry,
-        retry_after,
-        version_key, //
+        retry_after, //
     },
 };
 
@@ -163,7 +162,7 @@
             started: history.started,
             rejected: history.rejected,
         };
-        relay.start_attempt(version_key(&upstream.runner.borrow().version));
+        relay.start_attempt(upstream.runner.borrow().version_key);
         let sent = send_once(&attempt, &charge, relay, out).await;
         if let Some(span) = &mut span {
             span.add_field("runner", &runner);
--- a/edge/src/serve/choose.rs
+++ b/edge/src/serve/choose.rs
@@ -210,7 +210,7 @@
         Choice::Runner(upstream) => !core.view(upstream, Instant::now()).doubtful,
         _ => false,
     };
-    if answers {
+    if answers || core.all_admitted(service, version, Instant::now()) {
         return choice;
     }
     choose_runner(core, call, tried, service, first, VersionChoice::Any)
--- a/edge/src/serve/versions.rs
+++ b/edge/src/serve/versions.rs
@@ -32,8 +32,7 @@
         VersionHistory,
         VersionKey,
         rendezvous_weight,
-        stream_key,
-        version_key, //
+        stream_key, //
     },
     prepaid::{
         Batch,
@@ -75,7 +74,7 @@
         match self {
             VersionChoice::Any => true,
             VersionChoice::Prefer(version) | VersionChoice::Only(version) => {
-                version_key(&runner.version) == version
+                runner.version_key == version
             }
         }
     }
@@ -138,8 +137,8 @@
         let key = stream_key(&call.meta.id);
         let version = self.shares_of(service, |history| history.version_of(key));
         let choice = version.map(VersionChoice::Prefer);
-        let alike = self.ready_slots(service, Instant::now()).len() <= 1;
-        choice.or(alike.then_some(VersionChoice::Any))
+        let alike = || self.ready_slots(service, Instant::now()).len() <= 1;
+        choice.or_else(|| alike().then_some(VersionChoice::Any))
     }
 
     /// The version that began the stream that `call` takes up, as far as this daemon knows.
@@ -154,7 +153,7 @@
         let directory = self.directory.borrow();
         let has_runner = |version| {
             let mut ready = directory.ready(service, now);
-            ready.any(|r| version_key(&r.version) == version)
+            ready.any(|r| r.version_key == version)
         };
         let streams = self.streams.borrow();
         self.shares_of(service, |history| {
@@ -185,6 +184,13 @@
         f(&shares.get(service)?.history)
     }
 
+    /// Whether all ready runners of `service` fit `version`, so that there is no other choice.
+    pub(super) fn all_admitted(&self, service: &str, version: VersionChoice, now: Instant) -> bool {
+        let directory = self.directory.borrow();
+        let mut ready = directory.ready(service, now);
+        ready.all(|runner| version.admits(runner))
+    }
+
     /// Records that a runner with `version` passes on an event of the stream of `call`.
     pub(super) fn record_stream(&self, call: &Call, version: VersionKey) {
         if let Some(key) = key_of(call).filter(|_| may_resume(call)) {
@@ -220,7 +226,7 @@
         let directory = self.directory.borrow();
         let mut slots = HashMap::new();
         for runner in directory.ready(service, now) {
-            let sum: &mut u32 = slots.entry(version_key(&runner.version)).or_default();
+            let sum: &mut u32 = slots.entry(runner.version_key).or_default();
             *sum = sum.saturating_add(runner.slots);
         }
         slots
--- a/edge/tests/decisions.rs
+++ b/edge/tests/decisions.rs
@@ -230,6 +230,7 @@
         born: 0,
         cold_time: Duration::ZERO,
         version: "v1".into(),
+        version_key: 1,
     }
 }
 
--- a/edge/tests/silence.rs
+++ b/edge/tests/silence.rs
@@ -47,6 +47,7 @@
         born: 1,
         cold_time: Duration::ZERO,
         version: "v1".into(),
+        version_key: 1,
     };
     let upstream = Upstream::new(Arc::new(runner), Rc::clone(&link));
     link.record(now.checked_sub(quiet).unwrap());
