--- a/edge/src/prepaid/ledger/mod.rs
+++ b/edge/src/prepaid/ledger/mod.rs
@@ -133,6 +133,8 @@
     began: Option<Era>,
     /// Time at which this process learned of the newest era.
     era_since: Option<Instant>,
+    /// Whether all daemons were found to have written in this era: each plan asks for each customer.
+    settled: bool,
     /// Whether the store has the mark of the era.
     era_marked: bool,
     /// Newest era in which the store has all that this process knows of the rows of others.
@@ -199,6 +201,7 @@
             era: None,
             began: None,
             era_since: None,
+            settled: false,
             era_marked: false,
             reconciled: None,
             claims: None,
--- a/edge/src/prepaid/ledger/reads.rs
+++ b/edge/src/prepaid/ledger/reads.rs
@@ -80,6 +80,7 @@
         }
         if whole {
             self.forget_written_rows();
+            self.settled = self.is_settled(asked);
             self.update_holders(asked, received);
         }
     }
--- a/edge/src/prepaid/ledger/recovery.rs
+++ b/edge/src/prepaid/ledger/recovery.rs
@@ -80,6 +80,7 @@
         self.version = 0;
         self.stored = None;
         self.rows_read = false;
+        self.settled = false;
         self.era_marked = false;
         if !self.owned {
             self.inherited = None;
@@ -159,6 +160,9 @@
         let Some(since) = self.era_since.filter(|_| self.rows_read) else {
             return false;
         };
+        if self.settled {
+            return true;
+        }
         if now.saturating_duration_since(since) >= SETTLE_LIMIT {
             return true;
         }
