Check the version again just before a stream goes on

A runner's entry may name another version between the choice of the runner and the send, which may wait for a connection. Seen by reading; the test of the region beside it has the same reason. A stream that has begun is then not sent there and goes on elsewhere or is refused. tests/versions.rs passes as before.

--- a/edge/src/serve/attempts.rs
+++ b/edge/src/serve/attempts.rs
@@ -161,6 +161,7 @@
             service: &service,
             started: history.started,
             rejected: history.rejected,
+            version,
         };
         relay.start_attempt(upstream.runner.borrow().version_key);
         let sent = send_once(&attempt, &charge, relay, out).await;
--- a/edge/src/serve/receive.rs
+++ b/edge/src/serve/receive.rs
@@ -17,7 +17,8 @@
     Upstream,
     call::Call,
     send::SendError,
-    upstream::Probe, //
+    upstream::Probe,
+    versions::VersionChoice, //
 };
 use crate::{
     catalog::ServiceId,
@@ -67,6 +68,8 @@
     pub started: u32,
     /// Earlier attempts that a runner rejected.
     pub rejected: u32,
+    /// Version at which it has to be served.
+    pub version: VersionChoice,
 }
 
 impl<D> Attempt<'_, D> {
--- a/edge/src/serve/send.rs
+++ b/edge/src/serve/send.rs
@@ -169,6 +169,14 @@
         );
         return Err(SendError::new(Failure::NotSent, "region"));
     }
+    // So may it have named another version.
+    if attempt.version.forbids(&upstream.runner.borrow()) {
+        log::info!(
+            "event=send_withheld id={} runner={runner} standing=version source=own since_ms=-1",
+            call.meta.id
+        );
+        return Err(SendError::new(Failure::NotSent, "version"));
+    }
     if !core.may_send(&call.route) {
         return Err(SendError::new(Failure::NotSent, STOP_CODE));
     }
--- a/edge/src/serve/versions.rs
+++ b/edge/src/serve/versions.rs
@@ -69,6 +69,11 @@
 }
 
 impl VersionChoice {
+    /// Whether the stream must not go on at `runner`.
+    pub(super) fn forbids(self, runner: &Runner) -> bool {
+        matches!(self, VersionChoice::Only(_)) && !self.admits(runner)
+    }
+
     /// Whether `runner` fits best.
     pub(super) fn admits(self, runner: &Runner) -> bool {
         match self {
