Pause after an answer of an earlier era

A feed that is answered in an earlier era asked again at once, and would spin as long as such answers come. Seen by reading; it now pauses as after a failed call. restored_store passes as before.

--- a/edge/src/fleet/feeds.rs
+++ b/edge/src/fleet/feeds.rs
@@ -126,7 +126,11 @@
                 status.succeeded();
                 let now = Instant::now();
                 let grace = core.bounds.get().lapse_grace;
-                if !core.note_era(feed.era, "configs") || !position.advance(&feed, now, grace) {
+                if !core.note_era(feed.era, "configs") {
+                    sleep(RETRY_PAUSE).await;
+                    continue;
+                }
+                if !position.advance(&feed, now, grace) {
                     continue;
                 }
                 core.ledger.borrow_mut().record_store_time(feed.now_ms, now);
@@ -183,6 +187,7 @@
                 let now = Instant::now();
                 let grace = core.bounds.get().lapse_grace;
                 if !core.note_era(feed.era, "runners") {
+                    sleep(RETRY_PAUSE).await;
                     continue;
                 }
                 let is_complete = position.advance(&feed, now, grace);
