--- a/edge/src/catalog/directory.rs
+++ b/edge/src/catalog/directory.rs
@@ -231,6 +231,11 @@
         gone
     }
 
+    /// Ids of the entries that were removed and stay usable for a grace period.
+    pub fn lapsed_ids(&self) -> Vec<RunnerId> {
+        self.lapsed.keys().cloned().collect()
+    }
+
     /// Runners of `service` that take new requests. Excludes lapsed entries whose grace period is
     /// over, even if [`Directory::expire`] has not dropped them yet.
     pub fn ready<'a>(
--- a/edge/src/fleet/feeds.rs
+++ b/edge/src/fleet/feeds.rs
@@ -2,6 +2,7 @@
 
 use std::{
     rc::Rc,
+    sync::Arc,
     time::{
         Duration,
         Instant, //
@@ -19,7 +20,11 @@
         StoreError,
         StoreVersion, //
     },
-    catalog::RunnerChange,
+    catalog::{
+        Directory,
+        RunnerChange,
+        RunnerId, //
+    },
     serve::Core, //
 };
 
@@ -42,19 +47,27 @@
     name: &'static str,
     /// Time of the first failed call; `None` while the feed is reachable.
     lost: Option<Instant>,
+    /// Calls that have failed since then.
+    failures: u32,
 }
 
 impl FeedStatus {
     pub(super) fn new(name: &'static str) -> FeedStatus {
-        FeedStatus { name, lost: None }
+        FeedStatus {
+            name,
+            lost: None,
+            failures: 0,
+        }
     }
 
     /// Records a failed call.
     pub(super) fn failed(&mut self, fault: &StoreError) {
         if self.lost.is_none() {
             self.lost = Some(Instant::now());
+            self.failures = 0;
             log::warn!("event=feed_lost feed={} error=\"{fault}\"", self.name);
         }
+        self.failures += 1;
     }
 
     /// Records a successful call. Returns whether the feed was lost before.
@@ -63,9 +76,10 @@
             return false;
         };
         log::info!(
-            "event=feed_regained feed={} after_ms={}",
+            "event=feed_regained feed={} after_ms={} failures={}",
             self.name,
-            at.elapsed().as_millis()
+            at.elapsed().as_millis(),
+            self.failures
         );
         true
     }
@@ -232,6 +246,11 @@
     let mut changed = false;
     {
         let mut directory = core.directory.borrow_mut();
+        let known: Vec<RunnerId> = match whole {
+            true => directory.all().map(|r| Arc::clone(&r.id)).collect(),
+            false => Vec::new(),
+        };
+        let lapsed = directory.lapsed_ids();
         if whole {
             let entries = items
                 .into_iter()
@@ -251,6 +270,7 @@
                 }
             }
         }
+        log_missing(&directory, &known, &lapsed);
     }
     core.mark_all_cold(&cold, now);
     if changed {
@@ -260,6 +280,19 @@
     }
 }
 
+/// Logs the runners whose entries stay usable for a grace period, but for those of `lapsed`, and those of `known` that
+/// are dropped.
+fn log_missing(directory: &Directory, known: &[RunnerId], lapsed: &[RunnerId]) {
+    for id in directory.lapsed_ids() {
+        if !lapsed.contains(&id) {
+            log::info!("event=runner_lapsed runner={id}");
+        }
+    }
+    for id in known.iter().filter(|id| directory.get(id).is_none()) {
+        log::info!("event=runner_gone runner={id} cause=missing");
+    }
+}
+
 /// Counts one call to the store in the metrics, and records that the link works if it was answered.
 pub(super) fn count_store_call<D>(core: &Core<D>, call: &str, outcome: &str) {
     if outcome != "failed" {
