Tell a silent connection to the store from a store that is away

Cause: two times added up. A silent connection was given up up to 2.2 s after the call, and the first answer after any failed call began a grace period of 1.8 s for missing entries, as if they could have expired.

Change: http::Client repeats an idempotent call whose answer is overdue on a new connection and drops idle connections as old as a silent one. OutageWatch allows a grace period only after failed calls and a time without an answer in which the entry of a sound runner can expire, by the heartbeat interval of the settings. A further outage does not extend the grace period of an entry that is missing already, and after a return from a copy it begins with the first answer that showed the new era.

--- a/edge/src/catalog/directory.rs
+++ b/edge/src/catalog/directory.rs
@@ -103,7 +103,7 @@
 /// };
 /// let mut directory = Directory::default();
 /// directory.apply(RunnerChange::Put(runner), now);
-/// directory.start_grace(now, Duration::from_secs(2));
+/// directory.start_grace(now + Duration::from_secs(2));
 /// directory.apply(RunnerChange::Gone("i-1".into()), now);
 /// assert_eq!(directory.ready("desk", now).count(), 1);
 /// assert_eq!(directory.ready("desk", now + Duration::from_secs(2)).count(), 0);
@@ -143,7 +143,7 @@
         };
         match self.grace_until.filter(|t| now < *t) {
             Some(until) if runner.state == RunnerState::Ready => {
-                self.lapsed.insert(id, until);
+                self.lapsed.entry(id).or_insert(until);
                 false
             }
             _ => {
@@ -210,10 +210,11 @@
         changed
     }
 
-    /// Starts a grace period of length `grace`, to be called when the store is reachable again:
-    /// ready entries that are removed within it stay usable until its end.
-    pub fn start_grace(&mut self, now: Instant, grace: Duration) {
-        self.grace_until = Some(now + grace);
+    /// Starts a grace period that ends at `until`, to be called when the store is back from an outage in which entries
+    /// may have expired: ready entries that are removed within it stay usable until its end. Entries that have lapsed
+    /// already keep the end that they have.
+    pub fn start_grace(&mut self, until: Instant) {
+        self.grace_until = self.grace_until.max(Some(until));
     }
 
     /// Drops lapsed entries whose grace period is over, and returns their ids.
--- a/edge/src/decide/mod.rs
+++ b/edge/src/decide/mod.rs
@@ -10,6 +10,7 @@
 mod fingerprint;
 mod load_view;
 mod observations;
+mod outage;
 mod patience;
 mod peer_choice;
 mod placement;
@@ -62,6 +63,10 @@
     LoadView, //
 };
 pub use observations::Observations;
+pub use outage::{
+    OutageWatch,
+    shortest_lapse, //
+};
 pub use patience::stall_limit;
 pub use peer_choice::{
     PeerChoice,
--- a/edge/src/fleet/feeds.rs
+++ b/edge/src/fleet/feeds.rs
@@ -25,6 +25,7 @@
         RunnerChange,
         RunnerId, //
     },
+    decide::OutageWatch,
     serve::Core, //
 };
 
@@ -194,22 +195,27 @@
 pub async fn follow_runners<D, S: Store>(core: Rc<Core<D>>, store: Rc<S>) {
     let mut status = FeedStatus::new("runners");
     let mut position = FeedPosition::default();
+    let mut outages = OutageWatch::default();
     loop {
         let since = position.since(core.store_era(), Instant::now());
         match store.watch_runners(since, RUNNER_POLL_WAIT).await {
             Ok(feed) => {
                 let now = Instant::now();
-                let grace = core.bounds.get().lapse_grace;
+                let bounds = core.bounds.get();
+                let grace = bounds.lapse_grace;
                 if !core.note_era(feed.era, "runners") {
                     sleep(RETRY_PAUSE).await;
                     continue;
                 }
                 let is_complete = position.advance(&feed, now, grace);
-                if status.succeeded() || position.is_first {
-                    core.directory.borrow_mut().start_grace(now, grace);
+                status.succeeded();
+                if outages.record_answer(now, bounds.heartbeat) {
+                    core.directory.borrow_mut().start_grace(now + grace);
                 }
                 if position.is_first {
-                    core.directory.borrow_mut().withhold_departed(now);
+                    let returned = core.restored_at().unwrap_or(now);
+                    core.directory.borrow_mut().start_grace(returned + grace);
+                    core.directory.borrow_mut().withhold_departed(returned);
                 }
                 if !is_complete {
                     continue;
@@ -222,6 +228,7 @@
             }
             Err(fault) => {
                 status.failed(&fault);
+                outages.record_failure();
                 count_store_call(&core, "runners", "failed");
                 position.restart();
                 sleep(RETRY_PAUSE).await;
--- a/edge/src/http/mod.rs
+++ b/edge/src/http/mod.rs
@@ -1,10 +1,11 @@
-//! HTTP/1.1 over TCP, for connections to callers and to runners.
+//! HTTP/1.1 over TCP, for connections to callers, to runners and to the store.
 //!
 //! Heads are parsed by `httparse`. Body framing is implemented here, because a relay has to detect
 //! what client libraries hide: both framings at once, a response that belongs to an earlier request
 //! on the same connection, and a close before the last byte.
 
 mod body;
+mod client;
 mod connection;
 mod event;
 mod head;
@@ -15,6 +16,13 @@
     Framing,
     push_chunk, //
 };
+pub use client::{
+    Call,
+    CallError,
+    Client,
+    ClientLimits,
+    ServerAnswer, //
+};
 pub use connection::{
     Connection,
     ConnectionError,
--- a/edge/src/serve/core.rs
+++ b/edge/src/serve/core.rs
@@ -81,6 +81,8 @@
     pub grace: Duration,
     /// Transactions per second that the store performs on the rows of the daemons.
     pub store_writes: f64,
+    /// Interval at which a runner renews its entry.
+    pub heartbeat: Duration,
     /// Time for which entries that expired during a store outage may be missing after it.
     pub lapse_grace: Duration,
     /// Factor on the requests a second that a cold runner tolerates, for any one second.
@@ -97,6 +99,7 @@
             retry_window: Duration::from_secs(10),
             grace: Duration::from_secs(8),
             store_writes: 300.0,
+            heartbeat: Duration::from_millis(1200),
             // Entries reappear about 2 s after the end of a store outage. A runner whose entry is removed
             // just before this daemon sees the end must get no requests 2 s later.
             lapse_grace: Duration::from_millis(1800),
--- a/edge/src/serve/store_era.rs
+++ b/edge/src/serve/store_era.rs
@@ -36,6 +36,11 @@
         self.store_era.get()
     }
 
+    /// Time at which this process learned that the store had come back from a copy.
+    pub fn restored_at(&self) -> Option<Instant> {
+        self.restored_at.get()
+    }
+
     /// Whether the store has come back from a copy so recently that the operator and the runners may not have written
     /// again what it has lost.
     pub fn is_settling(&self, now: Instant) -> bool {
--- a/edge/tests/decisions.rs
+++ b/edge/tests/decisions.rs
@@ -17,6 +17,7 @@
         Candidate,
         FailedAttempt,
         Failure,
+        OutageWatch,
         RequestNeeds,
         RetryBudget,
         RetryDecision,
@@ -255,7 +256,7 @@
     let mut directory = Directory::default();
     directory.apply(RunnerChange::Put(runner("a", RunnerState::Ready)), now);
     directory.apply(RunnerChange::Put(runner("b", RunnerState::Ready)), now);
-    directory.start_grace(now, grace);
+    directory.start_grace(now + grace);
     directory.replace(Vec::new(), now);
     assert_eq!(directory.ready("s", now).count(), 2);
     directory.apply(
@@ -267,3 +268,50 @@
     assert_eq!(directory.expire(now + grace), vec!["b".into()]);
     assert_eq!(directory.ready("s", now).count(), 1);
 }
+
+/// Guards against a grace period for the entry of a runner that has left, after failures of the feed in which no entry
+/// can have expired: a connection that was reset or silent, and a process that stood still.
+#[test]
+fn short_failures_of_the_feed_give_runners_that_left_a_grace_period() {
+    let (start, heartbeat) = (Instant::now(), Duration::from_millis(1200));
+    let mut watch = OutageWatch::default();
+    assert!(!watch.record_answer(start, heartbeat));
+    let mut now = start;
+    for after_ms in [150, 1400, 2000, 150] {
+        watch.record_failure();
+        now += Duration::from_millis(after_ms);
+        assert!(!watch.record_answer(now, heartbeat), "{after_ms} ms");
+    }
+    now += Duration::from_secs(5);
+    assert!(!watch.record_answer(now, heartbeat), "stood still");
+    watch.record_failure();
+    watch.record_failure();
+    now += Duration::from_secs(3);
+    assert!(watch.record_answer(now, heartbeat), "away for 3 s");
+}
+
+/// Guards against the loss of all runners in a process that was started while the store was away.
+#[test]
+fn an_outage_at_the_start_counts() {
+    let mut watch = OutageWatch::default();
+    watch.record_failure();
+    assert!(watch.record_answer(Instant::now(), Duration::from_millis(1200)));
+}
+
+/// Guards against a runner that has left and is used for as long as the store comes and goes: each outage gave its
+/// entry a new grace period.
+#[test]
+fn each_outage_extends_the_grace_period_of_a_missing_entry() {
+    let now = Instant::now();
+    let grace = Duration::from_secs(2);
+    let mut directory = Directory::default();
+    directory.apply(RunnerChange::Put(runner("a", RunnerState::Ready)), now);
+    for outage in 0..4 {
+        let back = now + grace / 2 * outage;
+        directory.start_grace(back + grace);
+        directory.replace(Vec::new(), back);
+    }
+    let late = now + grace;
+    assert_eq!(directory.ready("s", now).count(), 1);
+    assert_eq!(directory.ready("s", late).count(), 0);
+}
