Begin no stream at a new version while a daemon may not have heard of it

Callers: during a release, streams that had begun at the new version were taken up at a daemon that had been cut off or had stood still for seconds, and went on at the old version (ORDER).

Cause: a daemon took it for certain that there is one version only if its entries had been received less than 4 s before. Others began streams at a new version within a fraction of a second, and an answer that had waited at a suspended process counted as new.

Change: what a daemon has read is a lease of 4 s that counts from the store's answer, on a clock that goes on while the VM is suspended. Streams begin at a new version only 4 s after it was found in the shares, or if no other one has a runner that answers.

--- a/edge/src/decide/mod.rs
+++ b/edge/src/decide/mod.rs
@@ -22,6 +22,7 @@
 mod runner_limits;
 mod speeds;
 mod turn_order;
+mod version_lease;
 mod versions;
 
 pub use availability::{
@@ -109,6 +110,11 @@
     TurnOrder,
     TurnPlace, //
 };
+pub use version_lease::{
+    OpenVersions,
+    ReadAge,
+    VERSION_LEASE, //
+};
 pub use versions::{
     StreamKey,
     StreamLog,
--- a/edge/src/decide/versions.rs
+++ b/edge/src/decide/versions.rs
@@ -148,6 +148,45 @@
         self.tables.last()?.version_of(key)
     }
 
+    /// Version at which a new stream begins if it may begin only at those that `is_open` names; any if none of the
+    /// newest shares is.
+    pub fn open_version_of(
+        &self,
+        key: StreamKey,
+        is_open: impl Fn(VersionKey) -> bool,
+    ) -> Option<VersionKey> {
+        let newest = self.tables.last()?;
+        let weights = newest.weights.iter().filter(|(v, _)| is_open(*v)).copied();
+        let open = VersionShares {
+            since: newest.since,
+            weights: weights.collect(),
+        };
+        open.version_of(key).or_else(|| newest.version_of(key))
+    }
+
+    /// All versions of the shares.
+    pub fn versions(&self) -> impl Iterator<Item = VersionKey> {
+        let weights = self.tables.iter().flat_map(|t| &t.weights);
+        weights.map(|(version, _)| *version)
+    }
+
+    /// Whether the shares name `version`.
+    pub(super) fn names(&self, version: VersionKey) -> bool {
+        self.versions().any(|v| v == version)
+    }
+
+    /// Store time from which shares name `version`; 0 if the oldest ones do, before which there were none that could
+    /// still matter. `None` if none do.
+    pub(super) fn named_since(&self, version: VersionKey) -> Option<FleetTime> {
+        let names = |t: &VersionShares| t.weights.iter().any(|(v, _)| *v == version);
+        let first = self.tables.iter().position(names)?;
+        Some(if first == 0 {
+            0
+        } else {
+            self.tables[first].since
+        })
+    }
+
     /// Version at which the stream `key` has begun, if the shares alone tell it at `now`.
     pub fn began_at(&self, key: StreamKey, now: FleetTime) -> Option<VersionKey> {
         let mut versions = self.kept(now).iter().map(|t| t.version_of(key));
--- a/edge/src/fleet/feeds.rs
+++ b/edge/src/fleet/feeds.rs
@@ -221,6 +221,7 @@
                     continue;
                 }
                 core.ledger.borrow_mut().record_store_time(feed.now_ms, now);
+                core.record_entries(feed.era, feed.now_ms);
                 core.confirm_runners(now);
                 count_store_call(&core, "runners", "ok");
                 apply_entries(&core, feed.items, feed.is_snapshot, now);
--- a/edge/src/serve/choose.rs
+++ b/edge/src/serve/choose.rs
@@ -193,7 +193,7 @@
 }
 
 /// Chooses a runner as [`choose_runner`] does. A stream that has not begun leaves its version if that has no runner that
-/// is known to answer.
+/// is known to answer, and goes to one at which streams may not begin yet only if no other one has.
 fn choose_version<D: Dialect>(
     core: &Rc<Core<D>>,
     call: &Call,
@@ -213,6 +213,10 @@
     if answers || core.all_admitted(service, version, Instant::now()) {
         return choice;
     }
+    let open = choose_runner(core, call, tried, service, first, VersionChoice::Open);
+    if core.has_open_runner(service, Instant::now()) {
+        return open;
+    }
     choose_runner(core, call, tried, service, first, VersionChoice::Any)
 }
 
@@ -241,6 +245,9 @@
         .borrow()
         .ready(service, now)
         .filter(|runner| core.is_allowed_region(call, runner) && version.admits(runner))
+        .filter(|runner| {
+            version != VersionChoice::Open || core.may_begin(service, runner.version_key)
+        })
         .cloned()
         .collect();
     let upstreams: Vec<Rc<Upstream>> = runners.iter().map(|r| core.upstream(r)).collect();
--- a/edge/src/serve/core.rs
+++ b/edge/src/serve/core.rs
@@ -51,6 +51,7 @@
         Availability,
         CrashEvidence,
         PlannedStop,
+        ReadAge,
         RetryBudget,
         RouteTimes,
         RunnerKey,
@@ -169,6 +170,8 @@
     runners_confirmed: Cell<Option<Instant>>,
     /// State of each runner that has been considered for a request.
     upstreams: RefCell<HashMap<RunnerId, Rc<Upstream>>>,
+    /// Age of the runner entries.
+    pub(super) entries_age: RefCell<ReadAge>,
     /// Retry budget of each service.
     retry_budgets: RefCell<HashMap<ServiceId, RetryBudget>>,
     /// Links to the daemons at which tokens are reserved.
@@ -235,6 +238,7 @@
             restored_at: Cell::new(None),
             runners_confirmed: Cell::new(None),
             upstreams: RefCell::default(),
+            entries_age: RefCell::default(),
             retry_budgets: RefCell::default(),
             peer_links: RefCell::default(),
             last_reservation: Cell::new(0),
@@ -323,13 +327,8 @@
 
     /// Whether the runner entries were recently read from the store.
     pub fn runners_fresh(&self, now: Instant) -> bool {
-        self.runners_read_within(MAX_CONFIRMATION_AGE, now)
-    }
-
-    /// Whether the runner entries were read from the store less than `age` before `now`.
-    pub(super) fn runners_read_within(&self, age: Duration, now: Instant) -> bool {
         let confirmed = self.runners_confirmed.get();
-        confirmed.is_some_and(|at| now.saturating_duration_since(at) < age)
+        confirmed.is_some_and(|at| now.saturating_duration_since(at) < MAX_CONFIRMATION_AGE)
     }
 
     /// Sets the most bytes that responses of runners may hold while they are being read.
--- a/edge/src/serve/versions.rs
+++ b/edge/src/serve/versions.rs
@@ -26,12 +26,17 @@
         Runner,
         ServiceId, //
     },
+    clock::boot_time,
     decide::{
+        FleetTime,
+        OpenVersions,
         StreamKey,
         StreamReport,
+        VERSION_LEASE,
         VersionHistory,
         VersionKey,
         rendezvous_weight,
+        runner_key,
         stream_key, //
     },
     prepaid::{
@@ -47,10 +52,6 @@
 /// Interval between two looks for such word.
 const WORD_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Age up to which the runners' entries tell that there is one version only: an outage of the store in which most
-/// streams that break off are taken up.
-const MAX_ENTRIES_AGE: Duration = Duration::from_secs(4);
-
 /// Time between two daemons that write the shares of a service, so that only one does if the first succeeds.
 const WRITE_STEP: Duration = Duration::from_millis(150);
 
@@ -62,6 +63,8 @@
 pub(super) enum VersionChoice {
     /// Any.
     Any,
+    /// Any of a version at which streams may begin.
+    Open,
     /// Of this version, or any if it has none: the stream has not begun.
     Prefer(VersionKey),
     /// Only of this version, which began the stream.
@@ -77,7 +80,7 @@
     /// Whether `runner` fits best.
     pub(super) fn admits(self, runner: &Runner) -> bool {
         match self {
-            VersionChoice::Any => true,
+            VersionChoice::Any | VersionChoice::Open => true,
             VersionChoice::Prefer(version) | VersionChoice::Only(version) => {
                 runner.version_key == version
             }
@@ -89,6 +92,8 @@
 #[derive(Debug, Default)]
 pub(super) struct KnownShares {
     history: VersionHistory,
+    /// Versions at which streams may begin.
+    open: OpenVersions,
     /// Version of the row in the store, and the epoch in it.
     stored: Option<(StoreVersion, u64)>,
     /// Time since which the runners differ from the shares.
@@ -140,12 +145,43 @@
     /// their shares, so that no other one could tell.
     fn version_for_new(&self, call: &Call, service: &ServiceId) -> Option<VersionChoice> {
         let key = stream_key(&call.meta.id);
-        let version = self.shares_of(service, |history| history.version_of(key));
+        let is_open = |version| self.may_begin(service, version);
+        let version = self.shares_of(service, |history| history.open_version_of(key, is_open));
         let choice = version.map(VersionChoice::Prefer);
         let alike = || self.ready_slots(service, Instant::now()).len() <= 1;
         choice.or_else(|| alike().then_some(VersionChoice::Any))
     }
 
+    /// Whether streams may begin at `version`: other daemons may not have heard of a new one. While no shares are known,
+    /// there is no other one.
+    pub(super) fn may_begin(&self, service: &str, version: VersionKey) -> bool {
+        let shares = self.versions.borrow();
+        let Some(known) = shares.get(service).filter(|s| s.history.epoch > 0) else {
+            return true;
+        };
+        let time = self.fleet_time(Instant::now());
+        known
+            .open
+            .admits(version, &known.history, boot_time(), time)
+    }
+
+    /// Whether `service` has a runner that is known to answer, of a version at which streams may begin.
+    pub(super) fn has_open_runner(&self, service: &str, now: Instant) -> bool {
+        let directory = self.directory.borrow();
+        let availability = self.availability.borrow();
+        let mut ready = directory.ready(service, now);
+        ready.any(|runner| {
+            let view = availability.view(runner_key(runner), Some(runner.state), now);
+            !view.excluded && !view.doubtful && self.may_begin(service, runner.version_key)
+        })
+    }
+
+    /// Records that the store gave the runners' entries at `time` in `era`.
+    pub fn record_entries(&self, era: Era, time: FleetTime) {
+        let mut age = self.entries_age.borrow_mut();
+        age.record(era, time, boot_time());
+    }
+
     /// The version that began the stream that `call` takes up, as far as this daemon knows.
     fn find_version(&self, call: &Call, service: &ServiceId) -> Option<VersionKey> {
         let now = Instant::now();
@@ -175,7 +211,8 @@
         let slots = self.ready_slots(service, now);
         let in_entries = *slots.keys().next().filter(|_| slots.len() == 1)?;
         let in_shares = self.shares_of(service, |history| history.only_version(time))?;
-        let is_recent = self.runners_read_within(MAX_ENTRIES_AGE, now);
+        let age = self.entries_age.borrow().at(boot_time());
+        let is_recent = age.is_some_and(|age| age < VERSION_LEASE);
         (in_entries == in_shares && is_recent).then_some(in_entries)
     }
 
@@ -258,6 +295,7 @@
                     history.tables.last().map(|t| &t.weights)
                 );
                 known.history = history.clone();
+                known.open.record(history, boot_time());
             }
         }
     }
--- a/edge/tests/version_run.rs
+++ b/edge/tests/version_run.rs
@@ -10,9 +10,12 @@
 };
 
 use cuminloom_edge::decide::{
+    OpenVersions,
+    ReadAge,
     StreamKey,
     StreamLog,
     StreamReport,
+    VERSION_LEASE,
     VersionHistory,
     VersionKey,
     stream_key,
@@ -39,6 +42,22 @@
 /// Time between two reads of all rows, in milliseconds, as in the daemon.
 const READ_MS: u64 = 1000;
 
+/// Pause between two calls to the feed of the runners, and the longest wait of one, in milliseconds, as in the daemon.
+const POLL_PAUSE_MS: u64 = 150;
+const POLL_WAIT_MS: u64 = 1000;
+
+/// Time that a call to the store takes at a daemon that was suspended, in milliseconds.
+const CALL_MS: u64 = 100;
+
+/// Share of the callers' connections that a reset ends, in percent.
+const RESET_PERCENT: u64 = 30;
+
+/// Time for which daemons are cut off when a release begins, in milliseconds.
+const RELEASE_CUT_MS: u64 = 3800;
+
+/// Times for which daemons stand still when a release begins, in milliseconds.
+const RELEASE_FREEZE_MS: std::ops::Range<u64> = 2200..4000;
+
 /// Time for which a request waits for word of a stream, in milliseconds, as in the daemon.
 const WORD_WAIT_MS: u64 = 400;
 
@@ -64,8 +83,22 @@
     kill_all: &'static [u64],
     /// Times at which the store comes back from a copy 8 s old.
     restore: &'static [u64],
+    /// What happens to some daemons when the second and the third version appear.
+    at_release: Option<OutOfStep>,
     /// Whether a stream goes on at any version, as before.
     anywhere: bool,
+    /// Whether streams begin at a new version at once, and entries count from the time at which they were received, as
+    /// before.
+    unleased: bool,
+}
+
+/// How a daemon gets out of step.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum OutOfStep {
+    /// It is cut off from all other machines but those of callers and runners.
+    Cut,
+    /// It stands still.
+    Frozen,
 }
 
 /// A daemon.
@@ -78,6 +111,14 @@
     next_read: u64,
     last_read: u64,
     next_write: u64,
+    /// Entries of the runners as last read, their age, and the time at which they were received.
+    entries: Vec<(VersionKey, u32)>,
+    age: ReadAge,
+    received: u64,
+    next_poll: u64,
+    /// An answer that the store has given and the daemon has not yet received.
+    waiting: Option<(u64, Vec<(VersionKey, u32)>)>,
+    open: OpenVersions,
 }
 
 impl Node {
@@ -85,6 +126,12 @@
         Node {
             log: StreamLog::default(),
             history: VersionHistory::default(),
+            entries: Vec::new(),
+            age: ReadAge::default(),
+            received: 0,
+            next_poll: at,
+            waiting: None,
+            open: OpenVersions::default(),
             up_at: at,
             frozen_until: 0,
             cut_until: 0,
@@ -98,6 +145,32 @@
         now >= self.up_at.max(self.frozen_until)
     }
 
+    /// Receives the entries that the store has given at `time`.
+    fn receive(&mut self, entries: Vec<(VersionKey, u32)>, time: u64, now: u64) {
+        self.entries = entries;
+        self.age.record(1, time, Duration::from_millis(now));
+        self.received = now;
+    }
+
+    /// Whether streams may begin at `version`.
+    fn admits(&self, version: VersionKey, now: u64) -> bool {
+        let at = Duration::from_millis(now);
+        self.open.admits(version, &self.history, at, now)
+    }
+
+    /// The only version that the entries show, while they are recent.
+    fn only_version(&self, now: u64, unleased: bool) -> Option<VersionKey> {
+        let [(version, _)] = self.entries[..] else {
+            return None;
+        };
+        let age = match unleased {
+            true => Some(Duration::from_millis(now - self.received)),
+            false => self.age.at(Duration::from_millis(now)),
+        };
+        age.is_some_and(|age| age < VERSION_LEASE)
+            .then_some(version)
+    }
+
     fn in_touch(&self, now: u64) -> bool {
         now >= self.up_at.max(self.frozen_until).max(self.cut_until) + CONTACT_MS
     }
@@ -140,10 +213,12 @@
     /// Ready runners by version.
     runners: Vec<(VersionKey, u32)>,
     open: Vec<Stream>,
-    /// Broken streams with the time at which the caller comes back, and the daemon to which it comes.
-    broken: Vec<(u64, Stream)>,
+    /// Broken streams with the time at which the caller comes back, and the daemon at which it waits.
+    broken: Vec<(u64, Stream, Option<usize>)>,
     streams: u64,
     faults: Faults,
+    /// Times at which connections of callers are reset.
+    resets: Vec<u64>,
     outcome: Outcome,
 }
 
@@ -161,6 +236,7 @@
             broken: Vec::new(),
             streams: 0,
             faults,
+            resets: Vec::new(),
             outcome: Outcome::default(),
         }
     }
@@ -223,6 +299,11 @@
             let copy = self.copies.iter().rfind(|(at, _)| at + 8_000 <= now);
             self.rows = copy.map_or_else(Rows::default, |(_, rows)| rows.clone());
         }
+        if let Some(how) = f.at_release
+            && [6_300, 32_300].contains(&now)
+        {
+            self.disturb(how);
+        }
         let second = now.is_multiple_of(1000);
         for i in 0..self.nodes.len() {
             if f.kill_all.contains(&now) || second && self.chance(f.kill) {
@@ -231,7 +312,8 @@
                 self.nodes[i].cut_until = old.cut_until;
             }
             if second && self.chance(f.freeze) {
-                self.nodes[i].frozen_until = now + self.random.random_range(2000..6000);
+                let time = self.random.random_range(2000..6000);
+                self.freeze(i, now + time);
             }
             if second && self.chance(f.cut) {
                 self.nodes[i].cut_until = now + self.random.random_range(2000..9000);
@@ -239,18 +321,60 @@
         }
     }
 
+    /// Gets a third of the daemons out of step; the streams that callers have at the others break off in the meantime.
+    fn disturb(&mut self, how: OutOfStep) {
+        let now = self.now;
+        let count = self.nodes.len() / 3;
+        for i in 0..count {
+            match how {
+                OutOfStep::Cut => self.nodes[i].cut_until = now + RELEASE_CUT_MS,
+                OutOfStep::Frozen => {
+                    let time = self.random.random_range(RELEASE_FREEZE_MS);
+                    self.freeze(i, now + time);
+                }
+            }
+        }
+        self.resets = vec![now + 2000, now + 2500, now + 3000, now + 3500, now + 4000];
+    }
+
+    /// Suspends node `i` until `until`. An answer of the store may be on its way.
+    fn freeze(&mut self, i: usize, until: u64) {
+        let answer = (self.now, self.runners.clone());
+        let waits = self.chance(50) && self.now >= self.nodes[i].cut_until;
+        let node = &mut self.nodes[i];
+        node.waiting = waits.then_some(answer);
+        node.frozen_until = until;
+        // The calls that follow take time, in which it serves the requests that wait.
+        node.next_read = node.next_read.max(until + CALL_MS);
+        node.next_poll = node.next_poll.max(until + CALL_MS);
+    }
+
     /// Reads and writes rows at node `i`.
     fn step(&mut self, i: usize) {
         let (now, instant) = (self.now, self.instant());
+        let wait = self.random.random_range(0..POLL_WAIT_MS);
         let node = &mut self.nodes[i];
-        if !node.runs(now) || now < node.cut_until {
+        if !node.runs(now) {
             return;
         }
+        if let Some((time, entries)) = node.waiting.take() {
+            node.receive(entries, time, now);
+            node.next_poll = now + POLL_PAUSE_MS;
+        }
+        if now < node.cut_until {
+            return;
+        }
+        if now >= node.next_poll {
+            node.receive(self.runners.clone(), now, now);
+            node.next_poll = now + POLL_PAUSE_MS + wait;
+        }
         if now >= node.next_read {
             node.next_read = now + READ_MS + self.random.random_range(0..READ_MS);
             node.last_read = now;
             if self.rows.shares.epoch > node.history.epoch {
                 node.history = self.rows.shares.clone();
+                let at = Duration::from_millis(now);
+                node.open.record(&node.history, at);
             }
             for (from, reports) in &self.rows.streams {
                 node.log.merge(reports, *from == i, instant);
@@ -284,6 +408,8 @@
             let mut weights: Vec<_> = slots.into_iter().collect();
             weights.sort_unstable();
             node.history = node.history.next(weights, now);
+            let at = Duration::from_millis(now);
+            node.open.record(&node.history, at);
             self.rows.shares = node.history.clone();
         }
     }
@@ -294,6 +420,22 @@
         self.runners[i].0
     }
 
+    /// Version at which node `i` begins the stream `key`: by the shares, and else at any, but at a new one only if
+    /// there is no other.
+    fn version_for_new(&self, i: usize, key: StreamKey) -> Option<VersionKey> {
+        let (now, node) = (self.now, &self.nodes[i]);
+        let is_open = |version| self.faults.unleased || node.admits(version, now);
+        let by_shares = node.history.open_version_of(key, is_open);
+        if by_shares.is_none() && node.entries.len() != 1 {
+            return None;
+        }
+        let serves = |version: &VersionKey| self.runners_of(*version) > 0;
+        let mut open = node.entries.iter().map(|(v, _)| *v).filter(|v| is_open(*v));
+        let mut others = node.entries.iter().map(|(v, _)| *v);
+        let best = by_shares.filter(serves).or_else(|| open.find(serves));
+        best.or_else(|| others.find(serves))
+    }
+
     fn begin_streams(&mut self) {
         for i in 0..self.nodes.len() {
             if !self.nodes[i].runs(self.now) || !self.chance(20) {
@@ -302,12 +444,10 @@
             self.streams += 1;
             let key = stream_key(&format!("s{}", self.streams));
             let any = self.any_version();
-            let by_shares = self.nodes[i].history.version_of(key);
-            if by_shares.is_none() && self.runners.len() > 1 {
+            let Some(chosen) = self.version_for_new(i, key) else {
                 continue;
-            }
-            let began = by_shares.filter(|v| self.runners_of(*v) > 0).unwrap_or(any);
-            let began = if self.faults.anywhere { any } else { began };
+            };
+            let began = if self.faults.anywhere { any } else { chosen };
             let instant = self.instant();
             self.nodes[i].log.record(key, began, instant);
             self.outcome.begun += 1;
@@ -328,12 +468,14 @@
     /// Ends streams: whole, or broken by the connection of the caller or the end of the daemon.
     fn end_streams(&mut self) {
         let now = self.now;
+        let is_reset = self.resets.contains(&now);
         for stream in std::mem::take(&mut self.open) {
             let node = &mut self.nodes[stream.node];
             let gone = node.up_at > now || node.frozen_until > now;
+            let gone = gone || is_reset && self.random.random_range(0..100) < RESET_PERCENT;
             if gone || stream.breaks.is_some_and(|at| now >= at) {
                 let back = now + self.random.random_range(50..800);
-                self.broken.push((back, stream));
+                self.broken.push((back, stream, None));
             } else if now >= stream.ends {
                 node.log.end(stream.key);
             } else {
@@ -345,11 +487,14 @@
     /// Lets the callers of broken streams come back, each once.
     fn take_up(&mut self) {
         let now = self.now;
-        for (back, stream) in std::mem::take(&mut self.broken) {
-            let i = self.random.random_range(0..self.nodes.len());
+        for (back, stream, place) in std::mem::take(&mut self.broken) {
+            let any = self.random.random_range(0..self.nodes.len());
+            let i = place.unwrap_or(any);
             if now < back || !self.nodes[i].runs(now) {
+                // Connections are accepted at a daemon that stands still, and their requests wait there.
+                let waits = now >= back && now >= self.nodes[i].up_at;
                 if now < back + 5000 {
-                    self.broken.push((back, stream));
+                    self.broken.push((back, stream, waits.then_some(i)));
                 }
                 continue;
             }
@@ -357,7 +502,7 @@
             if found.is_none() && now < back + WORD_WAIT_MS {
                 // It waits, and its daemon reads the rows.
                 self.nodes[i].next_read = now;
-                self.broken.push((back, stream));
+                self.broken.push((back, stream, None));
                 continue;
             }
             let joined = found.is_some_and(|v| v != stream.began);
@@ -375,9 +520,10 @@
             return Some(self.any_version());
         }
         let node = &self.nodes[i];
-        let has_runner = |version| self.runners_of(version) > 0;
+        let has_runner = |version| node.entries.iter().any(|(v, _)| *v == version);
         let in_shares = node.history.only_version(self.now);
-        let only = self.runners.len() == 1 && in_shares == Some(self.runners[0].0);
+        let in_entries = node.only_version(self.now, self.faults.unleased);
+        let only = in_entries.is_some() && in_entries == in_shares;
         let is_current = node.last_read > since || only;
         let shares = (&node.history, is_current);
         node.log.resume_at(key, shares, self.now, has_runner)
@@ -399,6 +545,20 @@
         ),
         ("freezes", Faults { freeze: 4, ..none }),
         ("cuts", Faults { cut: 4, ..none }),
+        (
+            "cut at a release",
+            Faults {
+                at_release: Some(OutOfStep::Cut),
+                ..none
+            },
+        ),
+        (
+            "frozen at a release",
+            Faults {
+                at_release: Some(OutOfStep::Frozen),
+                ..none
+            },
+        ),
         (
             "copies",
             Faults {
@@ -464,6 +624,31 @@
     (0..seeds.unwrap_or(50)).for_each(|seed| check(seed, 7));
 }
 
+/// Guards against streams that go on at the old version at a daemon that has not heard of a new one, because it is cut
+/// off or stands still while a release begins. Shows that the runs find that.
+#[test]
+fn daemons_out_of_step_join_streams_of_two_versions() {
+    for how in [OutOfStep::Cut, OutOfStep::Frozen] {
+        let faults = Faults {
+            at_release: Some(how),
+            ..Faults::default()
+        };
+        let unleased = Faults {
+            unleased: true,
+            ..faults
+        };
+        let joined = |faults, seed| World::new(seed, 7, faults).run().joined;
+        let before: Vec<u64> = (1..=10).map(|seed| joined(unleased, seed)).collect();
+        let after: Vec<u64> = (1..=10).map(|seed| joined(faults, seed)).collect();
+        println!("{how:?}: {before:?} {after:?}");
+        assert!(
+            before.iter().any(|n| *n > MAX_JOINED),
+            "{how:?}: {before:?}"
+        );
+        assert!(after.iter().all(|n| *n == 0), "{how:?}: {after:?}");
+    }
+}
+
 /// Shows that the runs find the failure: streams that go on anywhere are joined from two versions.
 #[test]
 fn streams_that_go_on_anywhere_are_joined() {
