Tell the others of requests that a stopping daemon has given up

Callers: a request that crashes its runner counted for nothing if its daemon was stopped between the send and the crash.

Cause: what a daemon remembers of given up requests ended with its process.

Change: the row of a stopping daemon names its unresolved requests, at most 64, and the stop waits for its write as it waits for returned tokens. The others take them over with the time for which they count, and watch their runners also if they have sent them nothing. A request that is given up at a runner already known to have ended is blamed at once.

--- a/edge/src/decide/crash_evidence/mod.rs
+++ b/edge/src/decide/crash_evidence/mod.rs
@@ -26,6 +26,7 @@
     suspects, //
 };
 pub use unresolved::{
+    UnresolvedReport,
     UnresolvedRequest,
     UnresolvedRequests, //
 };
--- a/edge/src/decide/mod.rs
+++ b/edge/src/decide/mod.rs
@@ -49,6 +49,7 @@
     RunnerKey,
     Suspect,
     SuspectReport,
+    UnresolvedReport,
     UnresolvedRequest,
     UnresolvedRequests,
     suspects, //
--- a/edge/src/decide/observations.rs
+++ b/edge/src/decide/observations.rs
@@ -9,7 +9,8 @@
     LeavingReport,
     LimitReport,
     StreamReport,
-    SuspectReport, //
+    SuspectReport,
+    UnresolvedReport, //
 };
 
 /// What a daemon has seen, in its row and in its replies to other daemons.
@@ -18,6 +19,9 @@
     /// Requests and prompt parts that crash runners.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub suspects: Vec<SuspectReport>,
+    /// Requests that a daemon that stops has given up, and that runners may still run.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub unresolved: Vec<UnresolvedReport>,
     /// Limits that runners name.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub limits: Vec<LimitReport>,
--- a/edge/src/fleet/shutdown.rs
+++ b/edge/src/fleet/shutdown.rs
@@ -56,7 +56,8 @@
         if stop.must_answer(now) {
             core.answer_open_requests();
         }
-        let open = core.open_requests() > 0 || core.reservation_count() > 0;
+        let open =
+            core.open_requests() > 0 || core.reservation_count() > 0 || !core.has_told_unresolved();
         if stop.must_exit(now, open, returns_nothing(&core.ledger.borrow())) {
             break;
         }
--- a/edge/src/serve/core.rs
+++ b/edge/src/serve/core.rs
@@ -146,6 +146,8 @@
     pub(super) evidence: RefCell<CrashEvidence>,
     /// Requests that were given up and that their runners may still run.
     pub(super) unresolved: RefCell<UnresolvedRequests>,
+    /// Accepted writes of rows after which the others can know them.
+    pub(super) unresolved_writes: Cell<u64>,
     /// Wakes the task that watches these runners.
     pub(super) unresolved_added: Notify,
     /// What is known of whether runners may be sent requests.
@@ -226,6 +228,7 @@
             regions: RefCell::default(),
             evidence: RefCell::default(),
             unresolved: RefCell::default(),
+            unresolved_writes: Cell::new(0),
             unresolved_added: Notify::new(),
             availability: RefCell::default(),
             versions: RefCell::default(),
@@ -369,10 +372,11 @@
         upstream
     }
 
-    /// State of the process `key` of a runner.
+    /// State of the process `key` of a runner; `None` if it has no entry.
     pub(super) fn upstream_of(&self, key: RunnerKey) -> Option<Rc<Upstream>> {
-        let upstreams = self.upstreams.borrow();
-        upstreams.values().find(|u| u.key == key).map(Rc::clone)
+        let directory = self.directory.borrow();
+        let entry = directory.all().find(|r| runner_key(r) == key)?;
+        Some(self.upstream(entry))
     }
 
     /// Calls `f` with the state of each runner that has been considered for a request.
--- a/edge/src/serve/observations.rs
+++ b/edge/src/serve/observations.rs
@@ -20,6 +20,7 @@
         let time = self.fleet_time(now);
         Observations {
             suspects: self.evidence.borrow().own_reports(time),
+            unresolved: self.own_unresolved(now, time),
             limits: self.availability.borrow().limits.own_reports(time),
             leaving: self.own_leaving(),
             streams: self.own_streams(now),
@@ -31,6 +32,7 @@
         let time = self.fleet_time(now);
         Observations {
             suspects: self.evidence.borrow().all_reports(time),
+            unresolved: self.own_unresolved(now, time),
             limits: self.availability.borrow().limits.all_reports(),
             leaving: self.availability.borrow().all_leaving(),
             streams: self.own_streams(now),
@@ -40,6 +42,7 @@
     /// Adds what the daemon `source` has reported.
     pub fn merge_observations(&self, source: &str, observed: &Observations, now: Instant) {
         let time = self.fleet_time(now);
+        self.merge_unresolved(source, &observed.unresolved, now, time);
         self.merge_suspects(source, &observed.suspects, time);
         self.merge_limits(source, &observed.limits, time, now);
         self.merge_leaving(Some(source), &observed.leaving, now);
@@ -52,6 +55,7 @@
     pub fn restore_observations(&self, now: Instant) {
         let observed = self.ledger.borrow_mut().take_inherited_observations();
         let time = self.fleet_time(now);
+        self.merge_unresolved("own", &observed.unresolved, now, time);
         self.restore_suspects(&observed.suspects, time);
         self.merge_limits("own", &observed.limits, time, now);
         self.merge_leaving(None, &observed.leaving, now);
--- a/edge/src/serve/suspects.rs
+++ b/edge/src/serve/suspects.rs
@@ -97,7 +97,7 @@
     }
 
     /// Records that the process `runner` ended, as `source` has seen, while it may have run `requests`.
-    fn record_ends(
+    pub(super) fn record_ends(
         &self,
         runner: RunnerKey,
         requests: &[UnresolvedRequest],
@@ -202,7 +202,7 @@
     }
 
     /// Logs what has been blocked or cleared.
-    fn log_block_changes(&self) {
+    pub(super) fn log_block_changes(&self) {
         for change in self.evidence.borrow_mut().take_changes() {
             log::warn!(
                 "event=suspect_{} suspect={} ends={}",
--- a/edge/src/serve/unresolved.rs
+++ b/edge/src/serve/unresolved.rs
@@ -20,7 +20,11 @@
     Upstream,
     call::Call, //
 };
-use crate::decide::UnresolvedRequest;
+use crate::decide::{
+    FleetTime,
+    UnresolvedReport,
+    UnresolvedRequest, //
+};
 
 /// Shortest time between two probes of watched runners. It bounds what the watch costs, however many there are.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
@@ -28,18 +32,67 @@
 /// Time without a sign of life from which a watched runner is probed.
 const QUIET_TIME: Duration = Duration::from_millis(500);
 
+/// Accepted writes after which a row holds what was known before: the first may have been in progress.
+const TELLING_WRITES: u64 = 2;
+
+/// Longest time for which a request of another daemon is remembered.
+const MAX_REPORTED_TIME: Duration = Duration::from_secs(60);
+
 impl<D> Core<D> {
     /// Remembers that `call` was given up after it had been sent to the runner of `upstream`.
     pub(super) fn add_unresolved(&self, call: &Call, upstream: &Upstream) {
-        let request = UnresolvedRequest {
-            id: Arc::clone(&call.meta.id),
-            suspects: call.suspects.clone(),
-            left_at: Instant::now(),
-            deadline: call.deadline,
-        };
-        self.unresolved.borrow_mut().add(upstream.key, request);
+        let now = Instant::now();
+        let request = UnresolvedRequest::new(&call.meta.id, &call.suspects, now, call.deadline);
+        let ended = self.unresolved.borrow_mut().add(upstream.key, request);
+        if let Some(request) = ended.filter(|_| !self.is_leaving(upstream, now)) {
+            self.record_ends(upstream.key, &[request], "own", now);
+        }
         self.metrics.sends.with_label_values(&["unresolved"]).inc();
         self.unresolved_added.notify_one();
+        self.unresolved_writes
+            .set(self.ledger.borrow().accepted_writes() + TELLING_WRITES);
+    }
+
+    /// What the other daemons are told of requests that were given up: only once this one stops. Until then it watches
+    /// their runners itself.
+    pub(super) fn own_unresolved(&self, now: Instant, time: FleetTime) -> Vec<UnresolvedReport> {
+        match self.is_stopping() {
+            true => self.unresolved.borrow().reports(now, time),
+            false => Vec::new(),
+        }
+    }
+
+    /// Whether the other daemons have been told of all requests that were given up.
+    pub fn has_told_unresolved(&self) -> bool {
+        let is_written = self.ledger.borrow().accepted_writes() >= self.unresolved_writes.get();
+        is_written || self.unresolved.borrow().is_empty()
+    }
+
+    /// Adds the requests that the daemon `source` has given up before it stopped.
+    pub(super) fn merge_unresolved(
+        &self,
+        source: &str,
+        reports: &[UnresolvedReport],
+        now: Instant,
+        time: FleetTime,
+    ) {
+        for report in reports.iter().filter(|r| r.until > time) {
+            let request = UnresolvedRequest {
+                id: Arc::from(source),
+                suspects: report.suspects.clone(),
+                left_at: now,
+                until: now + Duration::from_millis(report.until - time).min(MAX_REPORTED_TIME),
+            };
+            let ended = self.unresolved.borrow_mut().add(report.runner, request);
+            if let Some(request) = ended {
+                let mut evidence = self.evidence.borrow_mut();
+                evidence.record_unresolved_end(&request.suspects, report.runner, time);
+            }
+            self.unresolved_added.notify_one();
+        }
+        if !reports.is_empty() {
+            self.log_block_changes();
+        }
     }
 
     /// The watched runner that has given no sign of life for longest, if that is long enough.
--- a/edge/tests/crash_evidence.rs
+++ b/edge/tests/crash_evidence.rs
@@ -422,11 +422,8 @@
 #[test]
 fn given_up_requests_are_remembered_for_a_bounded_time_and_number() {
     let now = Instant::now();
-    let request = |number: u64, deadline: Duration| UnresolvedRequest {
-        id: "r".into(),
-        suspects: vec![Request(number)],
-        left_at: now,
-        deadline: now + deadline,
+    let request = |number: u64, deadline: Duration| {
+        UnresolvedRequest::new(&"r".into(), &[Request(number)], now, now + deadline)
     };
     let mut unresolved = UnresolvedRequests::default();
     unresolved.add(1, request(1, Duration::from_secs(1)));
@@ -439,11 +436,17 @@
         .map(|r| r.suspects)
         .collect();
     assert_eq!(suspects, [[Request(2)]]);
+    // The runner has ended, so there is nothing to wait for.
+    assert!(
+        unresolved
+            .add(1, request(3, Duration::from_secs(1)))
+            .is_some()
+    );
     for number in 0..10_000 {
-        let runner = u32::try_from(number / 50).unwrap();
+        let runner = 2 + u32::try_from(number / 50).unwrap();
         unresolved.add(runner, request(number, Duration::from_secs(1)));
     }
-    let taken: Vec<usize> = (0..200).map(|r| unresolved.take(r, now).len()).collect();
+    let taken: Vec<usize> = (2..202).map(|r| unresolved.take(r, now).len()).collect();
     assert!(taken.iter().all(|n| *n <= 32), "{taken:?}");
     assert!(taken.iter().sum::<usize>() <= 2048);
     assert!(unresolved.is_empty());
--- a/edge/tests/fleet_world/daemon.rs
+++ b/edge/tests/fleet_world/daemon.rs
@@ -302,6 +302,7 @@
         }
         let observed = Observations {
             suspects: evidence.own_reports(time),
+            unresolved: Vec::new(),
             limits: runners.limits.own_reports(time),
             leaving: own_leaving(&node.name, ledger, runners),
             streams: Vec::new(),
@@ -386,12 +387,9 @@
     pub(crate) fn leave(&mut self, request: &Request, runner: RunnerKey) {
         let instant = self.instant(request.daemon);
         if let Some(state) = self.process_of(request) {
-            let unresolved = UnresolvedRequest {
-                id: "r".into(),
-                suspects: request.suspects.clone(),
-                left_at: instant,
-                deadline: instant + Duration::from_secs(5),
-            };
+            let deadline = instant + Duration::from_secs(5);
+            let unresolved =
+                UnresolvedRequest::new(&"r".into(), &request.suspects, instant, deadline);
             state.unresolved.add(runner, unresolved);
         }
     }
