Write nothing behind a part of an answer that is read slowly

Cause: the deadline of a request also ended the writing of its complete answer, and the error went to the same connection. The branch of a planned stop had the same fault.

Evidence: slow_readers::error_is_written_into_an_answer_that_is_read_slowly failed before with foreign bytes in the first answer.

Change: the deadline bounds the time until the answer is there. From its first byte on it is written until 0.5 s after the caller's own deadline, and a connection with a part of an answer is reset. A complete answer no longer leaves its request unresolved.

--- a/edge/src/serve/attempts.rs
+++ b/edge/src/serve/attempts.rs
@@ -174,7 +174,6 @@
         drop(span);
         let error = match sent {
             Ok(status) => {
-                attempt.unresolved.set(false);
                 history.add_summary(&runner, "answered", "", since);
                 core.metrics.sends.with_label_values(&["answered"]).inc();
                 return Ok(status);
@@ -366,9 +365,11 @@
     }
     upstream.record_outcome(Instant::now(), status >= 500);
     attempt.core.record_answer(call, Instant::now());
+    attempt.unresolved.set(false);
     let mut bytes = encode_head(status, &reply.head.fields, call.keep_alive);
     bytes.extend_from_slice(format!("Content-Length: {}\r\n\r\n", body.len()).as_bytes());
     reuse_connection(upstream, reply);
+    call.answering.set(true);
     attempt
         .core
         .write_answer(out, bytes, &body)
--- a/edge/src/serve/call.rs
+++ b/edge/src/serve/call.rs
@@ -54,6 +54,9 @@
 /// Timeout of a request whose caller sets none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Time after the caller's own deadline for which a complete answer is written to it.
+const WRITE_OVERTIME: Duration = Duration::from_millis(500);
+
 /// Smallest value of [`Call::wait_limit`].
 const MIN_WAIT_LIMIT: Duration = Duration::from_millis(1600);
 
@@ -97,6 +100,8 @@
     pub trial: Cell<bool>,
     /// Time at which a byte may have been sent to a runner first.
     pub sent_at: Cell<Option<Instant>>,
+    /// Whether bytes of a complete answer may have been written to the caller.
+    pub answering: Cell<bool>,
     /// Span of the whole request, if the caller asked for a trace.
     pub span: Option<RefCell<Span>>,
 }
@@ -114,6 +119,13 @@
         limit.min(self.deadline.duration_since(self.received_at).mul_f64(0.8))
     }
 
+    /// Time until which the caller may take an answer that is complete here: after it has stopped waiting for one.
+    pub(super) fn write_end(&self) -> Instant {
+        let timeout = self.meta.timeout.unwrap_or(DEFAULT_TIMEOUT);
+        let left = timeout.min(DEFAULT_TIMEOUT);
+        self.deadline.max(self.received_at + left) + WRITE_OVERTIME
+    }
+
     /// Tokens of the prompt; 0 if the request is not for an engine.
     pub(super) fn prompt_tokens(&self) -> u64 {
         self.meta.tokens.map_or(0, |t| t.prompt)
@@ -238,6 +250,7 @@
         suspects,
         trial: Cell::new(false),
         sent_at: Cell::new(None),
+        answering: Cell::new(false),
     };
     if !core.try_suspect(&call, received_at) && core.is_suspect(&call, received_at) {
         // The latest Retry-After, as a new attempt hardly has a better chance.
--- a/edge/src/serve/exchange.rs
+++ b/edge/src/serve/exchange.rs
@@ -79,7 +79,6 @@
     };
     let mut history = SendHistory::default();
     let mut relay = Relay::default();
-    let deadline = tokio::time::Instant::from_std(call.deadline);
     let mut abort_log = AbortLog {
         call: &call,
         event_count: Rc::clone(&relay.event_count),
@@ -88,13 +87,25 @@
     let served = tokio::select! {
         biased;
         served = serve(core, &call, &mut history, &mut relay, out) => served,
-        () = sleep_until(deadline) => Err(ServeError::Refused(deadline_refusal(&call))),
-        () = core.stop_answers() => Err(ServeError::Refused(stop_refusal(&call))),
+        refusal = give_up(core, &call) => Err(ServeError::Refused(refusal)),
     };
     abort_log.armed = false;
     finish(core, &call, &history, &relay, served, out).await
 }
 
+/// Waits until the request is given up, and returns the error for it. The deadline and the end of the process bound the
+/// time until its answer is there; a complete one may be written for as long as the caller is likely to read it.
+async fn give_up<D>(core: &Core<D>, call: &Call) -> Refusal {
+    let refusal = tokio::select! {
+        () = sleep_until(call.deadline.into()) => deadline_refusal(call),
+        () = core.stop_answers() => stop_refusal(call),
+    };
+    if call.answering.get() {
+        sleep_until(call.write_end().into()).await;
+    }
+    refusal
+}
+
 /// Logs a request whose task is dropped because its caller has closed the connection.
 struct AbortLog<'a> {
     call: &'a Call,
@@ -159,7 +170,8 @@
     let (status, code, verdict, keep_alive) = match &result {
         Ok(status) => (*status, "answered", "ran", call.keep_alive),
         Err(ServeError::CallerLeft) => (0, "caller_left", Verdict::MayHaveRun.as_str(), false),
-        Err(ServeError::Refused(r)) if relay.head_sent => {
+        // Bytes behind a part of an answer would be taken for the rest of it.
+        Err(ServeError::Refused(r)) if relay.head_sent || call.answering.get() => {
             reset_on_drop(out);
             (200, r.code, "broken-off", false)
         }
--- a/edge/src/serve/relay.rs
+++ b/edge/src/serve/relay.rs
@@ -234,6 +234,7 @@
             return Err(RelayError::Runner(SendError::new(Failure::Broken, detail)));
         }
         attempt.core.record_answer(attempt.call, Instant::now());
+        attempt.unresolved.set(false);
         let mut bytes = Vec::new();
         if !self.head_sent {
             self.push_head(attempt.call, reply, &mut bytes);
