--- a/edge/src/decide/version_lease.rs
+++ b/edge/src/decide/version_lease.rs
@@ -80,6 +80,21 @@
 }
 
 /// Versions of one service at which streams may begin.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use cuminloom_edge::decide::{OpenVersions, VERSION_LEASE, VersionHistory, version_key};
+///
+/// let (v1, v2) = (version_key("v1"), version_key("v2"));
+/// let history = VersionHistory::default().next(vec![(v1, 8)], 1_000).next(vec![(v1, 4), (v2, 4)], 9_000);
+/// let mut open = OpenVersions::default();
+/// let at = Duration::from_secs(70);
+/// open.record(&history, at);
+/// assert!(open.admits(v1, &history, at, 9_000) && !open.admits(v2, &history, at, 9_000));
+/// assert!(open.admits(v2, &history, at + VERSION_LEASE, 13_000));
+/// ```
 #[derive(Debug, Default)]
 pub struct OpenVersions {
     /// Time at which each version was first seen in the shares.
--- a/edge/src/decide/versions.rs
+++ b/edge/src/decide/versions.rs
@@ -150,6 +150,16 @@
 
     /// Version at which a new stream begins if it may begin only at those that `is_open` names; any if none of the
     /// newest shares is.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cuminloom_edge::decide::{VersionHistory, stream_key, version_key};
+    ///
+    /// let (v1, v2) = (version_key("v1"), version_key("v2"));
+    /// let history = VersionHistory::default().next(vec![(v1, 1), (v2, 1000)], 1_000);
+    /// assert_eq!(history.open_version_of(stream_key("a"), |v| v == v1), Some(v1));
+    /// ```
     pub fn open_version_of(
         &self,
         key: StreamKey,
--- a/edge/src/http/client.rs
+++ b/edge/src/http/client.rs
@@ -147,6 +147,42 @@
     /// # Errors
     ///
     /// Fails if the server can't be reached or does not answer in time.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::{
+    ///     io::{Read, Write},
+    ///     net::TcpListener,
+    ///     rc::Rc,
+    ///     time::{Duration, Instant},
+    /// };
+    /// use cuminloom_edge::http::{Call, Client, ClientLimits, LinkActivity};
+    ///
+    /// let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    /// let address = listener.local_addr().unwrap();
+    /// std::thread::spawn(move || {
+    ///     let (mut stream, _) = listener.accept().unwrap();
+    ///     stream.read(&mut [0; 1024]).unwrap();
+    ///     stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").unwrap();
+    /// });
+    /// let limits = ClientLimits {
+    ///     connect_time: Duration::from_millis(300),
+    ///     answer_time: Duration::from_secs(5),
+    ///     idle_time: Duration::from_secs(2),
+    ///     idle_connections: 4,
+    ///     body_bytes: 1024,
+    /// };
+    /// let client = Client::new(address, limits, Rc::new(LinkActivity::new(Instant::now())));
+    /// let call = Call {
+    ///     request: b"POST / HTTP/1.1\r\nContent-Length: 0\r\n\r\n",
+    ///     wait: Duration::ZERO,
+    ///     repeat: None,
+    /// };
+    /// let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    /// let answer = runtime.block_on(client.call(call)).unwrap();
+    /// assert_eq!((answer.status, &answer.body[..]), (200, &b"ok"[..]));
+    /// ```
     pub async fn call(&self, call: Call<'_>) -> Result<ServerAnswer, CallError> {
         let sent = Instant::now();
         let wait = call.wait + self.activity.allowance(sent);
