Count ended runners only where a prompt part may be blocked

Each report that a daemon merged counted up to 256 ended runners for each suspect, though only parts with five ends after given up requests need the number.

--- a/edge/src/decide/crash_evidence/mod.rs
+++ b/edge/src/decide/crash_evidence/mod.rs
@@ -293,7 +293,7 @@
         ends: impl Iterator<Item = &'a End> + Clone,
     ) -> bool {
         let first = ends.clone().next().map_or(0, |e| e.at);
-        let all = self.ended.values().filter(|at| **at >= first).count();
+        let all = || self.ended.values().filter(|at| **at >= first).count();
         suspect.is_blocked_by(ends, all)
     }
 
--- a/edge/src/decide/crash_evidence/record.rs
+++ b/edge/src/decide/crash_evidence/record.rs
@@ -162,12 +162,12 @@
 }
 
 impl Suspect {
-    /// Whether `ends`, in the order of their times, suffice to block the suspect. `all_ends` is the number of runners that
-    /// have ended since the first of them, for whatever reason.
+    /// Whether `ends`, in the order of their times, suffice to block the suspect. `all_ends` counts the runners that have
+    /// ended since the first of them, for whatever reason.
     pub(super) fn is_blocked_by<'a>(
         self,
         ends: impl Iterator<Item = &'a End> + Clone,
-        all_ends: usize,
+        all_ends: impl Fn() -> usize,
     ) -> bool {
         let up_to = |kind| self.count_ends(ends.clone().filter(move |e| e.kind <= kind));
         let all = up_to(EndKind::Unresolved);
@@ -176,9 +176,9 @@
                 up_to(EndKind::Early) >= MIN_REQUEST_ENDS || all >= self.min_ends()
             }
             Suspect::Part(_) => {
-                let stands_out = all * MAX_ENDS_PER_PART_END >= all_ends;
+                let stands_out = || all * MAX_ENDS_PER_PART_END >= all_ends();
                 up_to(EndKind::Late) >= self.min_ends()
-                    || (all >= MIN_UNRESOLVED_PART_ENDS && stands_out)
+                    || (all >= MIN_UNRESOLVED_PART_ENDS && stands_out())
             }
         }
     }
