Log which services a daemon can open connections to

decide::Reach takes the connections that are opened anyway. The lines event=reach_changed and the gauge cuminloom_service_unreached show state, cause and figures. No request is handled otherwise.

--- a/edge/src/decide/mod.rs
+++ b/edge/src/decide/mod.rs
@@ -15,6 +15,7 @@
 mod peer_choice;
 mod placement;
 mod planned_stop;
+mod reach;
 mod residency;
 mod retry;
 mod retry_budget;
@@ -84,6 +85,11 @@
     select_runner, //
 };
 pub use planned_stop::PlannedStop;
+pub use reach::{
+    Reach,
+    ReachChange,
+    ReachState, //
+};
 pub use residency::is_home_region;
 pub use retry::{
     FailedAttempt,
--- a/edge/src/serve/availability.rs
+++ b/edge/src/serve/availability.rs
@@ -188,8 +188,12 @@
         let cause = match probe {
             Probe::Refused => DownCause::Refused,
             Probe::Unreachable => DownCause::Silent,
-            Probe::Reachable | Probe::Inconclusive => return,
+            Probe::Reachable | Probe::Inconclusive => {
+                self.record_opened(upstream, probe, now);
+                return;
+            }
         };
+        self.record_opened(upstream, probe, now);
         upstream.close_idle();
         self.availability
             .borrow_mut()
--- a/edge/src/serve/core.rs
+++ b/edge/src/serve/core.rs
@@ -51,6 +51,7 @@
         Availability,
         CrashEvidence,
         PlannedStop,
+        Reach,
         ReadAge,
         RetryBudget,
         RouteTimes,
@@ -152,6 +153,10 @@
     pub(super) unresolved_added: Notify,
     /// What is known of whether runners may be sent requests.
     pub(super) availability: RefCell<Availability>,
+    /// Services to whose runners this daemon can open connections.
+    pub(super) reach: RefCell<Reach>,
+    /// Wakes the task that tries the runners of lost services.
+    pub(super) reach_changed: Notify,
     /// Shares of the runners' software versions, by service.
     pub(super) versions: RefCell<HashMap<ServiceId, KnownShares>>,
     /// Streams that callers may take up.
@@ -231,6 +236,8 @@
             unresolved_writes: Cell::new(0),
             unresolved_added: Notify::new(),
             availability: RefCell::default(),
+            reach: RefCell::default(),
+            reach_changed: Notify::new(),
             versions: RefCell::default(),
             streams: RefCell::default(),
             turn_queue: Rc::default(),
@@ -390,6 +397,8 @@
         let directory = self.directory.borrow();
         let present = directory.all().map(|r| runner_key(r)).collect();
         self.availability.borrow_mut().prune(&present, time);
+        let has_runner = |service: &str| directory.all().any(|r| *r.service == *service);
+        self.reach.borrow_mut().retain(has_runner);
         self.upstreams
             .borrow_mut()
             .retain(|id, _| directory.get(id).is_some());
--- a/edge/src/serve/mod.rs
+++ b/edge/src/serve/mod.rs
@@ -14,6 +14,7 @@
 mod holders;
 mod load_reports;
 mod observations;
+mod reach;
 mod ready;
 mod receive;
 mod relay;
@@ -35,6 +36,7 @@
     Bounds,
     Core, //
 };
+pub use reach::watch_reach;
 pub use ready::bind_ready;
 pub use unresolved::watch_unresolved;
 pub use upstream::{
--- a/edge/src/serve/send.rs
+++ b/edge/src/serve/send.rs
@@ -10,6 +10,7 @@
 
 use super::{
     Core,
+    Probe,
     Upstream,
     call::Call,
     receive::Attempt,
@@ -120,6 +121,7 @@
     match opened {
         Ok(connection) => {
             core.mark_alive(upstream, now);
+            core.record_opened(upstream, Probe::Reachable, now);
             Ok(connection)
         }
         Err(failed) => {
--- a/edge/src/telemetry/metrics.rs
+++ b/edge/src/telemetry/metrics.rs
@@ -37,6 +37,8 @@
     pub tokens: IntGaugeVec,
     /// Evacuated data centres, 1 each.
     pub evacuated: IntGaugeVec,
+    /// Services whose runners this daemon reaches in part or not at all, 1 each.
+    pub reach: IntGaugeVec,
 }
 
 impl Metrics {
@@ -83,6 +85,13 @@
                 ),
                 &["zone"],
             )?,
+            reach: IntGaugeVec::new(
+                Opts::new(
+                    "cuminloom_service_unreached",
+                    "1 for each service whose runners this daemon reaches in part or not at all.",
+                ),
+                &["service"],
+            )?,
             registry,
         };
         metrics
@@ -107,6 +116,7 @@
         metrics
             .registry
             .register(Box::new(metrics.evacuated.clone()))?;
+        metrics.registry.register(Box::new(metrics.reach.clone()))?;
         Ok(metrics)
     }
 
