--- a/edge/src/decide/mod.rs
+++ b/edge/src/decide/mod.rs
@@ -9,6 +9,7 @@
 mod even_load;
 mod fingerprint;
 mod load_view;
+mod neighbours;
 mod observations;
 mod outage;
 mod patience;
@@ -67,6 +68,14 @@
     KnownLoad,
     LoadView, //
 };
+pub use neighbours::{
+    AskOutcome,
+    Distance,
+    MAX_ASKED,
+    Neighbour,
+    Neighbours,
+    max_taken, //
+};
 pub use observations::Observations;
 pub use outage::{
     OutageWatch,
--- /dev/null
+++ b/edge/src/decide/neighbours.rs
@@ -0,0 +1,177 @@
+//! Which neighbour is asked to serve a request that this daemon can't, against all daemons that choose the same one and
+//! against neighbours that are asked again and again although they can't either.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use super::rendezvous_weight;
+
+/// Neighbours that are asked for one request.
+pub const MAX_ASKED: usize = 3;
+
+/// Open requests of other daemons that one takes at most, for each thousandth of a core.
+const TAKEN_PER_CAPACITY: u32 = 1;
+
+/// Open requests of other daemons that each daemon takes.
+const MIN_TAKEN: u32 = 16;
+
+/// Time for which a neighbour is not asked after it has declined for want of a path; doubled with each further time.
+const LOST_REST: Duration = Duration::from_millis(500);
+
+/// Time for which a neighbour is not asked after it has declined for want of room.
+const BUSY_REST: Duration = Duration::from_millis(200);
+
+/// Longest time for which a neighbour is not asked.
+const MAX_REST: Duration = Duration::from_secs(4);
+
+/// Most open requests of other daemons that a daemon with `capacity` thousandths of a core takes, so that its own callers
+/// are served first.
+///
+/// # Examples
+///
+/// ```
+/// use cuminloom_edge::decide::max_taken;
+///
+/// assert!(max_taken(500) > max_taken(90));
+/// assert!(max_taken(0) > 0);
+/// ```
+pub fn max_taken(capacity: u32) -> u32 {
+    (capacity * TAKEN_PER_CAPACITY).max(MIN_TAKEN)
+}
+
+/// How far away a neighbour is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Distance {
+    /// In the same data centre.
+    DataCentre,
+    /// In the same region.
+    Region,
+}
+
+/// A daemon that can be asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Neighbour {
+    /// Address for other daemons.
+    pub address: SocketAddr,
+    /// How far away it is.
+    pub distance: Distance,
+    /// Processor share of its VM, in thousandths of a core.
+    pub capacity: u32,
+}
+
+/// What came of asking a neighbour.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AskOutcome {
+    /// It took the request.
+    Taken,
+    /// It does not reach the runners either, or is stopping.
+    Lost,
+    /// It has no room.
+    Busy,
+    /// It could not be reached.
+    Unreachable,
+}
+
+impl AskOutcome {
+    /// Name in log lines and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            AskOutcome::Taken => "taken",
+            AskOutcome::Lost => "lost",
+            AskOutcome::Busy => "busy",
+            AskOutcome::Unreachable => "unreachable",
+        }
+    }
+}
+
+/// A neighbour that is not asked for a while.
+#[derive(Clone, Copy, Debug)]
+struct Rest {
+    until: Instant,
+    /// Time for which the next failure keeps it from being asked.
+    next: Duration,
+}
+
+/// Chooses neighbours.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Instant;
+/// use cuminloom_edge::decide::{AskOutcome, Distance, Neighbour, Neighbours};
+///
+/// let now = Instant::now();
+/// let known = [1, 2].map(|port| Neighbour {
+///     address: ([127, 0, 0, 1], port).into(),
+///     distance: Distance::DataCentre,
+///     capacity: 250,
+/// });
+/// let mut neighbours = Neighbours::default();
+/// let first = neighbours.order(7, &known, now)[0];
+/// neighbours.record(first, AskOutcome::Lost, now);
+/// assert_ne!(neighbours.order(7, &known, now), [first]);
+/// ```
+#[derive(Debug, Default)]
+pub struct Neighbours {
+    resting: HashMap<SocketAddr, Rest>,
+}
+
+impl Neighbours {
+    /// Neighbours to ask for the request with the hash `request`, best first: the nearest ones, each in proportion to its
+    /// capacity. Those that failed recently are left out.
+    pub fn order(&self, request: u64, known: &[Neighbour], now: Instant) -> Vec<SocketAddr> {
+        let is_resting = |a: &SocketAddr| self.resting.get(a).is_some_and(|r| now < r.until);
+        let mut order: Vec<(Distance, f64, SocketAddr)> = known
+            .iter()
+            .filter(|n| !is_resting(&n.address))
+            .map(|n| (n.distance, score(request, n), n.address))
+            .collect();
+        order.sort_unstable_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        order.truncate(MAX_ASKED);
+        order.into_iter().map(|(_, _, address)| address).collect()
+    }
+
+    /// Records what came of asking the neighbour at `address`.
+    pub fn record(&mut self, address: SocketAddr, outcome: AskOutcome, now: Instant) {
+        let rest = match outcome {
+            AskOutcome::Taken => {
+                self.resting.remove(&address);
+                return;
+            }
+            AskOutcome::Busy => BUSY_REST,
+            AskOutcome::Lost | AskOutcome::Unreachable => {
+                let old = self.resting.get(&address);
+                old.map_or(LOST_REST, |r| r.next)
+            }
+        };
+        // Several requests that were under way may fail at the same time.
+        if self.resting.get(&address).is_some_and(|r| now < r.until) {
+            return;
+        }
+        let rest = Rest {
+            until: now + rest,
+            next: (rest * 2).min(MAX_REST),
+        };
+        self.resting.insert(address, rest);
+    }
+
+    /// Forgets neighbours that have not been asked for long.
+    pub fn prune(&mut self, now: Instant) {
+        self.resting.retain(|_, rest| now < rest.until + MAX_REST);
+    }
+}
+
+/// Score of a neighbour for a request, the smallest first: each gets a share in proportion to its capacity (weighted
+/// rendezvous).
+fn score(request: u64, neighbour: &Neighbour) -> f64 {
+    let hash = rendezvous_weight(request, &neighbour.address.to_string());
+    // Uniform in (0, 1].
+    let uniform = (hash as f64 + 1.0) / (u64::MAX as f64 + 1.0);
+    -uniform.ln() / f64::from(neighbour.capacity.max(1))
+}
--- /dev/null
+++ b/edge/tests/neighbours.rs
@@ -0,0 +1,88 @@
+//! Which neighbours are asked to serve requests.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use cuminloom_edge::decide::{
+    AskOutcome,
+    Distance,
+    MAX_ASKED,
+    Neighbour,
+    Neighbours, //
+};
+
+/// Returns `count` neighbours, each with its capacity of `capacities` in turn.
+fn neighbours(count: u16, capacities: &[u32], distance: Distance) -> Vec<Neighbour> {
+    let base = if distance == Distance::Region {
+        5000
+    } else {
+        1000
+    };
+    (0..count)
+        .map(|i| Neighbour {
+            address: SocketAddr::from(([127, 0, 0, 1], base + i)),
+            distance,
+            capacity: capacities[usize::from(i) % capacities.len()],
+        })
+        .collect()
+}
+
+/// Guards against one neighbour that gets everything.
+#[test]
+fn requests_spread_by_capacity() {
+    let known = neighbours(80, &[90, 500], Distance::DataCentre);
+    let choice = Neighbours::default();
+    let mut asked: HashMap<SocketAddr, u32> = HashMap::new();
+    for request in 0..20_000_u64 {
+        let hash = request.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let order = choice.order(hash, &known, Instant::now());
+        assert_eq!(order.len(), MAX_ASKED);
+        *asked.entry(order[0]).or_default() += 1;
+    }
+    for neighbour in &known {
+        let share = f64::from(neighbour.capacity) / (40.0 * 590.0);
+        let expected = 20_000.0 * share;
+        let count = f64::from(asked[&neighbour.address]);
+        let ratio = count / expected;
+        assert!((0.5..1.7).contains(&ratio), "{neighbour:?} got {count}");
+    }
+}
+
+/// Guards against bytes between data centres while there is a neighbour in the own one.
+#[test]
+fn own_data_centre_is_asked_first() {
+    let near = neighbours(1, &[100], Distance::DataCentre);
+    let far = neighbours(20, &[500], Distance::Region);
+    let known = [far, near.clone()].concat();
+    for request in 0..50 {
+        let order = Neighbours::default().order(request, &known, Instant::now());
+        assert_eq!(order[0], near[0].address);
+    }
+}
+
+/// Guards against neighbours that can't help and are asked for each request.
+#[test]
+fn neighbour_that_has_declined_rests_longer_each_time() {
+    let known = neighbours(1, &[100], Distance::DataCentre);
+    let mut choice = Neighbours::default();
+    let begin = Instant::now();
+    let mut asks = 0;
+    for ms in 0..10_000 {
+        let now = begin + Duration::from_millis(ms);
+        for address in choice.order(7, &known, now) {
+            asks += 1;
+            choice.record(address, AskOutcome::Lost, now);
+        }
+    }
+    // At 0, 0.5, 1.5, 3.5 and 7.5 s.
+    assert_eq!(asks, 5);
+    let now = begin + Duration::from_secs(12);
+    choice.record(known[0].address, AskOutcome::Taken, now);
+    assert_eq!(choice.order(7, &known, now).len(), 1);
+}
