Take a second service for lost after one runner

A fault of the path of a VM hits all services at once. While one is lost, each of the others needed three failed connections of its own before it counted as lost, which took requests 200 ms each.

One failed connection is enough now, and the runners of all services are tried while one is lost. edge/tests/reach.rs, second_service_is_lost_after_one_runner: the second service is lost after its first failure, and only if another one is lost.

--- a/edge/src/decide/reach.rs
+++ b/edge/src/decide/reach.rs
@@ -2,8 +2,8 @@
 //! lost.
 //!
 //! A runner that does not accept a connection may have ended. Several in a row, without one that accepts, are more likely
-//! a fault of the path: the VM is partitioned from them. Connections that are open tell nothing, as they may live on while
-//! new ones fail.
+//! a fault of the path: the VM is partitioned from them. If that has happened to one service, a single failure of another
+//! one is enough. Connections that are open tell nothing, as they may live on while new ones fail.
 
 use std::{
     collections::HashMap,
@@ -110,21 +110,21 @@
         self.failed.values().filter(is_later).count()
     }
 
-    /// State that the failures show if `ready` runners may be used.
-    fn judge(&self, ready: usize) -> ReachState {
-        let least = MIN_FAILED.min(ready.max(1));
+    /// State that the failures show if `ready` runners may be used and `least` failures in a row are needed.
+    fn judge(&self, ready: usize, least: usize) -> ReachState {
+        let least = least.min(ready.max(1));
         if self.state == ReachState::Lost && self.trials < self.needed || self.streak() >= least {
             return ReachState::Lost;
         }
-        if self.failed.len() >= least && self.failed.len() * 2 > ready {
+        if self.failed.len() >= MIN_FAILED.min(ready.max(1)) && self.failed.len() * 2 > ready {
             return ReachState::Partial;
         }
         ReachState::Open
     }
 
-    /// Updates the state; returns the change.
-    fn update(&mut self, ready: usize, now: Instant) -> Option<ReachChange> {
-        let (before, state) = (self.state, self.judge(ready));
+    /// Updates the state; returns the change. The arguments are those of [`judge`](Self::judge).
+    fn update(&mut self, ready: usize, least: usize, now: Instant) -> Option<ReachChange> {
+        let (before, state) = (self.state, self.judge(ready, least));
         if state == before {
             return None;
         }
@@ -184,6 +184,7 @@
         ready: usize,
         now: Instant,
     ) -> Option<ReachChange> {
+        let least = self.least_failed(service);
         let state = match self.services.get_mut(service) {
             Some(state) => state,
             None => self
@@ -196,7 +197,7 @@
         state.failed.insert(runner, now);
         state.refusals += 1;
         state.trials = 0;
-        state.update(ready, now)
+        state.update(ready, least, now)
     }
 
     /// Records that `runner` of `service` accepted a connection.
@@ -207,12 +208,13 @@
         ready: usize,
         now: Instant,
     ) -> Option<ReachChange> {
+        let least = self.least_failed(service);
         let state = self.services.get_mut(service)?;
         state.expire(now);
         state.failed.remove(&runner);
         state.accepted_at = Some(now);
         state.trials += 1;
-        state.update(ready, now)
+        state.update(ready, least, now)
     }
 
     /// How well the runners of `service` are reached.
@@ -232,6 +234,21 @@
         known.is_some_and(|s| s.state == ReachState::Lost && s.refusals > 0)
     }
 
+    /// Failures in a row from which `service` counts as lost: the first one if another service is lost, as a fault of
+    /// the path hits them all.
+    fn least_failed(&self, service: &str) -> usize {
+        let mut others = self.services.iter().filter(|(s, _)| ***s != *service);
+        match others.any(|(_, s)| s.state == ReachState::Lost) {
+            true => 1,
+            false => MIN_FAILED,
+        }
+    }
+
+    /// Whether a service is lost.
+    pub fn any_lost(&self) -> bool {
+        self.services.values().any(|s| s.state == ReachState::Lost)
+    }
+
     /// Services that are not [`ReachState::Open`].
     pub fn impaired(&self) -> impl Iterator<Item = &ServiceId> {
         let open = ReachState::Open;
@@ -243,11 +260,11 @@
     /// recently, or else the one that failed longest ago; `turn` spreads the tries. If it is reached in part, one that
     /// has failed, as the others show nothing new.
     pub fn next_trial(&self, service: &str, ready: &[RunnerKey], turn: usize) -> Option<RunnerKey> {
-        let known = self.services.get(service)?;
+        let known = self.services.get(service);
         let start = turn.checked_rem(ready.len())?;
         let order = ready[start..].iter().chain(&ready[..start]).copied();
-        let failed_at = |runner: &RunnerKey| known.failed.get(runner).copied();
-        match known.state {
+        let failed_at = |runner: &RunnerKey| known?.failed.get(runner).copied();
+        match self.state(service) {
             ReachState::Partial => order
                 .filter(|r| failed_at(r).is_some())
                 .min_by_key(failed_at),
@@ -257,9 +274,10 @@
 
     /// Updates a service whose failures may have become too old; `ready` as in [`record_failure`](Self::record_failure).
     pub fn refresh(&mut self, service: &str, ready: usize, now: Instant) -> Option<ReachChange> {
+        let least = self.least_failed(service);
         let state = self.services.get_mut(service)?;
         state.expire(now);
-        state.update(ready, now)
+        state.update(ready, least, now)
     }
 
     /// Forgets services without runners.
--- a/edge/src/serve/reach.rs
+++ b/edge/src/serve/reach.rs
@@ -2,6 +2,7 @@
 //! lost.
 
 use std::{
+    collections::BTreeSet,
     rc::Rc,
     sync::Arc,
     time::{
@@ -62,6 +63,16 @@
         }
     }
 
+    /// How well the runners of `service` are reached.
+    pub(super) fn reach_state(&self, service: &str) -> ReachState {
+        self.reach.borrow().state(service)
+    }
+
+    /// Whether failures of connections to the runners of `service` say nothing about them, as the path is lost.
+    pub(super) fn is_path_lost(&self, service: &str) -> bool {
+        self.reach.borrow().is_confirmed(service)
+    }
+
     /// Number of runners of `service` that may be used.
     fn ready_count(&self, service: &str, now: Instant) -> usize {
         self.directory.borrow().ready(service, now).count()
@@ -83,11 +94,21 @@
         self.runner_freed.notify_waiters();
     }
 
-    /// The runners to which a connection is to be tried now, one of each service that is not fully reached.
+    /// The services whose runners are to be tried: those that are not fully reached, and all if one is lost.
+    fn services_to_try(&self) -> BTreeSet<ServiceId> {
+        let reach = self.reach.borrow();
+        if !reach.any_lost() {
+            return reach.impaired().cloned().collect();
+        }
+        let directory = self.directory.borrow();
+        directory.all().map(|r| Arc::clone(&r.service)).collect()
+    }
+
+    /// The runners to which a connection is to be tried now, one of each of these services.
     fn reach_trials(&self, turn: usize, now: Instant) -> Vec<Rc<Upstream>> {
+        let services = self.services_to_try();
         let reach = self.reach.borrow();
-        let impaired = reach.impaired();
-        let trials = impaired.filter_map(|service| {
+        let trials = services.iter().filter_map(|service| {
             let directory = self.directory.borrow();
             let mut ready: Vec<&Arc<Runner>> = directory.ready(service, now).collect();
             ready.sort_unstable_by(|a, b| a.id.cmp(&b.id));
--- a/edge/tests/reach.rs
+++ b/edge/tests/reach.rs
@@ -146,3 +146,18 @@
     service.cut(20_000);
     assert_eq!(service.accept(5, 20_100), ReachState::Open);
 }
+
+/// Guards against requests for a second service that try runner after runner although the first one is lost.
+#[test]
+fn second_service_is_lost_after_one_runner() {
+    let mut service = Service::new();
+    let other = Arc::from("embedder");
+    let now = service.at(0);
+    service.reach.record_failure(&other, 1, RUNNERS, now);
+    assert_eq!(service.reach.state(&other), ReachState::Open);
+    service.cut(10);
+    let now = service.at(20);
+    service.reach.record_failure(&other, 2, RUNNERS, now);
+    assert_eq!(service.reach.state(&other), ReachState::Lost);
+    assert!(service.reach.any_lost());
+}
