Count a neighbour's confirmation from before the query

Callers: a daemon that had lost the store refused requests on a route that had been added more than 2 s ago with 404, as if its configuration were the newest.

Cause: the reply of another daemon says how long ago it last knew its configuration to be the newest. The daemon that had asked subtracted that age from the time at which it read the reply, so the time for which the reply was under way, or lay unread in a stopped process, made the configuration look younger: up to the timeout of a query (400 ms and three round trips of the link), and without bound after a stop.

In one log, config_age_ms=122 more than 2 s after the reply was made.

A stop shows this only if it hits the process outside of epoll_wait: that call returns EINTR when the process goes on, and the timers, which are due, run before the bytes are looked at.

Change: the confirmation counts from just before the query was sent, which the reply can't precede.

--- a/edge/src/fleet/peers.rs
+++ b/edge/src/fleet/peers.rs
@@ -110,6 +110,13 @@
 /// Buffer of each connection for reading, and the least that is written at once.
 const PEER_BUFFER_BYTES: usize = 4 * 1024;
 
+/// Reply to a query.
+struct TimedReply {
+    reply: PeerReply,
+    /// Time at which the query was sent. The reply may be of any moment since then.
+    asked: Instant,
+}
+
 /// Listens on `address` and answers the queries of other daemons.
 ///
 /// # Errors
@@ -302,7 +309,7 @@
     core: &Rc<Core<D>>,
     choice: &Rc<RefCell<PeerChoice>>,
     addresses: Vec<SocketAddr>,
-) -> Vec<PeerReply> {
+) -> Vec<TimedReply> {
     let query = |address| {
         let (core, choice) = (Rc::clone(core), Rc::clone(choice));
         // Goes on after the end of the round, and so learns whether the daemon replies.
@@ -340,7 +347,7 @@
             Err(e) => log::warn!("event=task_failed task=query error=\"{e}\""),
         }
     }
-    replies.sort_by_key(|reply: &PeerReply| Reverse(reply.version));
+    replies.sort_by_key(|timed: &TimedReply| Reverse(timed.reply.version));
     replies
 }
 
@@ -373,7 +380,7 @@
 }
 
 /// Sends one query to the daemon at `address` and returns its reply.
-async fn query_peer<D>(core: &Core<D>, address: SocketAddr) -> io::Result<PeerReply> {
+async fn query_peer<D>(core: &Core<D>, address: SocketAddr) -> io::Result<TimedReply> {
     let stream = TcpStream::connect(address).await?;
     let (mut socket, _) = client_async(format!("ws://{address}/"), stream)
         .await
@@ -381,11 +388,13 @@
     let query = PeerQuery {
         version: core.config().map_or(0, |c| c.version),
     };
+    let asked = Instant::now();
     socket
         .send(encode(&query)?)
         .await
         .map_err(io::Error::other)?;
-    read_reply(&mut socket).await
+    let reply = read_reply(&mut socket).await?;
+    Ok(TimedReply { reply, asked })
 }
 
 /// Waits for the reply, and skips messages that are not binary.
@@ -400,7 +409,8 @@
 }
 
 /// Applies a reply: evacuations, configuration, its confirmation, observations and runners.
-fn apply_reply<D, S: Store>(core: &Core<D>, store: &S, reply: PeerReply) {
+fn apply_reply<D, S: Store>(core: &Core<D>, store: &S, timed: TimedReply) {
+    let TimedReply { reply, asked } = timed;
     let now = Instant::now();
     core.link.record(now);
     if let Some(state) = reply.evacuations {
@@ -427,7 +437,7 @@
     let same = core.config().is_some_and(|c| c.version == reply.version);
     if same
         && age < MAX_CONFIRM_AGE
-        && let Some(at) = now.checked_sub(age)
+        && let Some(at) = asked.checked_sub(age)
     {
         core.confirm_config(at);
     }
