Date the runners' entries from when the store gave them

Callers: a daemon that had stood still sent requests to a runner that had begun to drain meanwhile, for 1.8 s after it went on, though other daemons told it otherwise.

Cause: an answer to the long poll of the runner feed counted from the moment at which it was handled. One that lay unread in a stopped process made entries of seconds ago look like current ones: for 1.8 s the daemon neither took the entries of others nor kept its own to itself. The configuration feed already counts from before the call.

Change: entries count from the store's own time in the answer, by the clock that the version lease uses, and a read of all entries, which the store does not hold back, from before the call. Counting each long poll from before the call would make an idle feed look lost: two polls and the pause between them last longer than a confirmation.

--- a/edge/src/fleet/feeds.rs
+++ b/edge/src/fleet/feeds.rs
@@ -197,7 +197,8 @@
     let mut position = FeedPosition::default();
     let mut outages = OutageWatch::default();
     loop {
-        let since = position.since(core.store_era(), Instant::now());
+        let asked = Instant::now();
+        let since = position.since(core.store_era(), asked);
         match store.watch_runners(since, RUNNER_POLL_WAIT).await {
             Ok(feed) => {
                 let now = Instant::now();
@@ -222,7 +223,11 @@
                 }
                 core.ledger.borrow_mut().record_store_time(feed.now_ms, now);
                 core.record_entries(feed.era, feed.now_ms);
-                core.confirm_runners(now);
+                // A read of all entries is not held back at the store.
+                core.confirm_runners(match feed.is_snapshot {
+                    true => asked,
+                    false => core.entries_given_at(asked, now),
+                });
                 count_store_call(&core, "runners", "ok");
                 apply_entries(&core, feed.items, feed.is_snapshot, now);
                 sleep(RUNNER_PAUSE).await;
--- a/edge/src/serve/core.rs
+++ b/edge/src/serve/core.rs
@@ -173,7 +173,7 @@
     pub(super) store_era: Cell<Option<Era>>,
     /// Time at which this process learned that the store had come back from a copy.
     pub(super) restored_at: Cell<Option<Instant>>,
-    /// Time at which the runner entries were last read from the store.
+    /// Time at which the store gave the runner entries.
     runners_confirmed: Cell<Option<Instant>>,
     /// State of each runner that has been considered for a request.
     upstreams: RefCell<HashMap<RunnerId, Rc<Upstream>>>,
@@ -330,9 +330,9 @@
             .is_some_and(|at| now.duration_since(at) < MAX_CONFIRMATION_AGE)
     }
 
-    /// Records that the runner entries were read from the store at `now`.
-    pub fn confirm_runners(&self, now: Instant) {
-        self.runners_confirmed.set(Some(now));
+    /// Records that the store gave the runner entries at `at`.
+    pub fn confirm_runners(&self, at: Instant) {
+        self.runners_confirmed.set(Some(at));
     }
 
     /// Whether the runner entries were recently read from the store.
--- a/edge/src/serve/versions.rs
+++ b/edge/src/serve/versions.rs
@@ -182,6 +182,14 @@
         age.record(era, time, boot_time());
     }
 
+    /// Time at which the store gave the recorded entries, by its own clock: the answer to a call of `asked` that is
+    /// handled at `now` may have lain unread.
+    pub fn entries_given_at(&self, asked: Instant, now: Instant) -> Instant {
+        let age = self.entries_age.borrow().at(boot_time());
+        let given = now.checked_sub(age.unwrap_or_default());
+        given.map_or(asked, |at| at.max(asked))
+    }
+
     /// The version that began the stream that `call` takes up, as far as this daemon knows.
     fn find_version(&self, call: &Call, service: &ServiceId) -> Option<VersionKey> {
         let now = Instant::now();
