Keep the newest confirmation

Callers: a daemon that has lost the store may refuse requests as unconfirmed earlier than it has to (503 in place of 404 or 401).

Cause: confirm_config and confirm_runners set the time that they were given, also one that is older than the time already known. Replies of several daemons are applied newest configuration first, not youngest confirmation first, so one that was under way for longer took the confirmation of another back.

Evidence: confirmations::a_late_reply_takes_a_newer_confirmation_back failed before (age 3,000 ms in place of 1,500 ms).

Change: the later time counts. It stays true if the configuration changes: what was known at that time is part of every newer version.

Measured: the test passes.

--- a/edge/src/serve/core.rs
+++ b/edge/src/serve/core.rs
@@ -318,9 +318,10 @@
         true
     }
 
-    /// Records that the configuration in force was the newest one at `now`.
-    pub fn confirm_config(&self, now: Instant) {
-        self.config_confirmed.set(Some(now));
+    /// Records that the configuration in force was the newest one at `at`.
+    pub fn confirm_config(&self, at: Instant) {
+        let known = self.config_confirmed.get();
+        self.config_confirmed.set(known.max(Some(at)));
     }
 
     /// Whether the configuration in force was recently confirmed to be the newest one.
@@ -332,7 +333,8 @@
 
     /// Records that the store gave the runner entries at `at`.
     pub fn confirm_runners(&self, at: Instant) {
-        self.runners_confirmed.set(Some(at));
+        let known = self.runners_confirmed.get();
+        self.runners_confirmed.set(known.max(Some(at)));
     }
 
     /// Whether the runner entries were recently read from the store.
