Take no answer for whole that ends with the process of its runner

Callers saw a stream that ended as complete in its middle, or a part of an answer with status 200, if the process of its runner was killed. Only answers without a length and without chunks were affected: their end is the end of their connection, and the kernel ends the connections of a killed process in order if nothing unread waits in them.

After such an end the daemon now looks 20 ms later whether the runner's port still accepts a connection. A refusal shows that the process has ended: the attempt is broken, and a stream goes on elsewhere, an idempotent request is sent again and others get 502. A connection shows that the runner closed by itself. Anything else says nothing of the process (a cut, a full queue, a stall of this VM): the answer is neither taken for whole nor thrown away, and the daemon looks again; an attempt that can go on elsewhere does so if the runner is surely unreachable. The deadline bounds this. Answers with a length or chunks pay nothing.

No other place takes the error of a connection before the read that judges its end: SO_ERROR is read nowhere, a failed write ends the attempt without a further read, and what `is_stale` reads is dropped.

--- a/edge/src/serve/receive.rs
+++ b/edge/src/serve/receive.rs
@@ -10,7 +10,10 @@
 };
 
 use bytes::BytesMut;
-use tokio::time::timeout;
+use tokio::time::{
+    sleep,
+    timeout, //
+};
 
 use super::{
     Core,
@@ -54,6 +57,9 @@
 /// Most interim responses before a response.
 const MAX_INTERIM_RESPONSES: u32 = 16;
 
+/// Time in which all sockets of a process that was killed are closed, and between two looks whether they are.
+const CLOSE_TIME: Duration = Duration::from_millis(20);
+
 /// One attempt to serve a request at one runner.
 pub(super) struct Attempt<'a, D> {
     /// State of the daemon.
@@ -199,7 +205,41 @@
         }
     }
 
-    /// Reads the rest of a body. A response without a length is complete only after an orderly close.
+    /// Checks that the connection was closed by the runner because its response is whole, and not because its process was
+    /// killed: then the kernel closes the connection in the same way, and the port with it. While a probe tells neither,
+    /// it looks again, unless the request can go on elsewhere; the deadline bounds this.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process has ended, or can't be reached and the request can be retried.
+    pub(super) async fn check_close(&self) -> Result<(), SendError> {
+        loop {
+            sleep(CLOSE_TIME).await;
+            let probe = self.upstream.probe().await;
+            let now = Instant::now();
+            self.core.record_probe(self.upstream, probe, now);
+            if probe == Probe::Reachable {
+                self.core.mark_alive(self.upstream, now);
+                return Ok(());
+            }
+            log::info!(
+                "event=close_doubtful id={} runner={} probe={}",
+                self.call.meta.id,
+                self.upstream.runner.borrow().id,
+                probe.as_str()
+            );
+            if probe == Probe::Refused {
+                let detail = "closed by the end of the runner's process";
+                return Err(SendError::new(Failure::Broken, detail));
+            }
+            if probe.is_down() && self.may_retry(now) {
+                let detail = "closed by a runner that does not accept connections";
+                return Err(SendError::new(Failure::Silent, detail));
+            }
+        }
+    }
+
+    /// Reads the rest of a body. A response without a length is complete only after an orderly close by the runner.
     ///
     /// # Errors
     ///
@@ -228,6 +268,7 @@
             if self.read_more(connection, 0).await? == 0 {
                 // A runner that stops after its head can't be told from one without a body.
                 if decoder.ends_with_connection() && !body.is_empty() {
+                    self.check_close().await?;
                     return Ok(body);
                 }
                 return Err(ConnectionError::Closed.into());
--- a/edge/src/serve/relay.rs
+++ b/edge/src/serve/relay.rs
@@ -228,11 +228,15 @@
         events: &EventBuffer,
         out: &TcpStream,
     ) -> Result<(), RelayError> {
-        let empty = self.received == 0 && reply.decoder.ends_with_connection();
-        if events.has_partial() || empty {
+        let unframed = reply.decoder.ends_with_connection();
+        if events.has_partial() || (unframed && self.received == 0) {
             let detail = "stream ends within an event, or before the first one";
             return Err(RelayError::Runner(SendError::new(Failure::Broken, detail)));
         }
+        if unframed {
+            let checked = attempt.check_close().await;
+            checked.map_err(RelayError::Runner)?;
+        }
         attempt.core.record_answer(attempt.call, Instant::now());
         attempt.unresolved.set(false);
         let mut bytes = Vec::new();
