Judge by the shares of its own service whether a stream has to be told

Callers saw streams that began at one version and went on at another one, when they took them up at another daemon. A stream that leaves the version that the shares tell, because that version has no runner that answers, is told to the others in the daemon's row. The daemon left it out if the shares of any service told its version: versions are compared by the hash of their names, and services may name theirs alike. Other daemons then went by the shares of the right service, and joined the stream.

The log of streams now keeps the service of each, and only its shares count. Of a stream that the previous process has reported the service is not known, so that it is told until nobody can take it up. Rows and messages are as before.

--- a/edge/src/decide/versions.rs
+++ b/edge/src/decide/versions.rs
@@ -22,6 +22,7 @@
     FleetTime,
     rendezvous_weight, //
 };
+use crate::catalog::ServiceId;
 
 /// Hash of the name of a version.
 pub type VersionKey = u64;
@@ -235,9 +236,11 @@
 pub struct StreamReport(pub StreamKey, pub VersionKey);
 
 /// What is known of one stream.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Known {
     version: VersionKey,
+    /// Its service; `None` if it is not known, as of one that another daemon or process has reported.
+    service: Option<ServiceId>,
     /// Time at which it was last known to run.
     at: Instant,
     /// Whether this daemon reports it.
@@ -253,9 +256,18 @@
 }
 
 impl StreamLog {
-    /// Records that this daemon passes on the stream `key`, which `version` began.
-    pub fn record(&mut self, key: StreamKey, version: VersionKey, now: Instant) {
+    /// Records that this daemon passes on the stream `key` of `service`, which `version` began.
+    pub fn record(
+        &mut self,
+        key: StreamKey,
+        service: &ServiceId,
+        version: VersionKey,
+        now: Instant,
+    ) {
         self.insert(key, version, true, now);
+        if let Some(known) = self.streams.get_mut(&key) {
+            known.service = Some(ServiceId::clone(service));
+        }
     }
 
     fn insert(&mut self, key: StreamKey, version: VersionKey, own: bool, now: Instant) {
@@ -266,6 +278,7 @@
         if self.streams.len() < MAX_STREAMS {
             let known = self.streams.entry(key).or_insert(Known {
                 version,
+                service: None,
                 at: now,
                 own,
             });
@@ -309,11 +322,19 @@
         }
     }
 
-    /// Streams of this daemon of which others can't tell the version by `is_clear`, newest first.
-    pub fn reports(&self, is_clear: impl Fn(StreamKey, VersionKey) -> bool) -> Vec<StreamReport> {
+    /// Streams of this daemon of which others can't tell the version, newest first. `is_clear` says whether they can by
+    /// the shares of the service.
+    pub fn reports(
+        &self,
+        is_clear: impl Fn(&ServiceId, StreamKey, VersionKey) -> bool,
+    ) -> Vec<StreamReport> {
         let own = self.streams.iter().filter(|(_, known)| known.own);
+        let is_told = |key, known: &Known| {
+            let service = known.service.as_ref();
+            service.is_some_and(|service| is_clear(service, key, known.version))
+        };
         let mut unclear: Vec<(Instant, StreamReport)> = own
-            .filter(|(key, known)| !is_clear(**key, known.version))
+            .filter(|(key, known)| !is_told(**key, known))
             .map(|(key, known)| (known.at, StreamReport(*key, known.version)))
             .collect();
         unclear.sort_unstable_by_key(|(at, StreamReport(key, _))| (std::cmp::Reverse(*at), *key));
--- a/edge/src/serve/relay.rs
+++ b/edge/src/serve/relay.rs
@@ -137,7 +137,8 @@
             if !bytes.is_empty() {
                 if self.version.is_none() {
                     self.version = Some(self.present);
-                    attempt.core.record_stream(call, self.present);
+                    let core = attempt.core;
+                    core.record_stream(call, attempt.service, self.present);
                 }
                 self.record_pause(Instant::now());
                 if self.first_event.is_none() {
--- a/edge/src/serve/versions.rs
+++ b/edge/src/serve/versions.rs
@@ -233,11 +233,12 @@
         ready.all(|runner| version.admits(runner))
     }
 
-    /// Records that a runner with `version` passes on an event of the stream of `call`.
-    pub(super) fn record_stream(&self, call: &Call, version: VersionKey) {
+    /// Records that a runner of `service` with `version` passes on an event of the stream of `call`.
+    pub(super) fn record_stream(&self, call: &Call, service: &ServiceId, version: VersionKey) {
         if let Some(key) = key_of(call).filter(|_| may_resume(call)) {
             let now = Instant::now();
-            self.streams.borrow_mut().record(key, version, now);
+            let mut streams = self.streams.borrow_mut();
+            streams.record(key, service, version, now);
         }
     }
 
@@ -254,11 +255,9 @@
         let mut streams = self.streams.borrow_mut();
         streams.prune(now);
         let shares = self.versions.borrow();
-        // The service of a stream is not kept: its version tells it.
-        let is_clear = |key, version| {
-            let histories = shares.values().map(|s| &s.history);
-            let mut known = histories.filter_map(|h| h.began_at(key, time));
-            known.any(|began| began == version)
+        let is_clear = |service: &ServiceId, key, version| {
+            let known = shares.get(service);
+            known.and_then(|s| s.history.began_at(key, time)) == Some(version)
         };
         streams.reports(is_clear)
     }
--- a/edge/tests/version_world/mod.rs
+++ b/edge/tests/version_world/mod.rs
@@ -10,13 +10,16 @@
     },
 };
 
-use cuminloom_edge::decide::{
-    StreamKey,
-    StreamReport,
-    VersionHistory,
-    VersionKey,
-    stream_key,
-    version_key, //
+use cuminloom_edge::{
+    catalog::ServiceId,
+    decide::{
+        StreamKey,
+        StreamReport,
+        VersionHistory,
+        VersionKey,
+        stream_key,
+        version_key, //
+    },
 };
 use rand::{
     RngExt,
@@ -126,6 +129,7 @@
     start: Instant,
     now: u64,
     nodes: Vec<Node>,
+    service: ServiceId,
     rows: Rows,
     copies: Vec<(u64, Rows)>,
     /// Ready runners by version.
@@ -147,6 +151,7 @@
             start: Instant::now(),
             now: 0,
             nodes: (0..count).map(|_| Node::new(0)).collect(),
+            service: "engine".into(),
             rows: Rows::default(),
             copies: Vec::new(),
             runners: vec![(version_key("v1"), 9)],
@@ -302,7 +307,7 @@
             node.next_write = now + WRITE_MS;
             node.log.prune(instant);
             let history = &node.history;
-            let clear = |key, version| history.began_at(key, now) == Some(version);
+            let clear = |_: &ServiceId, key, version| history.began_at(key, now) == Some(version);
             let reports = node.log.reports(clear);
             if node.history.epoch > 0 {
                 self.rows.streams.insert(i, reports);
@@ -367,7 +372,7 @@
             };
             let began = if self.faults.anywhere { any } else { chosen };
             let instant = self.instant();
-            self.nodes[i].log.record(key, began, instant);
+            self.nodes[i].log.record(key, &self.service, began, instant);
             self.outcome.begun += 1;
             let ends = self.now + self.random.random_range(500..3000);
             let breaks = self
