--- a/edge/src/serve/relay.rs
+++ b/edge/src/serve/relay.rs
@@ -137,7 +137,8 @@
             if !bytes.is_empty() {
                 if self.version.is_none() {
                     self.version = Some(self.present);
-                    attempt.core.record_stream(call, self.present);
+                    let core = attempt.core;
+                    core.record_stream(call, attempt.service, self.present);
                 }
                 self.record_pause(Instant::now());
                 if self.first_event.is_none() {
@@ -228,11 +229,15 @@
         events: &EventBuffer,
         out: &TcpStream,
     ) -> Result<(), RelayError> {
-        let empty = self.received == 0 && reply.decoder.ends_with_connection();
-        if events.has_partial() || empty {
+        let unframed = reply.decoder.ends_with_connection();
+        if events.has_partial() || (unframed && self.received == 0) {
             let detail = "stream ends within an event, or before the first one";
             return Err(RelayError::Runner(SendError::new(Failure::Broken, detail)));
         }
+        if unframed {
+            let checked = attempt.check_close().await;
+            checked.map_err(RelayError::Runner)?;
+        }
         attempt.core.record_answer(attempt.call, Instant::now());
         attempt.unresolved.set(false);
         let mut bytes = Vec::new();
