Ask one neighbour at a time again that had no path

Callers of a VM that had lost its runners got 503 for seconds if most of the nearest VMs had lost them too: the rests of those that had declined end at about the same time, and then all three asks of a request could go to such neighbours again, though others were known to serve.

Of the neighbours that had no path when they were asked last, one is asked for a request at most; the others wait for the next requests. Those that only lacked room are asked as before.

edge/tests/neighbours.rs, one_neighbour_that_was_lost_is_asked_again_at_a_time, fails on the code before.

--- a/edge/src/decide/neighbours.rs
+++ b/edge/src/decide/neighbours.rs
@@ -96,6 +96,16 @@
     until: Instant,
     /// Time for which the next failure keeps it from being asked.
     next: Duration,
+    /// Whether it lacked a path, rather than room.
+    lost: bool,
+}
+
+/// A neighbour that may be asked for a request.
+#[derive(Clone, Copy, Debug)]
+struct Ranked {
+    distance: Distance,
+    score: f64,
+    address: SocketAddr,
 }
 
 /// Chooses neighbours.
@@ -125,16 +135,39 @@
 impl Neighbours {
     /// Neighbours to ask for the request with the hash `request`, best first: the nearest ones, each in proportion to its
     /// capacity. Those that failed recently are left out.
+    ///
+    /// Of those that had no path when they were asked last, one is asked at most.
     pub fn order(&self, request: u64, known: &[Neighbour], now: Instant) -> Vec<SocketAddr> {
+        let mut ranked = self.rank(request, known, now);
+        let mut lost = 0;
+        ranked.retain(|n| {
+            lost += usize::from(self.was_lost(n.address));
+            lost <= 1 || !self.was_lost(n.address)
+        });
+        ranked.truncate(MAX_ASKED);
+        ranked.into_iter().map(|n| n.address).collect()
+    }
+
+    /// All that may be asked, best first.
+    fn rank(&self, request: u64, known: &[Neighbour], now: Instant) -> Vec<Ranked> {
         let is_resting = |a: &SocketAddr| self.resting.get(a).is_some_and(|r| now < r.until);
-        let mut order: Vec<(Distance, f64, SocketAddr)> = known
-            .iter()
-            .filter(|n| !is_resting(&n.address))
-            .map(|n| (n.distance, score(request, n), n.address))
-            .collect();
-        order.sort_unstable_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
-        order.truncate(MAX_ASKED);
-        order.into_iter().map(|(_, _, address)| address).collect()
+        let awake = known.iter().filter(|n| !is_resting(&n.address));
+        let ranked = awake.map(|n| Ranked {
+            distance: n.distance,
+            score: score(request, n),
+            address: n.address,
+        });
+        let mut ranked: Vec<Ranked> = ranked.collect();
+        ranked.sort_unstable_by(|a, b| {
+            let nearer = a.distance.cmp(&b.distance);
+            nearer.then(a.score.total_cmp(&b.score))
+        });
+        ranked
+    }
+
+    /// Whether the neighbour had no path when it was asked last.
+    fn was_lost(&self, address: SocketAddr) -> bool {
+        self.resting.get(&address).is_some_and(|r| r.lost)
     }
 
     /// Records what came of asking the neighbour at `address`.
@@ -157,6 +190,7 @@
         let rest = Rest {
             until: now + rest,
             next: (rest * 2).min(MAX_REST),
+            lost: outcome != AskOutcome::Busy,
         };
         self.resting.insert(address, rest);
     }
--- a/edge/tests/neighbours.rs
+++ b/edge/tests/neighbours.rs
@@ -86,3 +86,29 @@
     choice.record(known[0].address, AskOutcome::Taken, now);
     assert_eq!(choice.order(7, &known, now).len(), 1);
 }
+
+/// Guards against requests whose three asks all go to neighbours that could not help the last time.
+#[test]
+fn one_neighbour_that_was_lost_is_asked_again_at_a_time() {
+    let known = neighbours(30, &[100], Distance::DataCentre);
+    let (lost, sound) = known.split_at(20);
+    let mut choice = Neighbours::default();
+    let begin = Instant::now();
+    for neighbour in lost {
+        choice.record(neighbour.address, AskOutcome::Lost, begin);
+    }
+    let later = begin + Duration::from_secs(1);
+    let mut asked_again = 0;
+    for request in 0..50 {
+        let order = choice.order(request, &known, later);
+        let is_lost = |a: &&SocketAddr| lost.iter().any(|n| n.address == **a);
+        let again = order.iter().filter(is_lost).count();
+        assert!(again <= 1, "{order:?}");
+        asked_again += again;
+    }
+    assert!(asked_again > 0);
+    for neighbour in sound {
+        choice.record(neighbour.address, AskOutcome::Unreachable, later);
+    }
+    assert_eq!(choice.order(1, &known, later).len(), 1);
+}
