Ask a neighbour of another data centre, and one that has helped

Callers of VMs whose whole data centre had lost the runners got 503: all three asks of a request went to VMs of the own data centre, and a VM learned of three of them with each request. With few requests that took longer than the time in which a VM must serve again. If the runners were lost by most VMs, a request could ask three strangers in vain though the daemon knew one that had just taken a request.

The second one asked is of another data centre now, unless one of the own has taken a request in the last 10 s. One that has is always among those asked. The first one is the nearest as before, so bytes cross data centres only after it has declined.

edge/tests/neighbours.rs: second_one_asked_is_of_another_data_centre and neighbour_that_has_taken_a_request_is_among_those_asked fail on the code before.

--- a/edge/src/decide/neighbours.rs
+++ b/edge/src/decide/neighbours.rs
@@ -30,6 +30,9 @@
 /// Longest time for which a neighbour is not asked.
 const MAX_REST: Duration = Duration::from_secs(4);
 
+/// Time for which a neighbour that has taken a request is likely to take another one.
+const HELPFUL_TIME: Duration = Duration::from_secs(10);
+
 /// Most open requests of other daemons that a daemon with `capacity` thousandths of a core takes, so that its own callers
 /// are served first.
 ///
@@ -130,13 +133,17 @@
 #[derive(Debug, Default)]
 pub struct Neighbours {
     resting: HashMap<SocketAddr, Rest>,
+    /// Times at which neighbours that have had a path since took a request.
+    taken_at: HashMap<SocketAddr, Instant>,
 }
 
 impl Neighbours {
     /// Neighbours to ask for the request with the hash `request`, best first: the nearest ones, each in proportion to its
     /// capacity. Those that failed recently are left out.
     ///
-    /// Of those that had no path when they were asked last, one is asked at most.
+    /// Of those that had no path when they were asked last, one is asked at most. Unless one of the own data centre has
+    /// taken a request lately, the second one is of another, as all VMs of one may be partitioned. One that is asked has taken
+    /// a request lately, if there is one.
     pub fn order(&self, request: u64, known: &[Neighbour], now: Instant) -> Vec<SocketAddr> {
         let mut ranked = self.rank(request, known, now);
         let mut lost = 0;
@@ -144,6 +151,9 @@
             lost += usize::from(self.was_lost(n.address));
             lost <= 1 || !self.was_lost(n.address)
         });
+        if ranked.len() > MAX_ASKED {
+            self.mix(&mut ranked, now);
+        }
         ranked.truncate(MAX_ASKED);
         ranked.into_iter().map(|n| n.address).collect()
     }
@@ -165,6 +175,24 @@
         ranked
     }
 
+    /// Moves one of another data centre, and one that has taken a request lately, to the places of those that are asked.
+    fn mix(&self, ranked: &mut [Ranked], now: Instant) {
+        let helps = |n: &Ranked| {
+            let taken = self.taken_at.get(&n.address);
+            taken.is_some_and(|at| now.saturating_duration_since(*at) < HELPFUL_TIME)
+        };
+        let is_far = |n: &Ranked| n.distance > Distance::DataCentre;
+        let near_helps = ranked.iter().any(|n| helps(n) && !is_far(n));
+        let far = ranked.iter().position(is_far).filter(|_| !near_helps);
+        if let Some(far) = far.filter(|far| *far > 1) {
+            ranked.swap(1, far);
+        }
+        let helpful = ranked.iter().position(helps);
+        if let Some(helpful) = helpful.filter(|helpful| *helpful >= MAX_ASKED) {
+            ranked.swap(MAX_ASKED - 1, helpful);
+        }
+    }
+
     /// Whether the neighbour had no path when it was asked last.
     fn was_lost(&self, address: SocketAddr) -> bool {
         self.resting.get(&address).is_some_and(|r| r.lost)
@@ -175,10 +203,12 @@
         let rest = match outcome {
             AskOutcome::Taken => {
                 self.resting.remove(&address);
+                self.taken_at.insert(address, now);
                 return;
             }
             AskOutcome::Busy => BUSY_REST,
             AskOutcome::Lost | AskOutcome::Unreachable => {
+                self.taken_at.remove(&address);
                 let old = self.resting.get(&address);
                 old.map_or(LOST_REST, |r| r.next)
             }
@@ -198,6 +228,8 @@
     /// Forgets neighbours that have not been asked for long.
     pub fn prune(&mut self, now: Instant) {
         self.resting.retain(|_, rest| now < rest.until + MAX_REST);
+        let is_recent = |at: &Instant| now.saturating_duration_since(*at) < HELPFUL_TIME;
+        self.taken_at.retain(|_, at| is_recent(at));
     }
 }
 
--- a/edge/tests/neighbours.rs
+++ b/edge/tests/neighbours.rs
@@ -87,6 +87,48 @@
     assert_eq!(choice.order(7, &known, now).len(), 1);
 }
 
+/// Guards against requests that ask nobody but VMs of their data centre, all of which are partitioned.
+#[test]
+fn second_one_asked_is_of_another_data_centre() {
+    let near = neighbours(20, &[100], Distance::DataCentre);
+    let far = neighbours(20, &[100], Distance::Region);
+    let known = [near.clone(), far].concat();
+    let is_near = |address: &SocketAddr| near.iter().any(|n| n.address == *address);
+    let now = Instant::now();
+    let mut choice = Neighbours::default();
+    for request in 0..50 {
+        let order = choice.order(request, &known, now);
+        let nearness: Vec<bool> = order.iter().map(is_near).collect();
+        assert_eq!(nearness, [true, false, true]);
+    }
+    choice.record(near[3].address, AskOutcome::Taken, now);
+    for request in 0..50 {
+        let order = choice.order(request, &known, now);
+        assert!(order.iter().all(is_near), "{order:?}");
+    }
+}
+
+/// Guards against requests that ask strangers only, though one is known to help.
+#[test]
+fn neighbour_that_has_taken_a_request_is_among_those_asked() {
+    let near = neighbours(20, &[100], Distance::DataCentre);
+    let far = neighbours(20, &[100], Distance::Region);
+    for helpful in [near[3].address, far[3].address] {
+        let known = [near.clone(), far.clone()].concat();
+        let now = Instant::now();
+        let mut choice = Neighbours::default();
+        choice.record(helpful, AskOutcome::Taken, now);
+        for request in 0..50 {
+            let order = choice.order(request, &known, now);
+            assert!(order.contains(&helpful), "{order:?}");
+        }
+        choice.record(helpful, AskOutcome::Lost, now);
+        let later = now + Duration::from_secs(1);
+        let asked = |request| choice.order(request, &known, later).contains(&helpful);
+        assert!(!(0..50).all(asked));
+    }
+}
+
 /// Guards against requests whose three asks all go to neighbours that could not help the last time.
 #[test]
 fn one_neighbour_that_was_lost_is_asked_again_at_a_time() {
