Hand requests over to neighbours while the path to the runners is lost

Callers of a VM that was partitioned from the runners got 503 no_runner or no-connection after one or several attempts of 200 ms each, or left without an answer, while other VMs, which that VM reached, served theirs.

Cause: a daemon took each failed connection for a failure of that runner, and tried the next one. Nothing told the loss of the path from the loss of runners, and there was no way around the path.

Change, as designed in docs/design/handover.md: a daemon that has lost a service, or most of its runners, passes the request to a neighbour before it takes tokens, over the port for other daemons. The neighbour handles it as one of its own callers' and answers, or declines it with a line at once; it takes a bounded number, after its own callers'. A request makes one hop. If nobody takes it, own runners are tried, and if all of these are silent it is refused at once with no_path. Once the request has been written to a neighbour that has not declined it, a broken connection means 502, may have run. Failed connections are no evidence against a request while the loss of the path is confirmed.

--- a/edge/src/accept/connection.rs
+++ b/edge/src/accept/connection.rs
@@ -68,7 +68,7 @@
 }
 
 /// Handles the requests of a connection until it closes.
-pub(super) async fn serve_connection<H: Handler>(
+pub(crate) async fn serve_connection<H: Handler>(
     handler: Rc<H>,
     stream: TcpStream,
     client: Client,
--- a/edge/src/accept/mod.rs
+++ b/edge/src/accept/mod.rs
@@ -8,6 +8,7 @@
 
 pub(crate) use clients::Client;
 pub use clients::Clients;
+pub(crate) use connection::serve_connection;
 pub use handler::{
     Handler,
     Rejection,
--- a/edge/src/adapter.rs
+++ b/edge/src/adapter.rs
@@ -148,6 +148,12 @@
     /// caller's key.
     fn is_reserved(name: &[u8]) -> bool;
 
+    /// Whether a caller's field names the time that is left for the request.
+    fn is_timeout(name: &[u8]) -> bool;
+
+    /// Appends the field with the time that is left for the request, encoded as a header line.
+    fn append_timeout(out: &mut Vec<u8>, timeout: Duration);
+
     /// Appends the fields that the daemon adds, encoded as header lines.
     fn append_fields(out: &mut Vec<u8>, forward: &ForwardFields<'_>);
 
--- a/edge/src/fleet/peers.rs
+++ b/edge/src/fleet/peers.rs
@@ -49,6 +49,7 @@
     },
     adapter::{
         ConfigVersion,
+        Dialect,
         Store, //
     },
     catalog::Runner,
@@ -70,7 +71,11 @@
         encode,
         encode_text, //
     },
-    serve::Core,
+    serve::{
+        Core,
+        begins_handover,
+        serve_handed_over, //
+    },
 };
 
 /// Age of the last confirmation of the configuration at which other daemons are queried.
@@ -117,12 +122,12 @@
     asked: Instant,
 }
 
-/// Listens on `address` and answers the queries of other daemons.
+/// Listens on `address`, answers the queries of other daemons and takes the requests that they hand over.
 ///
 /// # Errors
 ///
 /// Fails if the address cannot be bound.
-pub async fn serve_peers<D: 'static>(
+pub async fn serve_peers<D: Dialect>(
     core: &Rc<Core<D>>,
     address: SocketAddr,
     clients: &Rc<Clients>,
@@ -132,10 +137,14 @@
     let serve = move |stream, client: Client| {
         let core = Rc::clone(&core);
         spawn_local(async move {
-            let ended = tokio::select! {
-                biased;
-                () = client.dropped() => return,
-                ended = serve_connection(&core, stream, &client) => ended,
+            let ended = match begins_handover(&core, &stream).await {
+                Ok(true) => serve_handed_over(&core, stream, client).await,
+                Ok(false) => tokio::select! {
+                    biased;
+                    () = client.dropped() => return,
+                    ended = serve_connection(&core, stream, &client) => ended,
+                },
+                Err(e) => Err(e),
             };
             if let Err(e) = ended {
                 log::debug!("event=peer_link_ended error=\"{e}\"");
--- a/edge/src/http/connection.rs
+++ b/edge/src/http/connection.rs
@@ -113,6 +113,23 @@
     }
 }
 
+/// Fills `buf` with bytes from `stream`.
+///
+/// # Errors
+///
+/// Fails if the connection breaks or ends before that.
+pub async fn read_exact(stream: &TcpStream, mut buf: &mut [u8]) -> io::Result<()> {
+    while !buf.is_empty() {
+        match stream.try_read(buf) {
+            Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
+            Ok(n) => buf = &mut buf[n..],
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => stream.readable().await?,
+            Err(e) => return Err(e),
+        }
+    }
+    Ok(())
+}
+
 /// Writes all of `bytes` to `stream`.
 ///
 /// # Errors
--- a/edge/src/http/mod.rs
+++ b/edge/src/http/mod.rs
@@ -27,6 +27,7 @@
     Connection,
     ConnectionError,
     configure_stream,
+    read_exact,
     read_some,
     reset_on_drop,
     set_user_timeout,
--- a/edge/src/prepaid/ledger/membership.rs
+++ b/edge/src/prepaid/ledger/membership.rs
@@ -16,6 +16,17 @@
 };
 use crate::decide::rendezvous_weight;
 
+/// Another daemon that is known to run.
+#[derive(Clone, Copy, Debug)]
+pub struct RunningMember<'a> {
+    /// Address for other daemons.
+    pub address: SocketAddr,
+    /// Data centre.
+    pub zone: &'a str,
+    /// Processor share of its VM, in thousandths of a core.
+    pub capacity: u32,
+}
+
 impl Ledger {
     /// Sets the data centre of this VM and its processor share, in thousandths of a core.
     #[must_use]
@@ -25,6 +36,11 @@
         self
     }
 
+    /// Processor share of this VM, in thousandths of a core.
+    pub fn capacity(&self) -> u32 {
+        self.capacity
+    }
+
     /// Whether this daemon holds grants. A stopping one returns them.
     pub fn is_holder(&self) -> bool {
         !self.leaving && self.holders.iter().any(|h| h.node == self.node)
@@ -59,6 +75,17 @@
             .filter(move |(name, row)| !row.leaving && !self.is_silent(name, now))
     }
 
+    /// The other daemons that are known to run and can be asked.
+    pub fn running_members(&self, now: Instant) -> impl Iterator<Item = RunningMember<'_>> {
+        self.running_peers(now).filter_map(|(_, row)| {
+            Some(RunningMember {
+                address: row.peer?,
+                zone: &row.zone,
+                capacity: row.capacity,
+            })
+        })
+    }
+
     /// Names and addresses of the other daemons of this data centre that are known to run, ordered by name.
     pub fn zone_members(&self, now: Instant) -> Vec<(String, SocketAddr)> {
         let others = self
--- a/edge/src/prepaid/ledger/mod.rs
+++ b/edge/src/prepaid/ledger/mod.rs
@@ -24,6 +24,7 @@
 };
 
 pub use admission::Admission;
+pub use membership::RunningMember;
 pub use notices::GrantNotice;
 pub use writes::{
     WritePlan,
--- a/edge/src/prepaid/mod.rs
+++ b/edge/src/prepaid/mod.rs
@@ -37,6 +37,7 @@
     GrantNotice,
     Ledger,
     Reservation,
+    RunningMember,
     WRITE_INTERVAL,
     WritePlan,
     WriteScope, //
--- a/edge/src/serve/attempts.rs
+++ b/edge/src/serve/attempts.rs
@@ -24,6 +24,7 @@
         choose_service,
         wait_for_runner, //
     },
+    handover::hand_over,
     receive::Attempt,
     relay::{
         Relay,
@@ -74,6 +75,10 @@
     rejected: u32,
     /// Verdict of the last send that may have run.
     verdict: Option<Verdict>,
+    /// Whether neighbours have been asked to serve the request.
+    handed_over: bool,
+    /// Whether the request counts towards the retry budget of its service.
+    counted: bool,
     /// Runners in the order in which they were tried.
     tried: Vec<Arc<str>>,
     /// One entry a send, for the `request_done` log line.
@@ -112,8 +117,16 @@
     CallerLeft,
 }
 
-/// Takes the tokens of a request and sends it to runners until one responds or no retry is left.
-/// Returns the status of the response that was relayed.
+/// What came of the attempts at own runners.
+enum Served {
+    /// The response with this status was relayed.
+    Answered(u16),
+    /// No runner may have begun the request, and neighbours can be asked to serve it.
+    PathLost,
+}
+
+/// Serves a request at own runners, or at a neighbour if this daemon has lost the path to them. Returns the status of the
+/// response that was relayed.
 pub(super) async fn serve<D: Dialect>(
     core: &Rc<Core<D>>,
     call: &Call,
@@ -121,14 +134,56 @@
     relay: &mut Relay,
     out: &TcpStream,
 ) -> Result<u16, ServeError> {
+    let service = choose_service(call);
+    loop {
+        if may_hand_over(core, call, &service, history, relay) {
+            history.handed_over = true;
+            if let Some(status) = hand_over(core, call, &service, relay, out).await? {
+                return Ok(status);
+            }
+        }
+        match serve_here(core, call, &service, history, relay, out).await? {
+            Served::Answered(status) => return Ok(status),
+            Served::PathLost => {}
+        }
+    }
+}
+
+/// Whether neighbours are asked to serve the request: once, and while no runner may have begun it.
+fn may_hand_over<D: Dialect>(
+    core: &Core<D>,
+    call: &Call,
+    service: &str,
+    history: &SendHistory,
+    relay: &Relay,
+) -> bool {
+    let untouched = history.started == 0 && !relay.head_sent;
+    !history.handed_over
+        && untouched
+        && core.hands_over(call, service)
+        && core.may_send(&call.route)
+}
+
+/// Takes the tokens of a request and sends it to runners until one responds, no retry is left, or neighbours are to be
+/// asked.
+async fn serve_here<D: Dialect>(
+    core: &Rc<Core<D>>,
+    call: &Call,
+    service: &ServiceId,
+    history: &mut SendHistory,
+    relay: &mut Relay,
+    out: &TcpStream,
+) -> Result<Served, ServeError> {
     let event_count = Rc::clone(&relay.event_count);
     let charge = take_tokens(core, call, event_count)
         .await
         .map_err(ServeError::Refused)?;
-    let service = choose_service(call);
-    core.with_retry_budget(&service, |a| a.record_request(call.received_at));
+    if !history.counted {
+        history.counted = true;
+        core.with_retry_budget(service, |a| a.record_request(call.received_at));
+    }
     relay.last_id = call.meta.last_event;
-    let Some(mut version) = core.version_for(call, &service).await else {
+    let Some(mut version) = core.version_for(call, service).await else {
         let refusal = final_refusal(call, history, VERSION_CODE, VERSION_RETRY_AFTER);
         return Err(ServeError::Refused(refusal));
     };
@@ -138,8 +193,11 @@
             return Err(ServeError::Refused(refusal));
         }
         let span = call.start_span("place");
-        let upstream = match wait_for_runner(core, call, &history.tried, &service, version).await {
+        let upstream = match wait_for_runner(core, call, &history.tried, service, version).await {
             Ok(upstream) => upstream,
+            Err(_) if may_hand_over(core, call, service, history, relay) => {
+                return Ok(Served::PathLost);
+            }
             Err(none) => {
                 let refusal = final_refusal(call, history, none.code, none.retry_after);
                 return Err(ServeError::Refused(refusal));
@@ -159,7 +217,7 @@
             core,
             call,
             upstream: &upstream,
-            service: &service,
+            service,
             started: history.started,
             rejected: history.rejected,
             version,
@@ -176,7 +234,7 @@
             Ok(status) => {
                 history.add_summary(&runner, "answered", "", since);
                 core.metrics.sends.with_label_values(&["answered"]).inc();
-                return Ok(status);
+                return Ok(Served::Answered(status));
             }
             Err(RelayError::Caller) => return Err(ServeError::CallerLeft),
             Err(RelayError::Runner(error)) => error,
@@ -184,21 +242,33 @@
         if let Some(begun) = relay.version {
             version = VersionChoice::Only(begun);
         }
-        history.add_summary(&runner, error.failure.as_str(), &error.detail, since);
-        core.metrics
-            .sends
-            .with_label_values(&[error.failure.as_str()])
-            .inc();
-        history.count_failure(error.failure);
+        record_error(core, history, &runner, &error, since);
         if core.refuses_send(&upstream, Instant::now()).is_some() {
             // It gets nothing for now; once it does, it is as good as any other.
             history.tried.pop();
         }
         record_failure(&attempt, &error, relay.has_begun(Instant::now())).await;
-        check_retry(core, call, history, &service, &error).map_err(ServeError::Refused)?;
+        if may_hand_over(core, call, service, history, relay) {
+            return Ok(Served::PathLost);
+        }
+        check_retry(core, call, history, service, &error).map_err(ServeError::Refused)?;
     }
 }
 
+/// Records a failed send, which began at `since`, in the history and the metrics.
+fn record_error<D>(
+    core: &Core<D>,
+    history: &mut SendHistory,
+    runner: &str,
+    error: &SendError,
+    since: Instant,
+) {
+    let failure = error.failure.as_str();
+    history.add_summary(runner, failure, &error.detail, since);
+    core.metrics.sends.with_label_values(&[failure]).inc();
+    history.count_failure(error.failure);
+}
+
 /// Outcome of a send as recorded in its span.
 fn send_outcome(sent: &Result<u16, RelayError>) -> &'static str {
     match sent {
@@ -282,7 +352,7 @@
             let probe = upstream.probe().await;
             core.record_probe(upstream, probe, Instant::now());
             // Only a closed port shows that the process has ended: a cut ends connections too.
-            if probe == Probe::Refused {
+            if probe == Probe::Refused && !core.is_path_lost(attempt.service) {
                 attempt.unresolved.set(false);
                 core.record_crash(call, upstream, begun, now);
             }
--- a/edge/src/serve/availability.rs
+++ b/edge/src/serve/availability.rs
@@ -198,7 +198,8 @@
         self.availability
             .borrow_mut()
             .mark_down(upstream.key, cause, now);
-        if probe == Probe::Refused {
+        let path_lost = self.is_path_lost(&upstream.runner.borrow().service);
+        if probe == Probe::Refused && !path_lost {
             self.blame_unresolved(upstream, now);
         }
     }
--- a/edge/src/serve/call.rs
+++ b/edge/src/serve/call.rs
@@ -17,6 +17,7 @@
 
 use super::{
     Core,
+    handover::Origin,
     response::{
         Refusal,
         STOP_CODE,
@@ -72,6 +73,8 @@
 
 /// A request of a caller with the configuration, route and customer that apply to it.
 pub(super) struct Call {
+    /// Where it comes from.
+    pub origin: Origin,
     /// Head as received from the caller.
     pub head: RequestHead,
     /// Decoded request body.
@@ -197,6 +200,7 @@
     head: RequestHead,
     body: Bytes,
     received_at: Instant,
+    origin: Origin,
     keep_alive: bool,
 ) -> Result<Call, (Refusal, Option<Arc<str>>)> {
     let meta = D::request_meta(&head).map_err(|_| (Refusal::rejected(400, "bad_fields"), None))?;
@@ -236,6 +240,7 @@
     let suspects = suspects(fingerprint, shared_parts(&meta.parts));
     let call = Call {
         span: trace.map(|trace| RefCell::new(trace.start_span("request"))),
+        origin,
         head,
         body,
         meta,
--- a/edge/src/serve/core.rs
+++ b/edge/src/serve/core.rs
@@ -24,6 +24,10 @@
 
 use super::{
     Upstream,
+    handover::{
+        HopLinks,
+        TakenRequests, //
+    },
     receive::AnswerBytes,
     reservations::Reservations,
     turns::TurnQueue,
@@ -50,6 +54,7 @@
     decide::{
         Availability,
         CrashEvidence,
+        Neighbours,
         PlannedStop,
         Reach,
         ReadAge,
@@ -157,6 +162,12 @@
     pub(super) reach: RefCell<Reach>,
     /// Wakes the task that tries the runners of lost services.
     pub(super) reach_changed: Notify,
+    /// Neighbours that were asked to serve requests.
+    pub(super) neighbours: RefCell<Neighbours>,
+    /// Idle connections to them.
+    pub(super) hop_links: HopLinks,
+    /// Requests that they have handed over.
+    pub(super) taken: TakenRequests,
     /// Shares of the runners' software versions, by service.
     pub(super) versions: RefCell<HashMap<ServiceId, KnownShares>>,
     /// Streams that callers may take up.
@@ -238,6 +249,9 @@
             availability: RefCell::default(),
             reach: RefCell::default(),
             reach_changed: Notify::new(),
+            neighbours: RefCell::default(),
+            hop_links: HopLinks::default(),
+            taken: TakenRequests::default(),
             versions: RefCell::default(),
             streams: RefCell::default(),
             turn_queue: Rc::default(),
@@ -415,8 +429,10 @@
         inside.for_each(|u| u.close_idle());
     }
 
-    /// Closes expired idle connections to runners.
+    /// Closes expired idle connections to runners and neighbours.
     pub fn sweep_idle(&self, now: Instant) {
+        self.hop_links.sweep(now);
+        self.neighbours.borrow_mut().prune(now);
         self.upstreams
             .borrow()
             .values()
--- a/edge/src/serve/exchange.rs
+++ b/edge/src/serve/exchange.rs
@@ -26,6 +26,11 @@
         Call,
         resolve_call, //
     },
+    choose::choose_service,
+    handover::{
+        Origin,
+        declined_line, //
+    },
     relay::Relay,
     response::{
         Refusal,
@@ -35,7 +40,10 @@
 };
 use crate::{
     adapter::Dialect,
-    decide::Verdict,
+    decide::{
+        AskOutcome,
+        Verdict, //
+    },
     http::{
         RequestHead,
         reset_on_drop,
@@ -50,11 +58,17 @@
     head: RequestHead,
     body: Bytes,
     received_at: Instant,
+    origin: Origin,
     out: &TcpStream,
 ) -> bool {
+    core.link.record(received_at);
     let _open = core.track_request();
     let keep_alive = head.keep_alive() && !core.is_stopping();
-    let call = match resolve_call(core, head, body, received_at, keep_alive) {
+    let is_neighbour = origin == Origin::Neighbour;
+    if is_neighbour && (core.config().is_none() || !core.accepts_requests()) {
+        return decline("-", AskOutcome::Lost, keep_alive, out).await;
+    }
+    let call = match resolve_call(core, head, body, received_at, origin, keep_alive) {
         Ok(call) => call,
         Err((refusal, id)) => {
             log::info!(
@@ -77,6 +91,11 @@
                 && keep_alive;
         }
     };
+    let _taken = match is_neighbour.then(|| core.take_over(&choose_service(&call))) {
+        Some(Err(reason)) => return decline(&call.meta.id, reason, keep_alive, out).await,
+        Some(Ok(taken)) => Some(taken),
+        None => None,
+    };
     let mut history = SendHistory::default();
     let mut relay = Relay::default();
     let mut abort_log = AbortLog {
@@ -93,6 +112,12 @@
     finish(core, &call, &history, &relay, served, out).await
 }
 
+/// Declines the request `id` of a neighbour. Returns whether the connection may carry another one.
+async fn decline(id: &str, reason: AskOutcome, keep_alive: bool, out: &TcpStream) -> bool {
+    log::info!("event=handover_declined id={id} reason={}", reason.as_str());
+    write_all(out, &declined_line(reason)).await.is_ok() && keep_alive
+}
+
 /// Waits until the request is given up, and returns the error for it. The deadline and the end of the process bound the
 /// time until its answer is there; a complete one may be written for as long as the caller is likely to read it.
 async fn give_up<D>(core: &Core<D>, call: &Call) -> Refusal {
@@ -207,8 +232,9 @@
             .observe(first.duration_since(call.received_at).as_secs_f64());
     }
     log::info!(
-        "event=request_done id={} route={} customer={} rank={} config={} status={status} code={code} verdict={verdict} events={} first_ms={} pause_ms={} ms={} sends={}",
+        "event=request_done id={} origin={} route={} customer={} rank={} config={} status={status} code={code} verdict={verdict} events={} first_ms={} pause_ms={} ms={} sends={}",
         call.meta.id,
+        call.origin.as_str(),
         call.route.name,
         call.customer.as_ref().map_or("-", |c| &*c.name),
         call.rank,
--- a/edge/src/serve/handler.rs
+++ b/edge/src/serve/handler.rs
@@ -11,6 +11,7 @@
 use super::{
     Core,
     exchange::exchange,
+    handover::Origin,
     response::{
         CROWD_RETRY_AFTER,
         Refusal,
@@ -52,6 +53,6 @@
     }
 
     async fn handle(self: &Rc<Self>, head: RequestHead, body: Bytes, out: &TcpStream) -> bool {
-        exchange(self, head, body, Instant::now(), out).await
+        exchange(self, head, body, Instant::now(), Origin::Caller, out).await
     }
 }
--- a/edge/src/serve/mod.rs
+++ b/edge/src/serve/mod.rs
@@ -11,6 +11,7 @@
 mod exchange;
 mod grant_notices;
 mod handler;
+mod handover;
 mod holders;
 mod load_reports;
 mod observations;
@@ -36,6 +37,10 @@
     Bounds,
     Core, //
 };
+pub(crate) use handover::{
+    begins_handover,
+    serve_handed_over, //
+};
 pub use reach::watch_reach;
 pub use ready::bind_ready;
 pub use unresolved::watch_unresolved;
--- a/edge/src/serve/receive.rs
+++ b/edge/src/serve/receive.rs
@@ -49,7 +49,7 @@
 
 /// Largest response that is buffered; only streams may be longer. Several at once must fit into the
 /// memory of the smallest VM.
-const MAX_ANSWER_BYTES: usize = 2 * 1024 * 1024;
+pub(super) const MAX_ANSWER_BYTES: usize = 2 * 1024 * 1024;
 
 /// Largest response head.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
--- a/edge/src/serve/relay.rs
+++ b/edge/src/serve/relay.rs
@@ -118,6 +118,13 @@
         }
     }
 
+    /// Counts an event that a neighbour has sent.
+    pub(super) fn count_event(&mut self, now: Instant) {
+        self.event_count.set(self.event_count.get() + 1);
+        self.record_pause(now);
+        self.first_event = self.first_event.or(Some(now));
+    }
+
     /// Relays events until the end of the stream. After success the connection to the runner may be
     /// reused.
     pub(super) async fn run<D>(
--- a/edge/src/telemetry/metrics.rs
+++ b/edge/src/telemetry/metrics.rs
@@ -37,6 +37,8 @@
     pub tokens: IntGaugeVec,
     /// Evacuated data centres, 1 each.
     pub evacuated: IntGaugeVec,
+    /// Requests that neighbours were asked to serve, by outcome.
+    pub handovers: IntCounterVec,
     /// Services whose runners this daemon reaches in part or not at all, 1 each.
     pub reach: IntGaugeVec,
 }
@@ -85,6 +87,11 @@
                 ),
                 &["zone"],
             )?,
+            handovers: counter(
+                "cuminloom_handovers_total",
+                "Requests that neighbours were asked to serve.",
+                &["outcome"],
+            )?,
             reach: IntGaugeVec::new(
                 Opts::new(
                     "cuminloom_service_unreached",
@@ -116,6 +123,9 @@
         metrics
             .registry
             .register(Box::new(metrics.evacuated.clone()))?;
+        metrics
+            .registry
+            .register(Box::new(metrics.handovers.clone()))?;
         metrics.registry.register(Box::new(metrics.reach.clone()))?;
         Ok(metrics)
     }
