Judge a read of a copy by when it was asked for

Callers: requests of a daemon that had stood still could go to a data centre that was evacuated, until the feed delivered the next change.

Cause: while the store settles after its return from a copy, a read of all evacuations ends none, as the operator may not have written again what the copy lacks. Whether it settles was judged by the time at which the answer was handled. An answer of the copy that lay unread in a stopped process for longer than that ended evacuations. The confirmation of the configuration next to it already goes by the time of the call.

Evidence: evacuations::a_read_of_a_copy_that_lay_unread_ends_no_evacuation failed before (no data centre in place of z-1). Found by reading, not seen in a run of real processes.

Change: the time of the call counts for both.

--- a/edge/src/fleet/feeds.rs
+++ b/edge/src/fleet/feeds.rs
@@ -150,7 +150,7 @@
                 }
                 core.ledger.borrow_mut().record_store_time(feed.now_ms, now);
                 let empty = feed.items.is_empty();
-                apply_operator_changes(&core, feed);
+                apply_operator_changes(&core, feed, asked);
                 // A copy may lack a newer configuration that was in force.
                 if core.config().is_some() && !core.is_settling(asked) {
                     core.confirm_config(asked);
@@ -170,9 +170,9 @@
     }
 }
 
-/// Applies the changes of one call: evacuations first, so that no request is routed by a new configuration to
-/// a data centre that was evacuated before.
-fn apply_operator_changes<D>(core: &Core<D>, feed: FeedUpdate<OperatorChange>) {
+/// Applies the changes of one call of `asked`: evacuations first, so that no request is routed by a new configuration
+/// to a data centre that was evacuated before.
+fn apply_operator_changes<D>(core: &Core<D>, feed: FeedUpdate<OperatorChange>, asked: Instant) {
     let mut evacuations = Vec::new();
     let mut configs = Vec::new();
     for change in feed.items {
@@ -185,7 +185,7 @@
         era: feed.era,
         number: feed.version,
     };
-    core.apply_evacuations(evacuations, feed.is_snapshot, version);
+    core.apply_evacuations(evacuations, feed.is_snapshot, version, asked);
     for version in configs {
         core.apply_config(version, "store");
     }
--- a/edge/src/serve/evacuations.rs
+++ b/edge/src/serve/evacuations.rs
@@ -19,12 +19,14 @@
 
 impl<D> Core<D> {
     /// Applies what the feed of the store has said of evacuations up to `version`; `whole` if `changes` are all
-    /// evacuations in force. Those that a copy of the store lacks hold until they may be written again.
+    /// evacuations in force, read by a call of `asked`. Those that a copy of the store lacks hold until they may be
+    /// written again.
     pub fn apply_evacuations(
         &self,
         changes: Vec<EvacuationChange>,
         whole: bool,
         version: StoreVersion,
+        asked: Instant,
     ) {
         let mut evacuations = self.evacuations.borrow_mut();
         let begun = |changes: Vec<EvacuationChange>| {
@@ -32,7 +34,7 @@
             begun.map(|c| c.zone)
         };
         let changed = match whole {
-            true if self.is_settling(Instant::now()) => evacuations.extend(begun(changes), version),
+            true if self.is_settling(asked) => evacuations.extend(begun(changes), version),
             true => evacuations.replace(begun(changes), version),
             false => evacuations.update(changes, version),
         };
--- a/edge/tests/evacuations.rs
+++ b/edge/tests/evacuations.rs
@@ -2,6 +2,14 @@
 
 mod test_core;
 
+use std::{
+    thread::sleep,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
 use cuminloom_edge::{
     adapter::StoreVersion,
     catalog::{
@@ -15,6 +23,7 @@
         encode, //
     },
     prepaid::Ledger,
+    serve::Bounds,
 };
 use rand::{
     RngExt,
@@ -100,7 +109,7 @@
     let start = || test_core::start_core(Ledger::new("vm-1", 1, None), 1_000);
     let (informed, started) = (start(), start());
     assert_eq!(informed.known_evacuations(), None);
-    informed.apply_evacuations(vec![change("z-1", true)], true, at(40));
+    informed.apply_evacuations(vec![change("z-1", true)], true, at(40), Instant::now());
     let state = informed.known_evacuations().unwrap();
     assert_eq!(
         (state.version, &*state.zones),
@@ -131,3 +140,24 @@
     let reply: PeerReply = decode(&encode(&earlier).unwrap()).unwrap();
     assert_eq!(reply.evacuations, None);
 }
+
+/// An evacuation that a copy of the store lacks ends because an answer lay unread until it should have been written again.
+#[test]
+fn a_read_of_a_copy_that_lay_unread_ends_no_evacuation() {
+    const GRACE: Duration = Duration::from_millis(20);
+    let core = test_core::start_core(Ledger::new("vm-1", 1, None), 1_000);
+    core.set_bounds(Bounds {
+        lapse_grace: GRACE,
+        ..core.bounds.get()
+    });
+    assert!(core.note_era(1, "configs"));
+    core.apply_evacuations(vec![change("z-1", true)], true, at(40), Instant::now());
+    assert!(core.note_era(2, "configs"));
+    let asked = Instant::now();
+    sleep(GRACE);
+    let copy = StoreVersion { era: 2, number: 30 };
+    core.apply_evacuations(Vec::new(), true, copy, asked);
+    assert_eq!(core.known_evacuations().unwrap().zones, ["z-1"]);
+    core.apply_evacuations(Vec::new(), true, copy, Instant::now());
+    assert!(core.known_evacuations().unwrap().zones.is_empty());
+}
