Keep a fast clock from making new entries old

Cause: the age of the entries is counted by an estimate of the store's clock that could only move forward. The clock of a VM that gains 100 ms an hour on that of the store puts the estimate ahead by the time of the version lease, 4 s, in 40 hours; from then on each new answer looks older than the lease. Since the entries are dated by the same estimate, other daemons would not be given them either.

Evidence: version_lease::a_fast_clock_makes_new_answers_old failed with the estimate as it was. Found by reading, not seen in a run.

Change: the store's clock can't have gone on by more than the length of the call since the answer, so the estimate is bounded by that. An answer that lay unread still counts as old.

--- a/edge/src/decide/version_lease.rs
+++ b/edge/src/decide/version_lease.rs
@@ -9,6 +9,7 @@
 
 use std::{
     collections::HashMap,
+    ops::Range,
     time::Duration, //
 };
 
@@ -37,10 +38,10 @@
 ///
 /// let at = Duration::from_secs;
 /// let mut age = ReadAge::default();
-/// age.record(1, 50_000, at(100));
+/// age.record(1, 50_000, at(100)..at(100));
 /// assert_eq!(age.at(at(101)), Some(at(1)));
 /// // An answer of 51 s that was received 6 s later.
-/// age.record(1, 51_000, at(107));
+/// age.record(1, 51_000, at(101)..at(107));
 /// assert_eq!(age.at(at(107)), Some(at(6)));
 /// ```
 #[derive(Debug, Default)]
@@ -54,14 +55,14 @@
 }
 
 impl ReadAge {
-    /// Records an answer that the store gave at `time` in `era`, received at `at` on a clock that goes on while the VM is
-    /// suspended.
-    pub fn record(&mut self, era: u64, time: FleetTime, at: Duration) {
-        let is_new = self.era != era;
-        let known = self.clock_at(at).filter(|_| !is_new);
-        if known.is_none_or(|known| time > known) {
-            self.clock = Some((time, at));
-        }
+    /// Records an answer that the store gave at `time` in `era`, to a call that lasted for `call` on a clock that goes on
+    /// while the VM is suspended.
+    pub fn record(&mut self, era: u64, time: FleetTime, call: Range<Duration>) {
+        let known = self.clock_at(call.end).filter(|_| self.era == era);
+        let longest = call.end.saturating_sub(call.start).as_millis() as u64;
+        // A clock that runs faster than that of the store would make all answers old.
+        let now = known.unwrap_or(time).clamp(time, time + longest);
+        self.clock = Some((now, call.end));
         self.era = era;
         self.state = time;
     }
--- a/edge/src/fleet/feeds.rs
+++ b/edge/src/fleet/feeds.rs
@@ -25,6 +25,7 @@
         RunnerChange,
         RunnerId, //
     },
+    clock::boot_time,
     decide::OutageWatch,
     serve::Core, //
 };
@@ -197,7 +198,7 @@
     let mut position = FeedPosition::default();
     let mut outages = OutageWatch::default();
     loop {
-        let asked = Instant::now();
+        let (asked, asked_boot) = (Instant::now(), boot_time());
         let since = position.since(core.store_era(), asked);
         match store.watch_runners(since, RUNNER_POLL_WAIT).await {
             Ok(feed) => {
@@ -222,7 +223,7 @@
                     continue;
                 }
                 core.ledger.borrow_mut().record_store_time(feed.now_ms, now);
-                core.record_entries(feed.era, feed.now_ms);
+                core.record_entries(feed.era, feed.now_ms, asked_boot);
                 // A read of all entries is not held back at the store.
                 core.confirm_runners(match feed.is_snapshot {
                     true => asked,
--- a/edge/src/serve/versions.rs
+++ b/edge/src/serve/versions.rs
@@ -176,10 +176,11 @@
         })
     }
 
-    /// Records that the store gave the runners' entries at `time` in `era`.
-    pub fn record_entries(&self, era: Era, time: FleetTime) {
+    /// Records that the store gave the runners' entries at `time` in `era`, to a call that was made at `asked` on the
+    /// clock of [`boot_time`].
+    pub fn record_entries(&self, era: Era, time: FleetTime, asked: Duration) {
         let mut age = self.entries_age.borrow_mut();
-        age.record(era, time, boot_time());
+        age.record(era, time, asked..boot_time());
     }
 
     /// Time at which the store gave the recorded entries, by its own clock: the answer to a call of `asked` that is
--- a/edge/tests/version_lease.rs
+++ b/edge/tests/version_lease.rs
@@ -21,18 +21,34 @@
 fn an_answer_counts_from_the_moment_at_which_it_was_given() {
     let mut age = ReadAge::default();
     assert_eq!(age.at(at(0)), None);
-    age.record(1, 10_000, at(500));
-    age.record(1, 11_000, at(1_500));
+    age.record(1, 10_000, at(490)..at(500));
+    age.record(1, 11_000, at(500)..at(1_500));
     assert_eq!(age.at(at(2_500)), Some(at(1_000)));
-    age.record(1, 12_000, at(6_500));
+    age.record(1, 12_000, at(1_600)..at(6_500));
     assert_eq!(age.at(at(6_500)), Some(at(4_000)));
-    age.record(1, 16_100, at(6_600));
+    age.record(1, 16_100, at(6_500)..at(6_600));
     assert_eq!(age.at(at(6_600)), Some(at(0)));
     // The clock of a store that came back from a copy may be another one.
-    age.record(2, 3_000, at(7_000));
+    age.record(2, 3_000, at(6_900)..at(7_000));
     assert_eq!(age.at(at(7_500)), Some(at(500)));
 }
 
+/// Guards against entries that never count as new again because this VM's clock runs faster than that of the store.
+#[test]
+fn a_fast_clock_makes_new_answers_old() {
+    const HOUR_MS: u64 = 3_600_000;
+    const CALL_MS: u64 = 1_000;
+    let mut age = ReadAge::default();
+    for hour in 0..48 {
+        let store = hour * HOUR_MS;
+        // It gains 100 ms an hour, and a call takes a second.
+        let own = store + hour * 100;
+        age.record(1, store, at(own)..at(own + CALL_MS));
+        let read = age.at(at(own + CALL_MS)).unwrap();
+        assert!(read <= at(CALL_MS), "after {hour} h: {read:?}");
+    }
+}
+
 /// Guards against streams that begin at a version of which others may not have heard, and against runners that stay idle
 /// after that.
 #[test]
--- a/edge/tests/version_world/node.rs
+++ b/edge/tests/version_world/node.rs
@@ -60,7 +60,8 @@
     /// Receives the entries that the store has given at `time`.
     pub(super) fn receive(&mut self, entries: Vec<(VersionKey, u32)>, time: u64, now: u64) {
         self.entries = entries;
-        self.age.record(1, time, Duration::from_millis(now));
+        let call = Duration::from_millis(time)..Duration::from_millis(now);
+        self.age.record(1, time, call);
         self.received = now;
     }
 
