Pass on a stream that left its version only once the others can know it

Callers saw streams joined from two versions: a stream whose version had no runner that answers began at another one, broke off, and went on at the version of its shares at another daemon, where that had runners again. The others learn of such a stream from the row of its daemon. That row was written some time after the first event, and never while the store took no writes of the daemon; a daemon that reads the rows takes the shares for certain. Neighbours that a cut-off daemon queries get word of it, but only three of them, and not in the first 1.3 s.

The first event of such a stream now waits until the store has accepted a row that names it, for 1 s at most; then the caller gets 502 `version_untold`, and nothing of the stream. A daemon whose last write failed lets no stream leave its version: it waits for a runner of it, and is refused as not run. Streams at the version of their shares pay nothing. `stream_left_version` logs each case.

--- a/edge/src/decide/versions.rs
+++ b/edge/src/decide/versions.rs
@@ -245,6 +245,8 @@
     at: Instant,
     /// Whether this daemon reports it.
     own: bool,
+    /// Whether a row in the store has told of it.
+    told: bool,
 }
 
 /// Streams that have not ended whole, with the versions that began them.
@@ -281,6 +283,7 @@
                 service: None,
                 at: now,
                 own,
+                told: false,
             });
             known.at = now;
             known.own |= own;
@@ -292,6 +295,20 @@
         self.streams.remove(&key);
     }
 
+    /// Records that a row in the store tells of `reports`.
+    pub fn mark_told(&mut self, reports: &[StreamReport]) {
+        for StreamReport(key, version) in reports {
+            if let Some(known) = self.streams.get_mut(key) {
+                known.told |= known.version == *version;
+            }
+        }
+    }
+
+    /// Whether a row in the store has told of the stream `key`.
+    pub fn is_told(&self, key: StreamKey) -> bool {
+        self.streams.get(&key).is_some_and(|known| known.told)
+    }
+
     /// Version that began the stream `key`.
     pub fn version_of(&self, key: StreamKey) -> Option<VersionKey> {
         self.streams.get(&key).map(|known| known.version)
--- a/edge/src/fleet/rows.rs
+++ b/edge/src/fleet/rows.rs
@@ -238,6 +238,10 @@
         let conflict = matches!(commit, CommitOutcome::Conflict(_));
         count_store_call(core, "commit", if conflict { "conflict" } else { "ok" });
         log_commit(&plan.batch, &commit, sent);
+        core.record_writes(false);
+        if let (false, Some((_, row))) = (conflict, &plan.batch.daemon) {
+            core.mark_told(&row.observed.streams);
+        }
         if let Some(at) = self.lost.take() {
             log::info!(
                 "event=writes_regained after_ms={}",
@@ -272,6 +276,7 @@
         sent: Instant,
     ) {
         count_store_call(core, "commit", "failed");
+        core.record_writes(true);
         if self.lost.is_none() {
             self.lost = Some(sent);
             log::warn!("event=writes_lost error=\"{fault}\"");
--- a/edge/src/serve/attempts.rs
+++ b/edge/src/serve/attempts.rs
@@ -65,6 +65,9 @@
 /// `Retry-After` of such a request: another daemon writes its row and this one reads it within that time.
 const VERSION_RETRY_AFTER: Duration = Duration::from_millis(1000);
 
+/// Code of requests for streams that left the version that their shares tell, of which others could not be told.
+const UNTOLD_CODE: &str = "version_untold";
+
 /// Results of the sends of one request so far.
 #[derive(Default)]
 pub(super) struct SendHistory {
@@ -179,6 +182,11 @@
                 return Ok(status);
             }
             Err(RelayError::Caller) => return Err(ServeError::CallerLeft),
+            Err(RelayError::Untold) => {
+                history.add_summary(&runner, "untold", "", since);
+                let refusal = Refusal::may_have_run(502, UNTOLD_CODE);
+                return Err(ServeError::Refused(refusal));
+            }
             Err(RelayError::Runner(error)) => error,
         };
         if let Some(begun) = relay.version {
@@ -204,6 +212,7 @@
     match sent {
         Ok(_) => "answered",
         Err(RelayError::Caller) => "caller_left",
+        Err(RelayError::Untold) => "untold",
         Err(RelayError::Runner(error)) => error.failure.as_str(),
     }
 }
--- a/edge/src/serve/choose.rs
+++ b/edge/src/serve/choose.rs
@@ -193,7 +193,8 @@
 }
 
 /// Chooses a runner as [`choose_runner`] does. A stream that has not begun leaves its version if that has no runner that
-/// is known to answer, and goes to one at which streams may not begin yet only if no other one has.
+/// is known to answer and the others can be told, and goes to one at which streams may not begin yet only if no other one
+/// has.
 fn choose_version<D: Dialect>(
     core: &Rc<Core<D>>,
     call: &Call,
@@ -210,7 +211,8 @@
         Choice::Runner(upstream) => !core.view(upstream, Instant::now()).doubtful,
         _ => false,
     };
-    if answers || core.all_admitted(service, version, Instant::now()) {
+    let may_leave = core.may_leave_version();
+    if answers || !may_leave || core.all_admitted(service, version, Instant::now()) {
         return choice;
     }
     let open = choose_runner(core, call, tried, service, first, VersionChoice::Open);
--- a/edge/src/serve/core.rs
+++ b/edge/src/serve/core.rs
@@ -161,6 +161,8 @@
     pub(super) versions: RefCell<HashMap<ServiceId, KnownShares>>,
     /// Streams that callers may take up.
     pub(super) streams: RefCell<StreamLog>,
+    /// Whether the store accepts no row of this daemon.
+    pub(super) writes_lost: Cell<bool>,
     /// Requests that wait for a turn at runners with limits.
     pub(super) turn_queue: Rc<TurnQueue>,
     /// Start of the process.
@@ -240,6 +242,7 @@
             reach_changed: Notify::new(),
             versions: RefCell::default(),
             streams: RefCell::default(),
+            writes_lost: Cell::default(),
             turn_queue: Rc::default(),
             started: Instant::now(),
             version: RefCell::new(None),
--- a/edge/src/serve/relay.rs
+++ b/edge/src/serve/relay.rs
@@ -85,6 +85,8 @@
     Runner(SendError),
     /// The connection to the caller failed.
     Caller,
+    /// The stream has left its version, and others could not be told in time; the caller has nothing of it.
+    Untold,
 }
 
 impl Relay {
@@ -139,6 +141,13 @@
                     self.version = Some(self.present);
                     let core = attempt.core;
                     core.record_stream(call, attempt.service, self.present);
+                    let left = attempt.version.is_left_at(self.present);
+                    if left && !core.tell_stream(call, self.present).await {
+                        self.head_sent = false;
+                        self.event_count.set(0);
+                        core.end_stream(call);
+                        return Err(RelayError::Untold);
+                    }
                 }
                 self.record_pause(Instant::now());
                 if self.first_event.is_none() {
--- a/edge/src/serve/versions.rs
+++ b/edge/src/serve/versions.rs
@@ -52,6 +52,9 @@
 /// Interval between two looks for such word.
 const WORD_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time for which the first event of a stream waits until others can know that it has left its version.
+const TELL_TIME: Duration = Duration::from_millis(1000);
+
 /// Time between two daemons that write the shares of a service, so that only one does if the first succeeds.
 const WRITE_STEP: Duration = Duration::from_millis(150);
 
@@ -77,6 +80,11 @@
         matches!(self, VersionChoice::Only(_)) && !self.admits(runner)
     }
 
+    /// Whether a stream that begins at `version` leaves the one that its shares tell.
+    pub(super) fn is_left_at(self, version: VersionKey) -> bool {
+        matches!(self, VersionChoice::Prefer(preferred) if preferred != version)
+    }
+
     /// Whether `runner` fits best.
     pub(super) fn admits(self, runner: &Runner) -> bool {
         match self {
@@ -242,7 +250,44 @@
         }
     }
 
-    /// Records that the caller has the whole stream of `call`.
+    /// Whether streams may leave the version that their shares tell: others go by the shares unless the row of this daemon
+    /// tells them.
+    pub(super) fn may_leave_version(&self) -> bool {
+        !self.writes_lost.get()
+    }
+
+    /// Records whether the store accepts the row of this daemon.
+    pub fn record_writes(&self, lost: bool) {
+        self.writes_lost.set(lost);
+    }
+
+    /// Records that a row that the store has accepted tells of `reports`.
+    pub fn mark_told(&self, reports: &[StreamReport]) {
+        self.streams.borrow_mut().mark_told(reports);
+        self.state_changed.notify_waiters();
+    }
+
+    /// Waits until the store has word that the stream of `call` begins at `version`, which its shares don't tell. Returns
+    /// whether it has in time.
+    pub(super) async fn tell_stream(&self, call: &Call, version: VersionKey) -> bool {
+        let key = stream_key(&call.meta.id);
+        let begun = Instant::now();
+        let is_told = || self.streams.borrow().is_told(key);
+        while !is_told() && begun.elapsed() < TELL_TIME {
+            self.writer_wake.notify_one();
+            let changed = self.state_changed.notified();
+            let _ = timeout(WORD_INTERVAL, changed).await;
+        }
+        let told = is_told();
+        log::info!(
+            "event=stream_left_version id={} version={version:x} told={told} ms={}",
+            call.meta.id,
+            begun.elapsed().as_millis()
+        );
+        told
+    }
+
+    /// Records that the caller has the whole stream of `call`, or nothing of it.
     pub(super) fn end_stream(&self, call: &Call) {
         if let Some(key) = key_of(call) {
             self.streams.borrow_mut().end(key);
