Play neighbours that have no room

No run of VMs that had lost the runners came to the most requests that a neighbour takes, so what happens then was not shown.

The lines of a run name the load.

--- a/edge/tests/lost_runners_run.rs
+++ b/edge/tests/lost_runners_run.rs
@@ -77,7 +77,7 @@
     let o = World::new(seed, size, faults, load).run();
     let bound = bound(size, &faults.times[0]);
     println!(
-        "{} {:?} {:?} seed {seed}: cut {} others {} before {}, asked {}, declined {} of {}, {} by one, uneven {:.2}, \
+        "{} {:?} {:?} load {load} seed {seed}: cut {} others {} before {}, asked {}, declined {} of {}, {} by one, uneven {:.2}, \
          refused in {} ms, lost {} times and {} ms, {} connects",
         size.daemons,
         faults.how,
@@ -257,6 +257,21 @@
     }
 }
 
+/// More requests than the neighbours take.
+fn tiny(seed: u64, size: Size) {
+    for how in BREAKS {
+        let faults = Faults {
+            how,
+            tiny: true,
+            ..cut(Who::TwoThirds)
+        };
+        let o = run(seed, size, faults, LOAD);
+        let served = o.tries(&before(&faults), false).share();
+        check_others(seed, size, faults, &o, served, MAX_REFUSAL_MS);
+        check_back(seed, faults, &o, BACK_MS);
+    }
+}
+
 fn all_cut(seed: u64, size: Size) {
     for how in BREAKS {
         let faults = Faults {
@@ -398,6 +413,12 @@
     play(overload);
 }
 
+/// Guards against neighbours that take more than they can, and requests that wait for them.
+#[test]
+fn neighbours_take_what_they_have_room_for() {
+    play(tiny);
+}
+
 /// Guards against requests that wait, or go round, when nobody reaches a runner.
 #[test]
 fn requests_are_refused_at_once_if_all_are_cut_off() {
@@ -452,7 +473,7 @@
 }
 
 /// All of the above but the last.
-const CASES: [fn(u64, Size); 12] = [
+const CASES: [fn(u64, Size); 13] = [
     third,
     two_thirds,
     data_centre,
@@ -461,6 +482,7 @@
     killed,
     twice,
     overload,
+    tiny,
     all_cut,
     comes_and_goes,
     silent_runner,
--- a/edge/tests/path_world/faults.rs
+++ b/edge/tests/path_world/faults.rs
@@ -58,6 +58,8 @@
     pub silent_runner: bool,
     /// Whether all runners of a data centre end.
     pub rack: bool,
+    /// Whether the VMs are so small that each takes the fewest requests of others.
+    pub tiny: bool,
     /// Whether daemons hand nothing over, to show that the bounds find it.
     pub alone: bool,
 }
@@ -72,6 +74,7 @@
             kill: false,
             silent_runner: false,
             rack: false,
+            tiny: false,
             alone: false,
         }
     }
@@ -88,8 +91,11 @@
         self.times.last().map_or(0, |(_, to)| *to)
     }
 
-    /// Chooses the daemons that are cut off.
+    /// Chooses the daemons that are cut off, and what all are like.
     pub(super) fn choose(&self, daemons: &mut [Daemon], size: Size, random: &mut StdRng) {
+        if self.tiny {
+            daemons.iter_mut().for_each(|d| d.capacity = 1);
+        }
         let per_region = size.data_centres / size.regions;
         let count = match self.who {
             Who::None => 0,
