--- a/edge/src/decide/mod.rs
+++ b/edge/src/decide/mod.rs
@@ -4,6 +4,7 @@
 //! that load.
 
 mod availability;
+mod brittle;
 mod client_account;
 mod crash_evidence;
 mod even_load;
@@ -35,6 +36,14 @@
     View,
     runner_key, //
 };
+pub use brittle::{
+    BrittleServices,
+    Place,
+    PlaceView,
+    Places,
+    hold_time,
+    mean_load, //
+};
 pub use client_account::{
     Claim,
     ClientAccount,
@@ -65,6 +74,7 @@
     fingerprint, //
 };
 pub use load_view::{
+    CautiousLoad,
     KnownLoad,
     LoadView, //
 };
