Send to brittle runners only where a place is known to be free

Cause: nothing read the field, so each daemon tried runners that had no room, and together they went beyond what a runner bears. Class of the fault: a bound over all daemons that each daemon keeps alone, or not at all.

While a service is brittle, serve/brittle.rs asks decide::Places for each runner; those without a place count as full. A request waits for one as it does for a runner (an eighth of its objective) and is then refused with 503 no_place. The end of an own request wakes those that wait. Loads of brittle runners are passed on even if they have three figures; the percentage 0 stands for none. Nothing changes for services that are not brittle.

--- a/edge/src/adapter.rs
+++ b/edge/src/adapter.rs
@@ -100,6 +100,9 @@
 /// Time for which the runner wants nothing from this daemon, at most a day.
 pub type RetryField = Signal<Duration>;
 
+/// Requests that a brittle runner can turn away in a second before it falls over.
+pub type BrittleField = Signal<u32>;
+
 /// Metadata of a response, decoded from the runner's header fields.
 #[derive(Clone, Debug, Default)]
 pub struct ResponseMeta {
@@ -115,6 +118,8 @@
     pub idle: Option<Duration>,
     /// Limit that the runner names.
     pub limit: LimitField,
+    /// Whether the runner says that it is brittle.
+    pub brittle: BrittleField,
     /// Time after which the runner wants to be asked again.
     pub retry_after: RetryField,
     /// Whether the runner says that it leaves.
--- a/edge/src/decide/brittle.rs
+++ b/edge/src/decide/brittle.rs
@@ -40,6 +40,9 @@
 /// Part of the refusals that a runner bears which daemons risk together, by their probabilities.
 const RISK_SHARE: f64 = 0.2;
 
+/// What a runner that bears no refusal counts for, or it would get no request after it was silent.
+const LEAST_BORNE: f64 = 0.25;
+
 /// Time for which a daemon saves what it may risk.
 const CREDIT_TIME: Duration = Duration::from_secs(1);
 
@@ -60,7 +63,7 @@
 const RISK_STEPS: f64 = 50.0;
 
 /// Length of a turn at a runner that bears one refusal in a second and of whose places nothing is known.
-const BLIND_TURN_MS: u64 = 4000;
+const BLIND_TURN_MS: f64 = 4000.0;
 
 /// Fraction of the known free places for which there are turns.
 const TURN_FRACTION: f64 = 0.5;
@@ -72,6 +75,8 @@
     /// Time of the last answer that said so.
     at: Instant,
     scarce_until: Instant,
+    /// Requests that wait for a place.
+    waiting: usize,
     /// Refusals that this daemon may still cause, by their probabilities, at `updated`.
     credit: f64,
     updated: Instant,
@@ -113,6 +118,7 @@
             refusals,
             at: now,
             scarce_until: known.map_or(now, |s| s.scarce_until),
+            waiting: known.map_or(0, |s| s.waiting),
             credit: known.map_or(0.0, |s| s.credit),
             updated: known.map_or(now, |s| s.updated),
         };
@@ -138,14 +144,33 @@
         self.0.get(service).is_some_and(|s| now < s.scarce_until)
     }
 
+    /// Counts a request that waits for a place.
+    pub fn enter(&mut self, service: &str) {
+        if let Some(known) = self.0.get_mut(service) {
+            known.waiting += 1;
+        }
+    }
+
+    /// Counts a request that no longer waits.
+    pub fn leave(&mut self, service: &str) {
+        if let Some(known) = self.0.get_mut(service) {
+            known.waiting = known.waiting.saturating_sub(1);
+        }
+    }
+
+    /// Number of requests that wait for a place.
+    pub fn waiting(&self, service: &str) -> usize {
+        self.0.get(service).map_or(0, |s| s.waiting)
+    }
+
     /// Refusals that this daemon may still cause at the runners of `service`, by their probabilities. All daemons
     /// together may cause [`RISK_SHARE`] of what each runner bears.
     pub fn credit(&self, service: &str, runners: usize, members: usize, now: Instant) -> f64 {
         let Some(known) = self.0.get(service) else {
             return 0.0;
         };
-        let income =
-            f64::from(known.refusals) * RISK_SHARE * runners as f64 / members.max(1) as f64;
+        let borne = f64::from(known.refusals).max(LEAST_BORNE);
+        let income = borne * RISK_SHARE * runners as f64 / members.max(1) as f64;
         let passed = now.saturating_duration_since(known.updated);
         (known.credit + income * passed.as_secs_f64()).min(income * CREDIT_TIME.as_secs_f64())
     }
@@ -301,8 +326,8 @@
 
     /// Number of the turn in which this daemon may try without knowing of room.
     fn blind_turn(&self) -> Option<u64> {
-        let one = (BLIND_TURN_MS / u64::from(self.refusals.max(1))).max(1);
-        self.turn(one, u64::from(self.refusals > 0))
+        let borne = f64::from(self.refusals).max(LEAST_BORNE);
+        self.turn((BLIND_TURN_MS / borne).max(1.0) as u64, 1)
     }
 
     /// Number of the current turn of `length` milliseconds, if this daemon is one of its `holders`.
--- a/edge/src/decide/route_times.rs
+++ b/edge/src/decide/route_times.rs
@@ -59,6 +59,12 @@
         estimate.deviation += WEIGHT * (difference.abs() - estimate.deviation);
     }
 
+    /// Mean time of the requests of `route`; `None` if none has ended.
+    pub fn mean(&self, route: &str) -> Option<Duration> {
+        let estimate = self.0.get(route)?;
+        Some(Duration::from_secs_f64(estimate.mean))
+    }
+
     /// Time below which nearly all requests of `route` end; `objective` is its latency objective.
     pub fn most(&self, route: &str, objective: Duration) -> Duration {
         match self.0.get(route) {
--- a/edge/src/peer/message.rs
+++ b/edge/src/peer/message.rs
@@ -65,7 +65,7 @@
 }
 
 /// Load report of a runner that a daemon passes on: key of the runner's process, requests running and
-/// waiting, percentage of the usual time that work takes, and age in milliseconds. It is a tuple because
+/// waiting, percentage of the usual time that work takes (0 if the runner doesn't say), and age in milliseconds. It is a tuple because
 /// names of fields would double its size.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PassedLoad(pub RunnerKey, pub u32, pub u32, pub u32, pub u32);
--- a/edge/src/serve/availability.rs
+++ b/edge/src/serve/availability.rs
@@ -194,6 +194,7 @@
             }
         };
         self.record_opened(upstream, probe, now);
+        upstream.places.borrow_mut().reset();
         upstream.close_idle();
         self.availability
             .borrow_mut()
@@ -299,7 +300,7 @@
     }
 
     /// Rank of this daemon among those that share the limit of a runner.
-    fn rank_for_runner(&self, key: RunnerKey, now: Instant) -> (Option<usize>, usize) {
+    pub(super) fn rank_for_runner(&self, key: RunnerKey, now: Instant) -> (Option<usize>, usize) {
         self.ledger.borrow().rank_for(u64::from(key), now)
     }
 }
--- a/edge/src/serve/choose.rs
+++ b/edge/src/serve/choose.rs
@@ -11,12 +11,17 @@
 
 use tokio::time::{
     sleep,
+    sleep_until,
     timeout_at, //
 };
 
 use super::{
     Core,
     Upstream,
+    brittle::{
+        FoundPlace,
+        NO_PLACE_CODE, //
+    },
     call::{
         Call,
         RUNNER_RETRY_AFTER, //
@@ -50,6 +55,9 @@
 /// Shortest time for which a request waits for a turn, so that rounding causes no busy loop.
 const MIN_TURN_WAIT: Duration = Duration::from_millis(1);
 
+/// Longest time between two looks for a place at brittle runners.
+const PLACE_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Time after the next turn up to which a runner's turns count in the estimate of a wait.
 const RATE_HORIZON: Duration = Duration::from_secs(1);
 
@@ -88,8 +96,8 @@
 
 /// What can be done with a request now.
 enum Choice {
-    /// Send it to this runner.
-    Runner(Rc<Upstream>),
+    /// Send it to this runner, at this place if it is brittle.
+    Runner(Rc<Upstream>, Option<FoundPlace>),
     /// Wait for a turn: only runners with limits are left. One may be sent a request after `next`, and all of
     /// them together `rate` requests a second.
     Turn { next: Duration, rate: f64 },
@@ -120,6 +128,7 @@
     let deadline = tokio::time::Instant::from_std((Instant::now() + wait).min(call.deadline));
     let turn_deadline = (call.received_at + call.wait_limit()).min(call.deadline);
     let mut place = None;
+    let mut waiting = None;
     loop {
         let freed = core.runner_freed.notified();
         let now = Instant::now();
@@ -128,8 +137,11 @@
             Some(place) => QueuePlace::ahead(place),
         };
         match choose_version(core, call, tried, service, ahead == 0, version) {
-            Choice::Runner(upstream) => {
+            Choice::Runner(upstream, found) => {
                 core.take_turn(&upstream, now);
+                if let Some(found) = &found {
+                    core.take_place(&upstream, service, found, now);
+                }
                 return Ok(upstream);
             }
             Choice::Turn { next, rate } => {
@@ -167,6 +179,22 @@
                     retry_after: RUNNER_RETRY_AFTER,
                 });
             }
+            Choice::Wait if core.record_no_place(service, now) => {
+                if now >= deadline.into_std() {
+                    core.refuse_without_place(call, service);
+                    return Err(NoRunner {
+                        code: NO_PLACE_CODE,
+                        retry_after: RUNNER_RETRY_AFTER,
+                    });
+                }
+                waiting.get_or_insert_with(|| core.wait_for_place(service));
+                let next = deadline.min((now + PLACE_INTERVAL).into());
+                // Places also come free by what is known of them.
+                tokio::select! {
+                    () = sleep_until(next) => {}
+                    () = freed => {}
+                }
+            }
             Choice::Wait => {
                 if timeout_at(deadline, freed).await.is_err() {
                     return Err(NoRunner {
@@ -207,7 +235,7 @@
         return choice;
     };
     let answers = match &choice {
-        Choice::Runner(upstream) => !core.view(upstream, Instant::now()).doubtful,
+        Choice::Runner(upstream, _) => !core.view(upstream, Instant::now()).doubtful,
         _ => false,
     };
     if answers || core.all_admitted(service, version, Instant::now()) {
@@ -275,6 +303,7 @@
             candidates[i].affinity_rank = rank;
         }
     }
+    let mut places = core.find_places(call, service, &upstreams, &mut candidates, now);
     let needs = RequestNeeds {
         prompt_tokens: call.prompt_tokens(),
         shared_tokens: shared_parts.iter().map(|p| u64::from(p.tokens)).sum(),
@@ -291,7 +320,8 @@
         return wait_choice(core, &upstreams, &candidates, now);
     };
     log_placement(call, &runners[chosen], &candidates, chosen, &needs);
-    Choice::Runner(Rc::clone(&upstreams[chosen]))
+    let place = places.get_mut(chosen).and_then(Option::take);
+    Choice::Runner(Rc::clone(&upstreams[chosen]), place)
 }
 
 /// What to wait for if no runner takes a request now.
--- a/edge/src/serve/core.rs
+++ b/edge/src/serve/core.rs
@@ -49,6 +49,7 @@
     },
     decide::{
         Availability,
+        BrittleServices,
         CrashEvidence,
         PlannedStop,
         Reach,
@@ -134,7 +135,7 @@
     /// Wakes the task that reads the rows.
     pub reader_wake: Notify,
     /// Notified when a runner may have become available; wakes requests that wait for one.
-    pub runner_freed: Notify,
+    pub runner_freed: Rc<Notify>,
     /// Notified when state changes that other daemons are told of.
     pub state_changed: Notify,
     /// Registered runners.
@@ -153,6 +154,8 @@
     pub(super) unresolved_added: Notify,
     /// What is known of whether runners may be sent requests.
     pub(super) availability: RefCell<Availability>,
+    /// Services whose runners are brittle.
+    pub(super) brittle: RefCell<BrittleServices>,
     /// Services to whose runners this daemon can open connections.
     pub(super) reach: RefCell<Reach>,
     /// Wakes the task that tries the runners of lost services.
@@ -226,7 +229,7 @@
             tokens_freed: Notify::new(),
             writer_wake: Notify::new(),
             reader_wake: Notify::new(),
-            runner_freed: Notify::new(),
+            runner_freed: Rc::default(),
             state_changed: Notify::new(),
             directory: RefCell::default(),
             evacuations: RefCell::default(),
@@ -236,6 +239,7 @@
             unresolved_writes: Cell::new(0),
             unresolved_added: Notify::new(),
             availability: RefCell::default(),
+            brittle: RefCell::default(),
             reach: RefCell::default(),
             reach_changed: Notify::new(),
             versions: RefCell::default(),
--- a/edge/src/serve/load_reports.rs
+++ b/edge/src/serve/load_reports.rs
@@ -28,7 +28,10 @@
     pub fn loads_to_pass(&self, now: Instant) -> Vec<PassedLoad> {
         let mut newest: Vec<(Instant, PassedLoad)> = Vec::new();
         self.each_upstream(|upstream| {
-            let Some((at, load)) = upstream.newest_load() else {
+            let brittle = self.is_brittle(upstream, now);
+            let known = upstream.newest_report();
+            let known = known.filter(|(_, load)| load.percent.is_some() || brittle);
+            let Some((at, load)) = known else {
                 return;
             };
             let age = now.saturating_duration_since(at);
@@ -39,7 +42,7 @@
                         upstream.key,
                         load.running,
                         load.waiting,
-                        load.percent.unwrap_or(100),
+                        load.percent.unwrap_or(0),
                         age.as_millis() as u32,
                     ),
                 ));
@@ -71,7 +74,8 @@
                     running,
                     waiting,
                     slots,
-                    percent: Some(percent),
+                    // 0 stands for a runner that doesn't say.
+                    percent: Some(percent).filter(|percent| *percent > 0),
                 };
                 upstream.record_passed_load(at, load);
             }
--- a/edge/src/serve/mod.rs
+++ b/edge/src/serve/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempts;
 mod availability;
+mod brittle;
 mod call;
 mod choose;
 mod cold;
--- a/edge/src/serve/send.rs
+++ b/edge/src/serve/send.rs
@@ -215,6 +215,7 @@
         let foreign = meta.id.as_deref().is_some_and(|id| id != &*call.meta.id);
         if !foreign {
             core.record_limit(upstream, &meta);
+            core.record_brittle(upstream, head.status, &meta, &mut in_flight);
             // A refusal without an id is for this request only if it can be for no earlier one.
             let not_run = meta.not_run || head.status == 421;
             let first = fresh && skipped == 0;
--- a/edge/src/serve/upstream.rs
+++ b/edge/src/serve/upstream.rs
@@ -14,13 +14,17 @@
     },
 };
 
+use tokio::sync::Notify;
+
 use crate::{
     adapter::Load,
     catalog::Runner,
     decide::{
         Candidate,
+        CautiousLoad,
         LoadView,
         LoadedCandidate,
+        Places,
         PromptPart,
         RunnerKey,
         Speeds,
@@ -61,6 +65,9 @@
 /// Time in which the failure rate decays to about a third (1/e), in seconds.
 const FAILURE_DECAY_S: f64 = 4.0;
 
+/// Time after which the rank at a runner is counted again.
+const RANK_AGE: Duration = Duration::from_secs(1);
+
 /// Result of a probe of a runner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Probe {
@@ -129,6 +136,10 @@
     load_delta: Cell<i32>,
     /// Newest report, also of other daemons, and own requests since then.
     view: RefCell<LoadView>,
+    /// What is remembered of own requests while the runner is brittle.
+    pub(super) places: RefCell<Places>,
+    /// Rank of this daemon at the runner and the number of daemons, with the time at which they were counted.
+    rank: Cell<Option<(Instant, Option<usize>, usize)>>,
     /// Speeds learned from own requests.
     speeds: RefCell<Speeds>,
     /// Share of failed requests, 0 to 1, and the time at which it held.
@@ -152,6 +163,8 @@
             load: Cell::new(None),
             load_delta: Cell::new(0),
             view: RefCell::default(),
+            places: RefCell::default(),
+            rank: Cell::new(None),
             speeds: RefCell::default(),
             failure_rate: Cell::new((0.0, None)),
             last_heard: Cell::new(Instant::now()),
@@ -284,6 +297,37 @@
         newest.filter(|(_, load)| load.percent.is_some())
     }
 
+    /// Newest report with its time.
+    pub fn newest_report(&self) -> Option<(Instant, Load)> {
+        self.view.borrow().newest()
+    }
+
+    /// Load of the runner, rather too high than too low; reports up to the age `recent` count for its peak.
+    pub(super) fn cautious_load(&self, now: Instant, recent: Duration) -> Option<CautiousLoad> {
+        self.view.borrow().cautious(now, recent)
+    }
+
+    /// Own requests at the runner.
+    pub(super) fn own_requests(&self) -> u32 {
+        self.in_flight.get()
+    }
+
+    /// Rank of this daemon at the runner and the number of daemons, counted by `count` now and then.
+    pub(super) fn rank(
+        &self,
+        now: Instant,
+        count: impl Fn() -> (Option<usize>, usize),
+    ) -> (Option<usize>, usize) {
+        if let Some((at, rank, members)) = self.rank.get()
+            && now.saturating_duration_since(at) < RANK_AGE
+        {
+            return (rank, members);
+        }
+        let (rank, members) = count();
+        self.rank.set(Some((now, rank, members)));
+        (rank, members)
+    }
+
     /// Adds what is known of load and speed to a candidate.
     pub fn loaded_candidate(&self, now: Instant, base: Candidate) -> LoadedCandidate {
         let speeds = self.speeds.borrow();
@@ -407,6 +451,7 @@
             upstream: Rc::clone(self),
             prompt_tokens,
             sent_at: now,
+            taken: None,
             unread_tokens: backlog + prompt_tokens,
         }
     }
@@ -417,6 +462,8 @@
     upstream: Rc<Upstream>,
     prompt_tokens: u64,
     sent_at: Instant,
+    /// Wakes requests that wait for the place of this one, if the runner has taken it.
+    taken: Option<Rc<Notify>>,
     /// Tokens that the runner was to read before the first event: own backlog and this prompt.
     unread_tokens: u64,
 }
@@ -445,6 +492,11 @@
         }
     }
 
+    /// Records that the runner has taken the request, so that its end leaves a place, and wakes those that wait for one.
+    pub fn mark_taken(&mut self, waiting: &Rc<Notify>) {
+        self.taken = Some(Rc::clone(waiting));
+    }
+
     /// Records that the runner has read the prompt.
     pub fn prompt_read(&mut self) {
         let upstream = &self.upstream;
@@ -461,6 +513,11 @@
         let upstream = &self.upstream;
         upstream.in_flight.set(upstream.in_flight.get() - 1);
         upstream.load_delta.set(upstream.load_delta.get() - 1);
-        upstream.view.borrow_mut().end(Instant::now());
+        let now = Instant::now();
+        upstream.view.borrow_mut().end(now);
+        if let Some(waiting) = &self.taken {
+            upstream.places.borrow_mut().record_end(now);
+            waiting.notify_waiters();
+        }
     }
 }
--- a/edge/src/telemetry/metrics.rs
+++ b/edge/src/telemetry/metrics.rs
@@ -24,6 +24,8 @@
     pub requests: IntCounterVec,
     /// Sends to runners, by outcome.
     pub sends: IntCounterVec,
+    /// Requests at services of brittle runners, by outcome: `no_place` were not tried, `turned_away` were.
+    pub brittle: IntCounterVec,
     /// Calls to the store, by call and outcome.
     pub store_calls: IntCounterVec,
     /// Clients that were refused or dropped, by port and reason.
@@ -62,6 +64,11 @@
                 &["kind", "status"],
             )?,
             sends: counter("cuminloom_sends_total", "Sends to runners.", &["outcome"])?,
+            brittle: counter(
+                "cuminloom_brittle_total",
+                "Requests that brittle runners had no room for, tried or not.",
+                &["outcome"],
+            )?,
             store_calls: counter(
                 "cuminloom_store_calls_total",
                 "Calls to the store.",
@@ -98,6 +105,9 @@
             .registry
             .register(Box::new(metrics.requests.clone()))?;
         metrics.registry.register(Box::new(metrics.sends.clone()))?;
+        metrics
+            .registry
+            .register(Box::new(metrics.brittle.clone()))?;
         metrics
             .registry
             .register(Box::new(metrics.store_calls.clone()))?;
--- a/edge/tests/brittle_world/mod.rs
+++ b/edge/tests/brittle_world/mod.rs
@@ -134,6 +134,9 @@
     interval: f64,
 }
 
+/// Order of a runner, its number, and why it may get a request if it is brittle.
+type Ranked = ((u32, u64, u64), usize, Option<(Place, PlaceView)>);
+
 pub(crate) struct World {
     size: Size,
     random: StdRng,
@@ -418,7 +421,7 @@
         let loads: Vec<_> = loads.collect();
         let slots = f64::from(self.size.slots);
         let mean = mean_load(loads.iter().flatten().map(|k| k.load / slots), scarce);
-        let mut best: Option<((u32, u64, u64), usize, Option<(Place, PlaceView)>)> = None;
+        let mut best: Option<Ranked> = None;
         for (r, peer) in daemon.peers.iter().enumerate() {
             if self.now < peer.down_until {
                 continue;
--- a/fleetctl/src/explain.rs
+++ b/fleetctl/src/explain.rs
@@ -206,6 +206,10 @@
             "only runners were left that name limits or want nothing for a time, and no turn came in time; \
              `no_turn` tells how many waited before it, `runner_paused` and `runner_limit` which they are"
         }
+        "no_place" => {
+            "the runners of the service are brittle, and none was known to have a place for it in time; \
+             `no_place` and `service_brittle` tell how brittle"
+        }
         "no_runner" => "no runner could take it in time; `placed` shows the state at each send",
         "no-connection" => "no runner accepted a connection",
         "turned-away" => "runners refused it as not run",
