Take no entries of another daemon that are older than those in use

Callers: a daemon that has lost the store sent requests again to a runner that drains, after another daemon had told it of that.

Cause: the entries in a reply had no date. A daemon whose own entries are not fresh replaced those in use by each reply's, in the order in which the replies arrived, so a reply that was made before the change and arrived after one that knew it took it back until the next round of queries.

Change: a reply says how old its entries are (runners_age_ms), and they are taken only if they are newer than those in use, counted from before the query. Without that field, from daemons of the earlier version, they count as old as they may be.

--- a/edge/src/fleet/peers.rs
+++ b/edge/src/fleet/peers.rs
@@ -249,7 +249,7 @@
     let now = Instant::now();
     let version = core.version();
     let number = version.as_ref().map_or(0, |v| v.config.version);
-    let follows = core.runners_fresh(now);
+    let runners_age = core.runners_age(now);
     PeerReply {
         node: core.node.clone(),
         config: version
@@ -257,13 +257,14 @@
             .map(|v| v.bytes.to_vec()),
         version: number,
         age_ms: core.config_age_ms(now),
-        runners: follows.then(|| {
+        runners: runners_age.map(|_| {
             core.directory
                 .borrow()
                 .all()
                 .map(|r| (&**r).into())
                 .collect()
         }),
+        runners_age_ms: runners_age.map(|age| age.as_millis() as u64),
         strikes: Vec::new(),
         observed: core.all_observations(now),
         evacuations: core.known_evacuations(),
@@ -442,8 +443,9 @@
         core.confirm_config(at);
     }
     core.merge_observations(&reply.node, &reply.observed, now);
+    let age = reply.runners_age_ms.map(Duration::from_millis);
     if let Some(runners) = reply.runners
-        && !core.runners_fresh(now)
+        && core.takes_entries(asked, age, now)
     {
         let entries: Vec<Runner> = runners.into_iter().map(Runner::from).collect();
         let cold = core.find_cold(&entries);
--- a/edge/src/peer/message.rs
+++ b/edge/src/peer/message.rs
@@ -202,6 +202,9 @@
     pub age_ms: u64,
     /// The runners, if the daemon currently receives them from the store.
     pub runners: Option<Vec<PeerRunner>>,
+    /// Time since the store gave them, in milliseconds; daemons of the earlier version leave it out.
+    #[serde(default)]
+    pub runners_age_ms: Option<u64>,
     /// Always empty; daemons of the earlier version require it.
     #[serde(default)]
     pub strikes: Vec<(u64, u32)>,
--- a/edge/src/serve/core.rs
+++ b/edge/src/serve/core.rs
@@ -175,6 +175,8 @@
     pub(super) restored_at: Cell<Option<Instant>>,
     /// Time at which the store gave the runner entries.
     runners_confirmed: Cell<Option<Instant>>,
+    /// Time at which the store gave the entries in use to this daemon, or to the one that has told of them.
+    entries_given: Cell<Option<Instant>>,
     /// State of each runner that has been considered for a request.
     upstreams: RefCell<HashMap<RunnerId, Rc<Upstream>>>,
     /// Age of the runner entries.
@@ -247,6 +249,7 @@
             store_era: Cell::new(None),
             restored_at: Cell::new(None),
             runners_confirmed: Cell::new(None),
+            entries_given: Cell::new(None),
             upstreams: RefCell::default(),
             entries_age: RefCell::default(),
             retry_budgets: RefCell::default(),
@@ -335,12 +338,31 @@
     pub fn confirm_runners(&self, at: Instant) {
         let known = self.runners_confirmed.get();
         self.runners_confirmed.set(known.max(Some(at)));
+        self.entries_given.set(Some(at));
     }
 
     /// Whether the runner entries were recently read from the store.
     pub fn runners_fresh(&self, now: Instant) -> bool {
-        let confirmed = self.runners_confirmed.get();
-        confirmed.is_some_and(|at| now.saturating_duration_since(at) < MAX_CONFIRMATION_AGE)
+        self.runners_age(now).is_some()
+    }
+
+    /// Time since the store gave the runner entries, if that was recently.
+    pub fn runners_age(&self, now: Instant) -> Option<Duration> {
+        let confirmed = self.runners_confirmed.get()?;
+        let age = now.saturating_duration_since(confirmed);
+        (age < MAX_CONFIRMATION_AGE).then_some(age)
+    }
+
+    /// Whether entries of another daemon are taken: the own ones are not fresh, and those in use are older. They had the
+    /// age `age`, if it is known, at the earliest at `asked`.
+    pub fn takes_entries(&self, asked: Instant, age: Option<Duration>, now: Instant) -> bool {
+        let age = age.unwrap_or(MAX_CONFIRMATION_AGE);
+        let given = asked.checked_sub(age.min(MAX_CONFIRMATION_AGE));
+        let takes = !self.runners_fresh(now) && given > self.entries_given.get();
+        if takes {
+            self.entries_given.set(given);
+        }
+        takes
     }
 
     /// Sets the most bytes that responses of runners may hold while they are being read.
