Move the confirmations out of the core's file

A unit test of the dates of other daemons' entries is new; the code is the same but for the name accept_entries.

--- a/edge/src/fleet/peers.rs
+++ b/edge/src/fleet/peers.rs
@@ -445,7 +445,7 @@
     core.merge_observations(&reply.node, &reply.observed, now);
     let age = reply.runners_age_ms.map(Duration::from_millis);
     if let Some(runners) = reply.runners
-        && core.takes_entries(asked, age, now)
+        && core.accept_entries(asked, age, now)
     {
         let entries: Vec<Runner> = runners.into_iter().map(Runner::from).collect();
         let cold = core.find_cold(&entries);
--- a/edge/src/serve/core.rs
+++ b/edge/src/serve/core.rs
@@ -66,9 +66,6 @@
     telemetry::Metrics, //
 };
 
-/// Age of the last confirmation up to which the configuration and the runner entries count as current.
-const MAX_CONFIRMATION_AGE: Duration = Duration::from_millis(1800);
-
 /// Shortest time between two reclaims of a customer's reserves by this daemon.
 const RECLAIM_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -168,15 +165,15 @@
     /// Configuration in force.
     version: RefCell<Option<ConfigVersion>>,
     /// Time at which the configuration was last known to be the newest.
-    config_confirmed: Cell<Option<Instant>>,
+    pub(super) config_confirmed: Cell<Option<Instant>>,
     /// Newest era of the store that any of its answers has named.
     pub(super) store_era: Cell<Option<Era>>,
     /// Time at which this process learned that the store had come back from a copy.
     pub(super) restored_at: Cell<Option<Instant>>,
     /// Time at which the store gave the runner entries.
-    runners_confirmed: Cell<Option<Instant>>,
+    pub(super) runners_confirmed: Cell<Option<Instant>>,
     /// Time at which the store gave the entries in use to this daemon, or to the one that has told of them.
-    entries_given: Cell<Option<Instant>>,
+    pub(super) entries_given: Cell<Option<Instant>>,
     /// State of each runner that has been considered for a request.
     upstreams: RefCell<HashMap<RunnerId, Rc<Upstream>>>,
     /// Age of the runner entries.
@@ -321,50 +318,6 @@
         true
     }
 
-    /// Records that the configuration in force was the newest one at `at`.
-    pub fn confirm_config(&self, at: Instant) {
-        let known = self.config_confirmed.get();
-        self.config_confirmed.set(known.max(Some(at)));
-    }
-
-    /// Whether the configuration in force was recently confirmed to be the newest one.
-    pub fn config_fresh(&self, now: Instant) -> bool {
-        self.config_confirmed
-            .get()
-            .is_some_and(|at| now.duration_since(at) < MAX_CONFIRMATION_AGE)
-    }
-
-    /// Records that the store gave the runner entries at `at`.
-    pub fn confirm_runners(&self, at: Instant) {
-        let known = self.runners_confirmed.get();
-        self.runners_confirmed.set(known.max(Some(at)));
-        self.entries_given.set(Some(at));
-    }
-
-    /// Whether the runner entries were recently read from the store.
-    pub fn runners_fresh(&self, now: Instant) -> bool {
-        self.runners_age(now).is_some()
-    }
-
-    /// Time since the store gave the runner entries, if that was recently.
-    pub fn runners_age(&self, now: Instant) -> Option<Duration> {
-        let confirmed = self.runners_confirmed.get()?;
-        let age = now.saturating_duration_since(confirmed);
-        (age < MAX_CONFIRMATION_AGE).then_some(age)
-    }
-
-    /// Whether entries of another daemon are taken: the own ones are not fresh, and those in use are older. They had the
-    /// age `age`, if it is known, at the earliest at `asked`.
-    pub fn takes_entries(&self, asked: Instant, age: Option<Duration>, now: Instant) -> bool {
-        let age = age.unwrap_or(MAX_CONFIRMATION_AGE);
-        let given = asked.checked_sub(age.min(MAX_CONFIRMATION_AGE));
-        let takes = !self.runners_fresh(now) && given > self.entries_given.get();
-        if takes {
-            self.entries_given.set(given);
-        }
-        takes
-    }
-
     /// Sets the most bytes that responses of runners may hold while they are being read.
     pub fn set_answer_bytes(&self, bytes: u64) {
         self.answers.set_bound(bytes);
@@ -379,13 +332,6 @@
         }
     }
 
-    /// Time since the configuration was last known to be the newest, in milliseconds.
-    pub fn config_age_ms(&self, now: Instant) -> u64 {
-        self.config_confirmed
-            .get()
-            .map_or(u64::MAX, |at| now.duration_since(at).as_millis() as u64)
-    }
-
     /// Returns the connections and load of `runner` as an upstream. The state starts afresh if the
     /// runner is new, or if its process or address has changed.
     pub fn upstream(&self, runner: &Arc<crate::catalog::Runner>) -> Rc<Upstream> {
--- a/edge/src/serve/mod.rs
+++ b/edge/src/serve/mod.rs
@@ -5,6 +5,7 @@
 mod call;
 mod choose;
 mod cold;
+mod confirmations;
 mod core;
 mod evacuations;
 mod even_load;
--- a/edge/tests/confirmations.rs
+++ b/edge/tests/confirmations.rs
@@ -28,3 +28,23 @@
     core.confirm_runners(older);
     assert!(core.runners_fresh(newer + GAP));
 }
+
+/// Guards against entries that go back to an older state, and against entries of others that are never taken because the
+/// earlier version does not date them.
+#[test]
+fn older_entries_of_another_daemon_replace_newer_ones() {
+    let core = start_core(Ledger::new("vm-1", 1, None), 1_000);
+    let read = Instant::now();
+    core.confirm_runners(read);
+    let lost = read + 2 * GAP;
+    let age = |ms| Some(Duration::from_millis(ms));
+    assert!(
+        !core.accept_entries(read + GAP, age(0), read + GAP),
+        "the own ones are fresh"
+    );
+    assert!(core.accept_entries(lost, age(100), lost));
+    assert!(!core.accept_entries(lost, age(500), lost));
+    assert!(core.accept_entries(lost + GAP, age(500), lost + GAP));
+    assert!(!core.accept_entries(lost + GAP, None, lost + GAP));
+    assert!(core.accept_entries(lost + 3 * GAP, None, lost + 3 * GAP));
+}
