--- a/edge/src/serve/mod.rs
+++ b/edge/src/serve/mod.rs
@@ -6,6 +6,7 @@
 mod call;
 mod choose;
 mod cold;
+mod confirmations;
 mod core;
 mod evacuations;
 mod even_load;
