Explain a request that was handed over by its neighbour's line

cuminloom-fleetctl explain took the last request_done of an id for its cause. For a request that was handed over that is the line of the daemon that passed the answer on, with code=answered, also if the neighbour refused it. The codes no_path, neighbour_lost, version_unknown and version_untold have words.

--- a/fleetctl/src/explain.rs
+++ b/fleetctl/src/explain.rs
@@ -89,7 +89,7 @@
     let mut out = format!("request {id}\n");
     own.iter()
         .for_each(|entry| write_entry(&mut out, entry, first));
-    let done = own.iter().rev().find(|e| e.line.event == "request_done");
+    let done = find_end(&own);
     match done {
         Some(entry) => {
             let _ = writeln!(out, "cause: {}", describe_cause(&entry.line));
@@ -115,6 +115,18 @@
     Some(out)
 }
 
+/// Returns the line that tells why the request with the lines `own` ended: the last `request_done`, or that of the daemon
+/// to which it was handed over if its own daemon passed the answer on.
+fn find_end<'a>(own: &[&'a LogEntry]) -> Option<&'a LogEntry> {
+    let mut ends = own.iter().rev().filter(|e| e.line.event == "request_done");
+    let last = *ends.next()?;
+    if last.line.get("code") != Some("answered") {
+        return Some(last);
+    }
+    let is_neighbour = |e: &&&LogEntry| e.line.get("origin") == Some("neighbour");
+    Some(ends.find(is_neighbour).copied().unwrap_or(last))
+}
+
 /// Appends a line for `entry`, with its time relative to `start`.
 fn write_entry(out: &mut String, entry: &LogEntry, start: u64) {
     let at = entry.line.time.cast_signed() - start.cast_signed();
@@ -210,6 +222,20 @@
             "the runners of the service are brittle, and none was known to have a place for it in time; \
              `no_place` and `service_brittle` tell how brittle"
         }
+        "no_path" => {
+            "its daemon could open no connection to the runners, and no neighbour took it: `reach_changed` \
+             tells since when, `handed_over` who was asked"
+        }
+        "neighbour_lost" => {
+            "the connection to the neighbour to which it was handed over broke; `handed_over` names it"
+        }
+        "version_unknown" => {
+            "nothing says which software version began the stream that it takes up"
+        }
+        "version_untold" => {
+            "its stream began at another software version, of which others could not be told \
+             (`stream_left_version`)"
+        }
         "no_runner" => "no runner could take it in time; `placed` shows the state at each send",
         "no-connection" => "no runner accepted a connection",
         "turned-away" => "runners refused it as not run",
--- a/fleetctl/tests/tool.rs
+++ b/fleetctl/tests/tool.rs
@@ -109,6 +109,19 @@
     assert_eq!(text.matches("runner_crashed").count(), 1, "{text}");
 }
 
+/// Guards against an answer of a neighbour that hides why it refused the request.
+#[test]
+fn a_request_that_was_handed_over_is_explained_by_its_neighbour() {
+    let one = "t=1000 event=handed_over id=r-1 service=engine neighbour=10.0.0.2:8126 outcome=taken ms=3\n\
+        t=1005 event=request_done id=r-1 origin=caller status=503 code=answered verdict=ran";
+    let two =
+        "t=1005 event=request_done id=r-1 origin=neighbour status=503 code=no_turn verdict=not-run";
+    let mut log = parse_log("vm-1", one);
+    log.extend(parse_log("vm-2", two));
+    let text = explain(&log, "r-1").unwrap();
+    assert!(text.contains("no turn came in time"), "{text}");
+}
+
 /// Guards against failure codes that the daemon logs and the tool does not know.
 #[test]
 fn each_failed_send_has_a_cause_in_words() {
