--- a/edge/src/decide/brittle.rs
+++ b/edge/src/decide/brittle.rs
@@ -164,7 +164,7 @@
     }
 
     /// Refusals that this daemon may still cause at the runners of `service`, by their probabilities. All daemons
-    /// together may cause [`RISK_SHARE`] of what each runner bears.
+    /// together may cause a part of what each runner bears.
     pub fn credit(&self, service: &str, runners: usize, members: usize, now: Instant) -> f64 {
         let Some(known) = self.0.get(service) else {
             return 0.0;
