Give requests back that a neighbour can't serve, and try no hopeless connections

Callers of a VM that had lost the runners got 503 no_runner if the neighbour that took their request had just lost its own, though a third one could serve it; and where no neighbour took a request, it tried runner after runner over new connections, 200 ms each, as long as open ones lived on.

Cause: a neighbour decided whether it takes a request only when it came, and own runners were tried by the same rules as with a path.

Change: a neighbour that has lost the service declines the request as long as none of its runners may have begun it, and a request for a service with a lost path goes only to runners with an open connection, or is refused at once with no_path. A neighbour that says that it is busy has a path, so its next rest for want of one is a short one.

--- a/edge/src/decide/neighbours.rs
+++ b/edge/src/decide/neighbours.rs
@@ -219,7 +219,11 @@
         }
         let rest = Rest {
             until: now + rest,
-            next: (rest * 2).min(MAX_REST),
+            next: match outcome {
+                // It has a path.
+                AskOutcome::Busy => LOST_REST,
+                _ => (rest * 2).min(MAX_REST),
+            },
             lost: outcome != AskOutcome::Busy,
         };
         self.resting.insert(address, rest);
--- a/edge/src/serve/attempts.rs
+++ b/edge/src/serve/attempts.rs
@@ -24,7 +24,11 @@
         choose_service,
         wait_for_runner, //
     },
-    handover::hand_over,
+    handover::{
+        NO_PATH_CODE,
+        Origin,
+        hand_over, //
+    },
     receive::Attempt,
     relay::{
         Relay,
@@ -53,6 +57,7 @@
     catalog::ServiceId,
     decide::{
         Failure,
+        ReachState,
         RetryDecision,
         Verdict,
         decide_retry,
@@ -118,6 +123,8 @@
     Refused(Refusal),
     /// The caller has closed the connection.
     CallerLeft,
+    /// The request of another daemon has not run and is declined.
+    Declined,
 }
 
 /// What came of the attempts at own runners.
@@ -167,6 +174,39 @@
         && core.may_send(&call.route)
 }
 
+/// Whether a request of another daemon goes back there: this one has lost the runners, too, and none may have begun it.
+fn gives_back<D: Dialect>(
+    core: &Core<D>,
+    call: &Call,
+    service: &str,
+    history: &SendHistory,
+    relay: &Relay,
+) -> bool {
+    let untouched = history.started == 0 && !relay.head_sent;
+    let lost = core.reach_state(service) == ReachState::Lost;
+    call.origin == Origin::Neighbour && untouched && lost
+}
+
+/// Leaves out the runners that could only be tried over a new connection, as the path to them is lost. Returns whether any
+/// is left.
+fn leave_out_unreached<D: Dialect>(
+    core: &Core<D>,
+    service: &str,
+    history: &mut SendHistory,
+) -> bool {
+    let now = Instant::now();
+    let directory = core.directory.borrow();
+    let mut left = false;
+    for runner in directory.ready(service, now) {
+        let is_open = core.upstream(runner).has_open(now);
+        if !is_open && !history.tried.contains(&runner.id) {
+            history.tried.push(Arc::clone(&runner.id));
+        }
+        left |= is_open && !history.tried.contains(&runner.id);
+    }
+    left
+}
+
 /// Takes the tokens of a request and sends it to runners until one responds, no retry is left, or neighbours are to be
 /// asked.
 async fn serve_here<D: Dialect>(
@@ -195,6 +235,13 @@
             let refusal = final_refusal(call, history, STOP_CODE, STOP_RETRY_AFTER);
             return Err(ServeError::Refused(refusal));
         }
+        if gives_back(core, call, service, history, relay) {
+            return Err(ServeError::Declined);
+        }
+        if core.is_path_lost(service) && !leave_out_unreached(core, service, history) {
+            let refusal = final_refusal(call, history, NO_PATH_CODE, RUNNER_RETRY_AFTER);
+            return Err(ServeError::Refused(refusal));
+        }
         let span = call.start_span("place");
         let upstream = match wait_for_runner(core, call, &history.tried, service, version).await {
             Ok(upstream) => upstream,
--- a/edge/src/serve/exchange.rs
+++ b/edge/src/serve/exchange.rs
@@ -194,6 +194,10 @@
     }
     let (status, code, verdict, keep_alive) = match &result {
         Ok(status) => (*status, "answered", "ran", call.keep_alive),
+        Err(ServeError::Declined) => {
+            let reason = AskOutcome::Lost;
+            return decline(&call.meta.id, reason, call.keep_alive, out).await;
+        }
         Err(ServeError::CallerLeft) => (0, "caller_left", Verdict::MayHaveRun.as_str(), false),
         // Bytes behind a part of an answer would be taken for the rest of it.
         Err(ServeError::Refused(r)) if relay.head_sent || call.answering.get() => {
--- a/edge/src/serve/handover/mod.rs
+++ b/edge/src/serve/handover/mod.rs
@@ -66,7 +66,7 @@
 const DECLINED: &[u8] = b"declined ";
 
 /// Code of requests for a service whose runners this VM and the neighbours it asked can't reach.
-const NO_PATH_CODE: &str = "no_path";
+pub(super) const NO_PATH_CODE: &str = "no_path";
 
 /// Code of requests whose connection to a neighbour broke after they were sent.
 const HOP_CODE: &str = "neighbour_lost";
