Decline requests of daemons that have a newer configuration

Callers of a VM that had lost the runners were served by an older configuration, for up to 1.35 s after their daemon had the newer one: requests ran at the service of the old route, and an added route got 404.

Cause: a request that was handed over didn't carry the version by which its daemon had found the route, and the neighbour, which may have lost the store, judged it by its own.

Change: the version goes with the request, and a neighbour that doesn't have it declines. The field is passed on to no runner, and one that a caller sets is dropped.

--- a/edge/src/serve/exchange.rs
+++ b/edge/src/serve/exchange.rs
@@ -65,7 +65,7 @@
     let _open = core.track_request();
     let keep_alive = head.keep_alive() && !core.is_stopping();
     let is_neighbour = origin == Origin::Neighbour;
-    if is_neighbour && (core.config().is_none() || !core.accepts_requests()) {
+    if is_neighbour && !core.can_judge(&head) {
         return decline("-", AskOutcome::Lost, keep_alive, out).await;
     }
     let call = match resolve_call(core, head, body, received_at, origin, keep_alive) {
--- a/edge/src/serve/handover/links.rs
+++ b/edge/src/serve/handover/links.rs
@@ -16,6 +16,7 @@
         call::Call,
         unread::is_copied, //
     }, //
+    CONFIG_FIELD,
     DECLINED,
     GREETING,
 };
@@ -101,13 +102,18 @@
     Lost(ConnectionError),
 }
 
+/// Whether a field is one that daemons add for each other.
+pub(in super::super) fn is_hop_field(name: &[u8]) -> bool {
+    name.eq_ignore_ascii_case(CONFIG_FIELD.as_bytes())
+}
+
 /// Encodes the request for a neighbour: as the caller sent it, with the time that is left.
 fn request_bytes<D: Dialect>(call: &Call, now: Instant) -> Vec<u8> {
     let head = &call.head;
     let mut out = Vec::with_capacity(1024 + call.body.len());
     out.extend_from_slice(format!("{} {} HTTP/1.1\r\n", head.method, head.target).as_bytes());
     for (name, value) in head.fields.forwarded() {
-        if D::is_timeout(name) || name.eq_ignore_ascii_case(b"expect") {
+        if D::is_timeout(name) || is_hop_field(name) || name.eq_ignore_ascii_case(b"expect") {
             continue;
         }
         out.extend_from_slice(name);
@@ -116,6 +122,7 @@
         out.extend_from_slice(b"\r\n");
     }
     D::append_timeout(&mut out, call.time_left(now));
+    out.extend_from_slice(format!("{CONFIG_FIELD}: {}\r\n", call.config.version).as_bytes());
     let has_body = !call.body.is_empty() || head.fields.get("content-length").is_some();
     if has_body || head.framing == Framing::Chunked {
         out.extend_from_slice(format!("Content-Length: {}\r\n", call.body.len()).as_bytes());
--- a/edge/src/serve/handover/mod.rs
+++ b/edge/src/serve/handover/mod.rs
@@ -31,7 +31,10 @@
     },
 };
 pub(super) use self::{
-    links::HopLinks,
+    links::{
+        HopLinks,
+        is_hop_field, //
+    },
     taken::{
         TakenRequests,
         declined_line, //
@@ -65,6 +68,9 @@
 /// Begin of the line with which a daemon declines a request; its end is the reason.
 const DECLINED: &[u8] = b"declined ";
 
+/// Header field of a request that is handed over: the version of the configuration by which its daemon would serve it.
+pub(super) const CONFIG_FIELD: &str = "Cuminloom-Config-Version";
+
 /// Code of requests for a service whose runners this VM and the neighbours it asked can't reach.
 pub(super) const NO_PATH_CODE: &str = "no_path";
 
--- a/edge/src/serve/handover/taken.rs
+++ b/edge/src/serve/handover/taken.rs
@@ -21,6 +21,7 @@
         Core,
         exchange::exchange, //
     }, //
+    CONFIG_FIELD,
     DECLINED,
     GREETING,
     Origin,
@@ -67,6 +68,15 @@
 }
 
 impl<D> Core<D> {
+    /// Whether a request that another daemon hands over can be judged here: not by an older configuration than there, and
+    /// not late in a planned stop.
+    pub(in super::super) fn can_judge(&self, head: &RequestHead) -> bool {
+        let wanted = head.fields.get(CONFIG_FIELD).and_then(|v| v.parse().ok());
+        let known = self.config().map(|c| c.version);
+        let is_known = wanted.is_some_and(|wanted: u64| known.is_some_and(|known| known >= wanted));
+        is_known && self.accepts_requests()
+    }
+
     /// Why a request for `service` that another daemon hands over is declined, if it is.
     fn declines(&self, service: &str) -> Option<AskOutcome> {
         if !self.accepts_requests() || self.reach_state(service) != ReachState::Open {
--- a/edge/src/serve/send.rs
+++ b/edge/src/serve/send.rs
@@ -13,6 +13,7 @@
     Probe,
     Upstream,
     call::Call,
+    handover::is_hop_field,
     receive::Attempt,
     response::STOP_CODE,
     unread::is_copied,
@@ -94,7 +95,7 @@
     out.extend_from_slice(head.target.as_bytes());
     out.extend_from_slice(b" HTTP/1.1\r\n");
     for (name, value) in head.fields.forwarded() {
-        if D::is_reserved(name) || name.eq_ignore_ascii_case(b"expect") {
+        if D::is_reserved(name) || is_hop_field(name) || name.eq_ignore_ascii_case(b"expect") {
             continue;
         }
         out.extend_from_slice(name);
