Take streams up at the service that began them

Callers that took up a stream on a route that is split over several services came to another service in half of the cases: it went on at a back end that had not begun it, or was refused, as that service has no runner of its version.

Cause: the service was drawn by the id of the attempt, which is a new one.

Change: the id of the attempt that began the stream draws the service. It is the same as long as the route's weights are.

--- a/edge/src/serve/choose.rs
+++ b/edge/src/serve/choose.rs
@@ -70,11 +70,13 @@
 /// Code of requests for which the regions in which they may be handled have no usable runner.
 const NO_HOME_CODE: &str = "no_home_runner";
 
-/// Chooses a service by the weights of the route. Retries of an attempt id get the same service.
+/// Chooses a service by the weights of the route. Retries of an attempt id get the same service, and so does an attempt
+/// that takes up its stream.
 pub(super) fn choose_service(call: &Call) -> ServiceId {
+    let first = call.meta.resumed.as_ref().unwrap_or(&call.meta.id);
     let services = &call.route.services;
     let total: u64 = services.iter().map(|(_, w)| u64::from(*w)).sum();
-    let mut point = fingerprint("", &call.meta.id, b"") % total.max(1);
+    let mut point = fingerprint("", first, b"") % total.max(1);
     for (service, weight) in services {
         if point < u64::from(*weight) {
             return Arc::clone(service);
