Keep the version of a stream whose end may be lost

Callers saw a stream joined from two versions if it had left the version of its shares, had been written whole by its daemon, and its end was lost on the way: they took it up elsewhere, where the shares told another version.

Cause: the record was dropped when the end was written, not when the caller had it.

Change: a stream of which a row tells stays known until nobody can take it up. Of the others the shares tell the version.

--- a/edge/src/decide/versions.rs
+++ b/edge/src/decide/versions.rs
@@ -290,9 +290,12 @@
         }
     }
 
-    /// Records that the caller has the whole stream `key`, so that nobody takes it up.
+    /// Records that the whole stream `key` was written to its caller. One that a row tells of stays known for a while, as
+    /// its end may be lost on the way and others can't tell its version.
     pub fn end(&mut self, key: StreamKey) {
-        self.streams.remove(&key);
+        if !self.is_told(key) {
+            self.streams.remove(&key);
+        }
     }
 
     /// Records that a row in the store tells of `reports`.
