Tell a runner that accepts no new connections from one that has ended

Callers got 502, or a stream that broke off after its last event, for whole answers without a length, if their runner accepted no new connections any more while its open ones lived on: while it drained, or while the path was half open.

Cause: a refused connection was taken for the end of the process.

Change: an idle connection that is still open shows that the process lives, and while the path is lost a refusal shows nothing. A look at idle connections drops those with unexpected bytes, of which it takes one.

A runner that ends right after its last answer, without other connections, still looks like a killed one.

--- a/edge/src/serve/receive.rs
+++ b/edge/src/serve/receive.rs
@@ -217,18 +217,20 @@
             sleep(CLOSE_TIME).await;
             let probe = self.upstream.probe().await;
             let now = Instant::now();
-            self.core.record_probe(self.upstream, probe, now);
-            if probe == Probe::Reachable {
+            // A runner that drains may accept no new connections and go on with the open ones.
+            if probe == Probe::Reachable || self.upstream.has_open(now) {
+                self.core.record_opened(self.upstream, probe, now);
                 self.core.mark_alive(self.upstream, now);
                 return Ok(());
             }
+            self.core.record_probe(self.upstream, probe, now);
             log::info!(
                 "event=close_doubtful id={} runner={} probe={}",
                 self.call.meta.id,
                 self.upstream.runner.borrow().id,
                 probe.as_str()
             );
-            if probe == Probe::Refused {
+            if probe == Probe::Refused && !self.core.is_path_lost(self.service) {
                 let detail = "closed by the end of the runner's process";
                 return Err(SendError::new(Failure::Broken, detail));
             }
--- a/edge/src/serve/upstream.rs
+++ b/edge/src/serve/upstream.rs
@@ -418,8 +418,9 @@
     /// Whether an idle connection is open, so that the process has not ended.
     pub fn has_open(&self, now: Instant) -> bool {
         let mut idle = self.idle.borrow_mut();
-        let mut entries = idle.iter_mut();
-        entries.any(|entry| now < entry.expires_at && !entry.connection.is_stale())
+        // A look takes a byte of a connection with unexpected ones.
+        idle.retain_mut(|entry| !entry.connection.is_stale());
+        idle.iter().any(|entry| now < entry.expires_at)
     }
 
     /// Keeps a connection for reuse; `keep_alive` is the idle timeout that the runner has announced.
