--- a/edge/src/decide/neighbours.rs
+++ b/edge/src/decide/neighbours.rs
@@ -30,6 +30,9 @@
 /// Longest time for which a neighbour is not asked.
 const MAX_REST: Duration = Duration::from_secs(4);
 
+/// Time for which a neighbour that has taken a request is likely to take another one.
+const HELPFUL_TIME: Duration = Duration::from_secs(10);
+
 /// Most open requests of other daemons that a daemon with `capacity` thousandths of a core takes, so that its own callers
 /// are served first.
 ///
@@ -96,6 +99,16 @@
     until: Instant,
     /// Time for which the next failure keeps it from being asked.
     next: Duration,
+    /// Whether it lacked a path, rather than room.
+    lost: bool,
+}
+
+/// A neighbour that may be asked for a request.
+#[derive(Clone, Copy, Debug)]
+struct Ranked {
+    distance: Distance,
+    score: f64,
+    address: SocketAddr,
 }
 
 /// Chooses neighbours.
@@ -120,21 +133,69 @@
 #[derive(Debug, Default)]
 pub struct Neighbours {
     resting: HashMap<SocketAddr, Rest>,
+    /// Times at which neighbours that have had a path since took a request.
+    taken_at: HashMap<SocketAddr, Instant>,
 }
 
 impl Neighbours {
     /// Neighbours to ask for the request with the hash `request`, best first: the nearest ones, each in proportion to its
     /// capacity. Those that failed recently are left out.
+    ///
+    /// Of those that had no path when they were asked last, one is asked at most. Unless one of the own data centre has
+    /// taken a request lately, the second one is of another, as all VMs of one may be partitioned. One that is asked has taken
+    /// a request lately, if there is one.
     pub fn order(&self, request: u64, known: &[Neighbour], now: Instant) -> Vec<SocketAddr> {
+        let mut ranked = self.rank(request, known, now);
+        let mut lost = 0;
+        ranked.retain(|n| {
+            lost += usize::from(self.was_lost(n.address));
+            lost <= 1 || !self.was_lost(n.address)
+        });
+        if ranked.len() > MAX_ASKED {
+            self.mix(&mut ranked, now);
+        }
+        ranked.truncate(MAX_ASKED);
+        ranked.into_iter().map(|n| n.address).collect()
+    }
+
+    /// All that may be asked, best first.
+    fn rank(&self, request: u64, known: &[Neighbour], now: Instant) -> Vec<Ranked> {
         let is_resting = |a: &SocketAddr| self.resting.get(a).is_some_and(|r| now < r.until);
-        let mut order: Vec<(Distance, f64, SocketAddr)> = known
-            .iter()
-            .filter(|n| !is_resting(&n.address))
-            .map(|n| (n.distance, score(request, n), n.address))
-            .collect();
-        order.sort_unstable_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
-        order.truncate(MAX_ASKED);
-        order.into_iter().map(|(_, _, address)| address).collect()
+        let awake = known.iter().filter(|n| !is_resting(&n.address));
+        let ranked = awake.map(|n| Ranked {
+            distance: n.distance,
+            score: score(request, n),
+            address: n.address,
+        });
+        let mut ranked: Vec<Ranked> = ranked.collect();
+        ranked.sort_unstable_by(|a, b| {
+            let nearer = a.distance.cmp(&b.distance);
+            nearer.then(a.score.total_cmp(&b.score))
+        });
+        ranked
+    }
+
+    /// Moves one of another data centre, and one that has taken a request lately, to the places of those that are asked.
+    fn mix(&self, ranked: &mut [Ranked], now: Instant) {
+        let helps = |n: &Ranked| {
+            let taken = self.taken_at.get(&n.address);
+            taken.is_some_and(|at| now.saturating_duration_since(*at) < HELPFUL_TIME)
+        };
+        let is_far = |n: &Ranked| n.distance > Distance::DataCentre;
+        let near_helps = ranked.iter().any(|n| helps(n) && !is_far(n));
+        let far = ranked.iter().position(is_far).filter(|_| !near_helps);
+        if let Some(far) = far.filter(|far| *far > 1) {
+            ranked.swap(1, far);
+        }
+        let helpful = ranked.iter().position(helps);
+        if let Some(helpful) = helpful.filter(|helpful| *helpful >= MAX_ASKED) {
+            ranked.swap(MAX_ASKED - 1, helpful);
+        }
+    }
+
+    /// Whether the neighbour had no path when it was asked last.
+    fn was_lost(&self, address: SocketAddr) -> bool {
+        self.resting.get(&address).is_some_and(|r| r.lost)
     }
 
     /// Records what came of asking the neighbour at `address`.
@@ -142,10 +203,12 @@
         let rest = match outcome {
             AskOutcome::Taken => {
                 self.resting.remove(&address);
+                self.taken_at.insert(address, now);
                 return;
             }
             AskOutcome::Busy => BUSY_REST,
             AskOutcome::Lost | AskOutcome::Unreachable => {
+                self.taken_at.remove(&address);
                 let old = self.resting.get(&address);
                 old.map_or(LOST_REST, |r| r.next)
             }
@@ -157,6 +220,7 @@
         let rest = Rest {
             until: now + rest,
             next: (rest * 2).min(MAX_REST),
+            lost: outcome != AskOutcome::Busy,
         };
         self.resting.insert(address, rest);
     }
@@ -164,6 +228,8 @@
     /// Forgets neighbours that have not been asked for long.
     pub fn prune(&mut self, now: Instant) {
         self.resting.retain(|_, rest| now < rest.until + MAX_REST);
+        let is_recent = |at: &Instant| now.saturating_duration_since(*at) < HELPFUL_TIME;
+        self.taken_at.retain(|_, at| is_recent(at));
     }
 }
 
--- a/edge/src/fleet/feeds.rs
+++ b/edge/src/fleet/feeds.rs
@@ -25,6 +25,7 @@
         RunnerChange,
         RunnerId, //
     },
+    clock::boot_time,
     decide::OutageWatch,
     serve::Core, //
 };
@@ -150,7 +151,7 @@
                 }
                 core.ledger.borrow_mut().record_store_time(feed.now_ms, now);
                 let empty = feed.items.is_empty();
-                apply_operator_changes(&core, feed);
+                apply_operator_changes(&core, feed, asked);
                 // A copy may lack a newer configuration that was in force.
                 if core.config().is_some() && !core.is_settling(asked) {
                     core.confirm_config(asked);
@@ -170,9 +171,9 @@
     }
 }
 
-/// Applies the changes of one call: evacuations first, so that no request is routed by a new configuration to
-/// a data centre that was evacuated before.
-fn apply_operator_changes<D>(core: &Core<D>, feed: FeedUpdate<OperatorChange>) {
+/// Applies the changes of one call of `asked`: evacuations first, so that no request is routed by a new configuration
+/// to a data centre that was evacuated before.
+fn apply_operator_changes<D>(core: &Core<D>, feed: FeedUpdate<OperatorChange>, asked: Instant) {
     let mut evacuations = Vec::new();
     let mut configs = Vec::new();
     for change in feed.items {
@@ -185,7 +186,7 @@
         era: feed.era,
         number: feed.version,
     };
-    core.apply_evacuations(evacuations, feed.is_snapshot, version);
+    core.apply_evacuations(evacuations, feed.is_snapshot, version, asked);
     for version in configs {
         core.apply_config(version, "store");
     }
@@ -197,7 +198,8 @@
     let mut position = FeedPosition::default();
     let mut outages = OutageWatch::default();
     loop {
-        let since = position.since(core.store_era(), Instant::now());
+        let (asked, asked_boot) = (Instant::now(), boot_time());
+        let since = position.since(core.store_era(), asked);
         match store.watch_runners(since, RUNNER_POLL_WAIT).await {
             Ok(feed) => {
                 let now = Instant::now();
@@ -221,8 +223,12 @@
                     continue;
                 }
                 core.ledger.borrow_mut().record_store_time(feed.now_ms, now);
-                core.record_entries(feed.era, feed.now_ms);
-                core.confirm_runners(now);
+                core.record_entries(feed.era, feed.now_ms, asked_boot);
+                // A read of all entries is not held back at the store.
+                core.confirm_runners(match feed.is_snapshot {
+                    true => asked,
+                    false => core.entries_given_at(asked, now),
+                });
                 count_store_call(&core, "runners", "ok");
                 apply_entries(&core, feed.items, feed.is_snapshot, now);
                 sleep(RUNNER_PAUSE).await;
--- a/edge/src/fleet/peers.rs
+++ b/edge/src/fleet/peers.rs
@@ -49,6 +49,7 @@
     },
     adapter::{
         ConfigVersion,
+        Dialect,
         Store, //
     },
     catalog::Runner,
@@ -70,7 +71,11 @@
         encode,
         encode_text, //
     },
-    serve::Core,
+    serve::{
+        Core,
+        begins_handover,
+        serve_handed_over, //
+    },
 };
 
 /// Age of the last confirmation of the configuration at which other daemons are queried.
@@ -110,12 +115,19 @@
 /// Buffer of each connection for reading, and the least that is written at once.
 const PEER_BUFFER_BYTES: usize = 4 * 1024;
 
-/// Listens on `address` and answers the queries of other daemons.
+/// Reply to a query.
+struct TimedReply {
+    reply: PeerReply,
+    /// Time at which the query was sent. The reply may be of any moment since then.
+    asked: Instant,
+}
+
+/// Listens on `address`, answers the queries of other daemons and takes the requests that they hand over.
 ///
 /// # Errors
 ///
 /// Fails if the address cannot be bound.
-pub async fn serve_peers<D: 'static>(
+pub async fn serve_peers<D: Dialect>(
     core: &Rc<Core<D>>,
     address: SocketAddr,
     clients: &Rc<Clients>,
@@ -125,10 +137,14 @@
     let serve = move |stream, client: Client| {
         let core = Rc::clone(&core);
         spawn_local(async move {
-            let ended = tokio::select! {
-                biased;
-                () = client.dropped() => return,
-                ended = serve_connection(&core, stream, &client) => ended,
+            let ended = match begins_handover(&core, &stream).await {
+                Ok(true) => serve_handed_over(&core, stream, client).await,
+                Ok(false) => tokio::select! {
+                    biased;
+                    () = client.dropped() => return,
+                    ended = serve_connection(&core, stream, &client) => ended,
+                },
+                Err(e) => Err(e),
             };
             if let Err(e) = ended {
                 log::debug!("event=peer_link_ended error=\"{e}\"");
@@ -302,7 +318,7 @@
     core: &Rc<Core<D>>,
     choice: &Rc<RefCell<PeerChoice>>,
     addresses: Vec<SocketAddr>,
-) -> Vec<PeerReply> {
+) -> Vec<TimedReply> {
     let query = |address| {
         let (core, choice) = (Rc::clone(core), Rc::clone(choice));
         // Goes on after the end of the round, and so learns whether the daemon replies.
@@ -340,7 +356,7 @@
             Err(e) => log::warn!("event=task_failed task=query error=\"{e}\""),
         }
     }
-    replies.sort_by_key(|reply: &PeerReply| Reverse(reply.version));
+    replies.sort_by_key(|timed: &TimedReply| Reverse(timed.reply.version));
     replies
 }
 
@@ -373,7 +389,7 @@
 }
 
 /// Sends one query to the daemon at `address` and returns its reply.
-async fn query_peer<D>(core: &Core<D>, address: SocketAddr) -> io::Result<PeerReply> {
+async fn query_peer<D>(core: &Core<D>, address: SocketAddr) -> io::Result<TimedReply> {
     let stream = TcpStream::connect(address).await?;
     let (mut socket, _) = client_async(format!("ws://{address}/"), stream)
         .await
@@ -381,11 +397,13 @@
     let query = PeerQuery {
         version: core.config().map_or(0, |c| c.version),
     };
+    let asked = Instant::now();
     socket
         .send(encode(&query)?)
         .await
         .map_err(io::Error::other)?;
-    read_reply(&mut socket).await
+    let reply = read_reply(&mut socket).await?;
+    Ok(TimedReply { reply, asked })
 }
 
 /// Waits for the reply, and skips messages that are not binary.
@@ -400,7 +418,8 @@
 }
 
 /// Applies a reply: evacuations, configuration, its confirmation, observations and runners.
-fn apply_reply<D, S: Store>(core: &Core<D>, store: &S, reply: PeerReply) {
+fn apply_reply<D, S: Store>(core: &Core<D>, store: &S, timed: TimedReply) {
+    let TimedReply { reply, asked } = timed;
     let now = Instant::now();
     core.link.record(now);
     if let Some(state) = reply.evacuations {
@@ -427,7 +446,7 @@
     let same = core.config().is_some_and(|c| c.version == reply.version);
     if same
         && age < MAX_CONFIRM_AGE
-        && let Some(at) = now.checked_sub(age)
+        && let Some(at) = asked.checked_sub(age)
     {
         core.confirm_config(at);
     }
--- a/edge/src/serve/core.rs
+++ b/edge/src/serve/core.rs
@@ -24,6 +24,10 @@
 
 use super::{
     Upstream,
+    handover::{
+        HopLinks,
+        TakenRequests, //
+    },
     receive::AnswerBytes,
     reservations::Reservations,
     turns::TurnQueue,
@@ -51,6 +55,7 @@
         Availability,
         BrittleServices,
         CrashEvidence,
+        Neighbours,
         PlannedStop,
         Reach,
         ReadAge,
@@ -160,10 +165,18 @@
     pub(super) reach: RefCell<Reach>,
     /// Wakes the task that tries the runners of lost services.
     pub(super) reach_changed: Notify,
+    /// Neighbours that were asked to serve requests.
+    pub(super) neighbours: RefCell<Neighbours>,
+    /// Idle connections to them.
+    pub(super) hop_links: HopLinks,
+    /// Requests that they have handed over.
+    pub(super) taken: TakenRequests,
     /// Shares of the runners' software versions, by service.
     pub(super) versions: RefCell<HashMap<ServiceId, KnownShares>>,
     /// Streams that callers may take up.
     pub(super) streams: RefCell<StreamLog>,
+    /// Whether the store accepts no row of this daemon.
+    pub(super) writes_lost: Cell<bool>,
     /// Requests that wait for a turn at runners with limits.
     pub(super) turn_queue: Rc<TurnQueue>,
     /// Start of the process.
@@ -176,7 +189,7 @@
     pub(super) store_era: Cell<Option<Era>>,
     /// Time at which this process learned that the store had come back from a copy.
     pub(super) restored_at: Cell<Option<Instant>>,
-    /// Time at which the runner entries were last read from the store.
+    /// Time at which the store gave the runner entries.
     runners_confirmed: Cell<Option<Instant>>,
     /// State of each runner that has been considered for a request.
     upstreams: RefCell<HashMap<RunnerId, Rc<Upstream>>>,
@@ -242,8 +255,12 @@
             brittle: RefCell::default(),
             reach: RefCell::default(),
             reach_changed: Notify::new(),
+            neighbours: RefCell::default(),
+            hop_links: HopLinks::default(),
+            taken: TakenRequests::default(),
             versions: RefCell::default(),
             streams: RefCell::default(),
+            writes_lost: Cell::default(),
             turn_queue: Rc::default(),
             started: Instant::now(),
             version: RefCell::new(None),
@@ -322,9 +339,10 @@
         true
     }
 
-    /// Records that the configuration in force was the newest one at `now`.
-    pub fn confirm_config(&self, now: Instant) {
-        self.config_confirmed.set(Some(now));
+    /// Records that the configuration in force was the newest one at `at`.
+    pub fn confirm_config(&self, at: Instant) {
+        let known = self.config_confirmed.get();
+        self.config_confirmed.set(known.max(Some(at)));
     }
 
     /// Whether the configuration in force was recently confirmed to be the newest one.
@@ -334,9 +352,10 @@
             .is_some_and(|at| now.duration_since(at) < MAX_CONFIRMATION_AGE)
     }
 
-    /// Records that the runner entries were read from the store at `now`.
-    pub fn confirm_runners(&self, now: Instant) {
-        self.runners_confirmed.set(Some(now));
+    /// Records that the store gave the runner entries at `at`.
+    pub fn confirm_runners(&self, at: Instant) {
+        let known = self.runners_confirmed.get();
+        self.runners_confirmed.set(known.max(Some(at)));
     }
 
     /// Whether the runner entries were recently read from the store.
@@ -417,8 +436,10 @@
         inside.for_each(|u| u.close_idle());
     }
 
-    /// Closes expired idle connections to runners.
+    /// Closes expired idle connections to runners and neighbours.
     pub fn sweep_idle(&self, now: Instant) {
+        self.hop_links.sweep(now);
+        self.neighbours.borrow_mut().prune(now);
         self.upstreams
             .borrow()
             .values()
--- a/edge/src/serve/mod.rs
+++ b/edge/src/serve/mod.rs
@@ -12,6 +12,7 @@
 mod exchange;
 mod grant_notices;
 mod handler;
+mod handover;
 mod holders;
 mod load_reports;
 mod observations;
@@ -37,6 +38,10 @@
     Bounds,
     Core, //
 };
+pub(crate) use handover::{
+    begins_handover,
+    serve_handed_over, //
+};
 pub use reach::watch_reach;
 pub use ready::bind_ready;
 pub use unresolved::watch_unresolved;
--- a/edge/src/serve/relay.rs
+++ b/edge/src/serve/relay.rs
@@ -85,6 +85,8 @@
     Runner(SendError),
     /// The connection to the caller failed.
     Caller,
+    /// The stream has left its version, and others could not be told in time; the caller has nothing of it.
+    Untold,
 }
 
 impl Relay {
@@ -118,6 +120,13 @@
         }
     }
 
+    /// Counts an event that a neighbour has sent.
+    pub(super) fn count_event(&mut self, now: Instant) {
+        self.event_count.set(self.event_count.get() + 1);
+        self.record_pause(now);
+        self.first_event = self.first_event.or(Some(now));
+    }
+
     /// Relays events until the end of the stream. After success the connection to the runner may be
     /// reused.
     pub(super) async fn run<D>(
@@ -137,7 +146,15 @@
             if !bytes.is_empty() {
                 if self.version.is_none() {
                     self.version = Some(self.present);
-                    attempt.core.record_stream(call, self.present);
+                    let core = attempt.core;
+                    core.record_stream(call, attempt.service, self.present);
+                    let left = attempt.version.is_left_at(self.present);
+                    if left && !core.tell_stream(call, self.present).await {
+                        self.head_sent = false;
+                        self.event_count.set(0);
+                        core.end_stream(call);
+                        return Err(RelayError::Untold);
+                    }
                 }
                 self.record_pause(Instant::now());
                 if self.first_event.is_none() {
@@ -228,11 +245,15 @@
         events: &EventBuffer,
         out: &TcpStream,
     ) -> Result<(), RelayError> {
-        let empty = self.received == 0 && reply.decoder.ends_with_connection();
-        if events.has_partial() || empty {
+        let unframed = reply.decoder.ends_with_connection();
+        if events.has_partial() || (unframed && self.received == 0) {
             let detail = "stream ends within an event, or before the first one";
             return Err(RelayError::Runner(SendError::new(Failure::Broken, detail)));
         }
+        if unframed {
+            let checked = attempt.check_close().await;
+            checked.map_err(RelayError::Runner)?;
+        }
         attempt.core.record_answer(attempt.call, Instant::now());
         attempt.unresolved.set(false);
         let mut bytes = Vec::new();
--- a/edge/src/serve/versions.rs
+++ b/edge/src/serve/versions.rs
@@ -52,6 +52,9 @@
 /// Interval between two looks for such word.
 const WORD_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time for which the first event of a stream waits until others can know that it has left its version.
+const TELL_TIME: Duration = Duration::from_millis(1000);
+
 /// Time between two daemons that write the shares of a service, so that only one does if the first succeeds.
 const WRITE_STEP: Duration = Duration::from_millis(150);
 
@@ -77,6 +80,11 @@
         matches!(self, VersionChoice::Only(_)) && !self.admits(runner)
     }
 
+    /// Whether a stream that begins at `version` leaves the one that its shares tell.
+    pub(super) fn is_left_at(self, version: VersionKey) -> bool {
+        matches!(self, VersionChoice::Prefer(preferred) if preferred != version)
+    }
+
     /// Whether `runner` fits best.
     pub(super) fn admits(self, runner: &Runner) -> bool {
         match self {
@@ -176,10 +184,19 @@
         })
     }
 
-    /// Records that the store gave the runners' entries at `time` in `era`.
-    pub fn record_entries(&self, era: Era, time: FleetTime) {
+    /// Records that the store gave the runners' entries at `time` in `era`, to a call that was made at `asked` on the
+    /// clock of [`boot_time`].
+    pub fn record_entries(&self, era: Era, time: FleetTime, asked: Duration) {
         let mut age = self.entries_age.borrow_mut();
-        age.record(era, time, boot_time());
+        age.record(era, time, asked..boot_time());
+    }
+
+    /// Time at which the store gave the recorded entries, by its own clock: the answer to a call of `asked` that is
+    /// handled at `now` may have lain unread.
+    pub fn entries_given_at(&self, asked: Instant, now: Instant) -> Instant {
+        let age = self.entries_age.borrow().at(boot_time());
+        let given = now.checked_sub(age.unwrap_or_default());
+        given.map_or(asked, |at| at.max(asked))
     }
 
     /// The version that began the stream that `call` takes up, as far as this daemon knows.
@@ -233,15 +250,53 @@
         ready.all(|runner| version.admits(runner))
     }
 
-    /// Records that a runner with `version` passes on an event of the stream of `call`.
-    pub(super) fn record_stream(&self, call: &Call, version: VersionKey) {
+    /// Records that a runner of `service` with `version` passes on an event of the stream of `call`.
+    pub(super) fn record_stream(&self, call: &Call, service: &ServiceId, version: VersionKey) {
         if let Some(key) = key_of(call).filter(|_| may_resume(call)) {
             let now = Instant::now();
-            self.streams.borrow_mut().record(key, version, now);
+            let mut streams = self.streams.borrow_mut();
+            streams.record(key, service, version, now);
+        }
+    }
+
+    /// Whether streams may leave the version that their shares tell: others go by the shares unless the row of this daemon
+    /// tells them.
+    pub(super) fn may_leave_version(&self) -> bool {
+        !self.writes_lost.get()
+    }
+
+    /// Records whether the store accepts the row of this daemon.
+    pub fn record_writes(&self, lost: bool) {
+        self.writes_lost.set(lost);
+    }
+
+    /// Records that a row that the store has accepted tells of `reports`.
+    pub fn mark_told(&self, reports: &[StreamReport]) {
+        self.streams.borrow_mut().mark_told(reports);
+        self.state_changed.notify_waiters();
+    }
+
+    /// Waits until the store has word that the stream of `call` begins at `version`, which its shares don't tell. Returns
+    /// whether it has in time.
+    pub(super) async fn tell_stream(&self, call: &Call, version: VersionKey) -> bool {
+        let key = stream_key(&call.meta.id);
+        let begun = Instant::now();
+        let is_told = || self.streams.borrow().is_told(key);
+        while !is_told() && begun.elapsed() < TELL_TIME {
+            self.writer_wake.notify_one();
+            let changed = self.state_changed.notified();
+            let _ = timeout(WORD_INTERVAL, changed).await;
         }
+        let told = is_told();
+        log::info!(
+            "event=stream_left_version id={} version={version:x} told={told} ms={}",
+            call.meta.id,
+            begun.elapsed().as_millis()
+        );
+        told
     }
 
-    /// Records that the caller has the whole stream of `call`.
+    /// Records that the caller has the whole stream of `call`, or nothing of it.
     pub(super) fn end_stream(&self, call: &Call) {
         if let Some(key) = key_of(call) {
             self.streams.borrow_mut().end(key);
@@ -254,11 +309,9 @@
         let mut streams = self.streams.borrow_mut();
         streams.prune(now);
         let shares = self.versions.borrow();
-        // The service of a stream is not kept: its version tells it.
-        let is_clear = |key, version| {
-            let histories = shares.values().map(|s| &s.history);
-            let mut known = histories.filter_map(|h| h.began_at(key, time));
-            known.any(|began| began == version)
+        let is_clear = |service: &ServiceId, key, version| {
+            let known = shares.get(service);
+            known.and_then(|s| s.history.began_at(key, time)) == Some(version)
         };
         streams.reports(is_clear)
     }
