Take no end for orderly that may have lain unread

Callers saw a part of a stream without a length end as complete if its runner was killed while the daemon stood still or was cut off, and something listened at the runner's address again when the daemon read the end.

Cause: the probe after such an end shows that a process lives there now, not that it is the one that closed the connection.

Change: an end that is read within 1 s of a silence of more than 0.5 s, in which no probe has shown the process, breaks the attempt: addresses are used again after seconds. An open connection without a request shows the process, too, as long as the path is not lost; one is kept for that while requests are open. So a runner that has closed its port is no longer given up while it goes on.

--- a/edge/src/serve/attempts.rs
+++ b/edge/src/serve/attempts.rs
@@ -272,6 +272,7 @@
             rejected: history.rejected,
             version,
             unresolved: Cell::new(false),
+            gap_end: Cell::new(None),
         };
         relay.start_attempt(upstream.runner.borrow().version_key);
         let sent = send_once(&attempt, &charge, relay, out).await;
--- a/edge/src/serve/receive.rs
+++ b/edge/src/serve/receive.rs
@@ -60,6 +60,12 @@
 /// Time in which all sockets of a process that was killed are closed, and between two looks whether they are.
 const CLOSE_TIME: Duration = Duration::from_millis(20);
 
+/// Silence after which what a runner has sent may be older than a process that listens at its address by now.
+const MAX_GAP: Duration = Duration::from_millis(500);
+
+/// Time in which what has arrived during such a silence is read.
+const GAP_READ_TIME: Duration = Duration::from_secs(1);
+
 /// One attempt to serve a request at one runner.
 pub(super) struct Attempt<'a, D> {
     /// State of the daemon.
@@ -78,6 +84,8 @@
     pub version: VersionChoice,
     /// Whether the runner may run the request when the attempt ends.
     pub unresolved: Cell<bool>,
+    /// End of the last silence that was longer than [`MAX_GAP`].
+    pub gap_end: Cell<Option<Instant>>,
 }
 
 impl<D> Drop for Attempt<'_, D> {
@@ -123,6 +131,7 @@
     ) -> Result<usize, SendError> {
         let upstream = self.upstream;
         let broken = |e: std::io::Error| SendError::new(Failure::Broken, e.to_string());
+        let mut heard = Instant::now();
         loop {
             let prefill = Duration::from_millis(
                 upstream.backlog_tokens().max(prompt_tokens) / MIN_PREFILL_PER_MS,
@@ -131,7 +140,7 @@
             let limit = MAX_SILENCE + prefill + upstream.link.allowance(begun);
             if let Ok(read) = timeout(limit, connection.fill()).await {
                 let n = read.map_err(broken)?;
-                self.core.mark_alive(upstream, Instant::now());
+                self.record_read(heard);
                 return Ok(n);
             }
             let probed = Instant::now();
@@ -143,10 +152,11 @@
             // Bytes that arrived during the probe refute it.
             if let Some(read) = connection.try_fill() {
                 let n = read.map_err(broken)?;
-                self.core.mark_alive(upstream, now);
+                self.record_read(heard);
                 return Ok(n);
             }
-            if probe == Probe::Reachable {
+            if self.shows_process(probe) {
+                heard = now;
                 self.core.mark_alive(upstream, now);
                 continue;
             }
@@ -205,20 +215,44 @@
         }
     }
 
+    /// Whether `probe` shows that the runner's process has not ended. One that drains may refuse new connections and go on
+    /// with the open ones; on a lost path both say nothing.
+    fn shows_process(&self, probe: Probe) -> bool {
+        match probe {
+            Probe::Reachable => true,
+            Probe::Refused => !self.core.is_path_lost(self.service) && self.upstream.is_held_open(),
+            Probe::Unreachable | Probe::Inconclusive => false,
+        }
+    }
+
+    /// Records that bytes or the end of the connection were read, and that the runner was last heard at `heard`.
+    fn record_read(&self, heard: Instant) {
+        let now = Instant::now();
+        if now.saturating_duration_since(heard) > MAX_GAP {
+            self.gap_end.set(Some(now));
+        }
+        self.core.mark_alive(self.upstream, now);
+    }
+
     /// Checks that the connection was closed by the runner because its response is whole, and not because its process was
     /// killed: then the kernel closes the connection in the same way, and the port with it. While a probe tells neither,
     /// it looks again, unless the request can go on elsewhere; the deadline bounds this.
     ///
     /// # Errors
     ///
-    /// Fails if the process has ended, or can't be reached and the request can be retried.
+    /// Fails if the process has ended, or may have ended in a silence before, or can't be reached and the request can be
+    /// retried.
     pub(super) async fn check_close(&self) -> Result<(), SendError> {
+        let gap_end = self.gap_end.get();
+        if gap_end.is_some_and(|end| end.elapsed() < GAP_READ_TIME) {
+            let detail = "closed in a silence in which the runner's process may have ended";
+            return Err(SendError::new(Failure::Broken, detail));
+        }
         loop {
             sleep(CLOSE_TIME).await;
             let probe = self.upstream.probe().await;
             let now = Instant::now();
-            // A runner that drains may accept no new connections and go on with the open ones.
-            if probe == Probe::Reachable || self.upstream.has_open(now) {
+            if self.shows_process(probe) {
                 self.core.record_opened(self.upstream, probe, now);
                 self.core.mark_alive(self.upstream, now);
                 return Ok(());
--- a/edge/src/serve/upstream.rs
+++ b/edge/src/serve/upstream.rs
@@ -433,11 +433,20 @@
         });
     }
 
-    /// Closes idle connections that have expired.
+    /// Whether a connection without a request is open, usable or not, so that the process has not ended.
+    pub fn is_held_open(&self) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        idle.retain_mut(|entry| !entry.connection.is_stale());
+        !idle.is_empty()
+    }
+
+    /// Closes idle connections that have expired, but for one while requests are open: it shows whether the process ends.
     pub fn sweep_idle(&self, now: Instant) {
-        self.idle
-            .borrow_mut()
-            .retain(|entry| now < entry.expires_at);
+        let mut kept = self.in_flight.get() == 0;
+        self.idle.borrow_mut().retain(|entry| {
+            let is_expired = now >= entry.expires_at;
+            !is_expired || !std::mem::replace(&mut kept, true)
+        });
     }
 
     /// Counts a request as in flight until the guard is dropped.
