--- a/edge/src/serve/attempts.rs
+++ b/edge/src/serve/attempts.rs
@@ -2,7 +2,6 @@
 
 use std::{
     cell::Cell,
-    fmt::Write,
     rc::Rc,
     sync::Arc,
     time::{
@@ -14,7 +13,7 @@
 use tokio::net::TcpStream;
 
 use super::{
-    Core, Upstream,
+    Core,
     call::{
         CRASH_CODE,
         Call,
@@ -24,11 +23,13 @@
         choose_service,
         wait_for_runner, //
     },
+    forward::send_once,
     handover::{
         NO_PATH_CODE,
         Origin,
         hand_over, //
     },
+    history::SendHistory,
     receive::Attempt,
     relay::{
         Relay,
@@ -37,18 +38,10 @@
     response::{
         Refusal,
         STOP_CODE,
-        STOP_RETRY_AFTER,
-        encode_head, //
-    },
-    send::{
-        Reply,
-        SendError,
-        send, //
-    },
-    tokens::{
-        TokenCharge,
-        take_tokens, //
+        STOP_RETRY_AFTER, //
     },
+    send::SendError,
+    tokens::take_tokens,
     upstream::Probe,
     versions::VersionChoice,
 };
@@ -59,9 +52,7 @@
         Failure,
         ReachState,
         RetryDecision,
-        Verdict,
-        decide_retry,
-        retry_after, //
+        decide_retry, //
     },
 };
 
@@ -74,49 +65,6 @@
 /// Code of requests for streams that left the version that their shares tell, of which others could not be told.
 const UNTOLD_CODE: &str = "version_untold";
 
-/// Results of the sends of one request so far.
-#[derive(Default)]
-pub(super) struct SendHistory {
-    /// Sends after which the request may have run.
-    started: u32,
-    /// Sends that a runner refused without running the request.
-    rejected: u32,
-    /// Verdict of the last send that may have run.
-    verdict: Option<Verdict>,
-    /// Whether neighbours have been asked to serve the request.
-    handed_over: bool,
-    /// Whether the request counts towards the retry budget of its service.
-    counted: bool,
-    /// Runners in the order in which they were tried.
-    tried: Vec<Arc<str>>,
-    /// One entry a send, for the `request_done` log line.
-    pub summary: String,
-}
-
-impl SendHistory {
-    /// Appends the outcome of a send, which began at `since`, to the summary.
-    fn add_summary(&mut self, runner: &str, what: &str, detail: &str, since: Instant) {
-        let ms = since.elapsed().as_millis();
-        let _ = write!(self.summary, "{runner}:{what}:{ms}ms");
-        if !detail.is_empty() {
-            let _ = write!(self.summary, "({detail})");
-        }
-        self.summary.push(';');
-    }
-
-    /// Counts a failed send. A connection that was not opened counts neither as started nor as rejected.
-    fn count_failure(&mut self, failure: Failure) {
-        match failure.verdict() {
-            Verdict::NotRun if !failure.was_sent() => {}
-            Verdict::NotRun => self.rejected += 1,
-            verdict => {
-                self.started += 1;
-                self.verdict = Some(verdict);
-            }
-        }
-    }
-}
-
 /// Why a request ended without a complete response.
 pub(super) enum ServeError {
     /// The daemon responds with an error.
@@ -182,9 +130,8 @@
     history: &SendHistory,
     relay: &Relay,
 ) -> bool {
-    let untouched = history.started == 0 && !relay.head_sent;
     let lost = core.reach_state(service) == ReachState::Lost;
-    call.origin == Origin::Neighbour && untouched && lost
+    call.origin == Origin::Neighbour && history.is_untouched(relay) && lost
 }
 
 /// Leaves out the runners that could only be tried over a new connection, as the path to them is lost. Returns whether any
@@ -227,19 +174,19 @@
     }
     relay.last_id = call.meta.last_event;
     let Some(mut version) = core.version_for(call, service).await else {
-        let refusal = final_refusal(call, history, VERSION_CODE, VERSION_RETRY_AFTER);
+        let refusal = history.refusal(call, VERSION_CODE, VERSION_RETRY_AFTER);
         return Err(ServeError::Refused(refusal));
     };
     loop {
         if !core.may_send(&call.route) {
-            let refusal = final_refusal(call, history, STOP_CODE, STOP_RETRY_AFTER);
+            let refusal = history.refusal(call, STOP_CODE, STOP_RETRY_AFTER);
             return Err(ServeError::Refused(refusal));
         }
         if gives_back(core, call, service, history, relay) {
             return Err(ServeError::Declined);
         }
         if core.is_path_lost(service) && !leave_out_unreached(core, service, history) {
-            let refusal = final_refusal(call, history, NO_PATH_CODE, RUNNER_RETRY_AFTER);
+            let refusal = history.refusal(call, NO_PATH_CODE, RUNNER_RETRY_AFTER);
             return Err(ServeError::Refused(refusal));
         }
         let span = call.start_span("place");
@@ -249,7 +196,7 @@
                 return Ok(Served::PathLost);
             }
             Err(none) => {
-                let refusal = final_refusal(call, history, none.code, none.retry_after);
+                let refusal = history.refusal(call, none.code, none.retry_after);
                 return Err(ServeError::Refused(refusal));
             }
         };
@@ -257,7 +204,7 @@
         let since = Instant::now();
         // Others may have been crashed by such requests while this one waited.
         if core.is_suspect(call, since) {
-            let refusal = final_refusal(call, history, CRASH_CODE, Duration::MAX);
+            let refusal = history.refusal(call, CRASH_CODE, Duration::MAX);
             return Err(ServeError::Refused(refusal));
         }
         let runner = Arc::clone(&upstream.runner.borrow().id);
@@ -298,7 +245,9 @@
         if let Some(begun) = relay.version {
             version = VersionChoice::Only(begun);
         }
-        record_error(core, history, &runner, &error, since);
+        let failure = error.failure.as_str();
+        core.metrics.sends.with_label_values(&[failure]).inc();
+        history.record_error(&runner, &error, since);
         if core.refuses_send(&upstream, Instant::now()).is_some() {
             // It gets nothing for now; once it does, it is as good as any other.
             history.tried.pop();
@@ -311,20 +260,6 @@
     }
 }
 
-/// Records a failed send, which began at `since`, in the history and the metrics.
-fn record_error<D>(
-    core: &Core<D>,
-    history: &mut SendHistory,
-    runner: &str,
-    error: &SendError,
-    since: Instant,
-) {
-    let failure = error.failure.as_str();
-    history.add_summary(runner, failure, &error.detail, since);
-    core.metrics.sends.with_label_values(&[failure]).inc();
-    history.count_failure(error.failure);
-}
-
 /// Outcome of a send as recorded in its span.
 fn send_outcome(sent: &Result<u16, RelayError>) -> &'static str {
     match sent {
@@ -373,21 +308,7 @@
     let code = error.failure.as_str();
     let opening = core.next_opening(service, now);
     let wanted = opening.unwrap_or(RUNNER_RETRY_AFTER);
-    Err(final_refusal(call, history, code, wanted))
-}
-
-/// The error response to a request that is not sent again; `wanted` is the best Retry-After.
-fn final_refusal(
-    call: &Call,
-    history: &SendHistory,
-    code: &'static str,
-    wanted: Duration,
-) -> Refusal {
-    if history.verdict.is_some() {
-        return Refusal::may_have_run(502, code);
-    }
-    let left = call.time_left(Instant::now());
-    Refusal::not_run(code, retry_after(wanted, left))
+    Err(history.refusal(call, code, wanted))
 }
 
 /// Records a failed send for the runner, and what it had when it crashed; `begun` says that the answer had
@@ -416,98 +337,3 @@
         }
     }
 }
-
-/// Sends the request to one runner and relays its response. Returns the status.
-async fn send_once<D: Dialect>(
-    attempt: &Attempt<'_, D>,
-    charge: &TokenCharge<D>,
-    relay: &mut Relay,
-    out: &TcpStream,
-) -> Result<u16, RelayError> {
-    let (call, upstream) = (attempt.call, attempt.upstream);
-    let mut reply = send(attempt, &charge.prompt_read, relay.last_id)
-        .await
-        .map_err(RelayError::Runner)?;
-    let status = reply.head.status;
-    if reply.meta.not_run || status == 421 {
-        if attempt.started == 0 {
-            charge.prompt_read.set(false);
-        }
-        if status == 421 {
-            attempt.core.mark_replaced(upstream, Instant::now());
-        }
-        let detail = format!("status {status}");
-        return Err(RelayError::Runner(SendError::new(
-            Failure::TurnedAway,
-            detail,
-        )));
-    }
-    if reply.head.fields.get("content-encoding").is_some() {
-        let error = SendError::new(Failure::Broken, "response has a content encoding");
-        return Err(RelayError::Runner(error));
-    }
-    if status == 200 && call.route.retry.is_stream() && reply.meta.sealed {
-        let whole = relay.last_id.is_none();
-        let result = relay.run(attempt, &mut reply, out).await;
-        result?;
-        if whole {
-            reply.in_flight.record_work_time(Instant::now());
-        }
-        upstream.record_outcome(Instant::now(), false);
-        reuse_connection(upstream, reply);
-        return Ok(status);
-    }
-    if relay.head_sent {
-        let detail = format!("status {status} to a resumed stream");
-        return Err(RelayError::Runner(SendError::new(Failure::Failed, detail)));
-    }
-    forward_body(attempt, reply, out).await
-}
-
-/// Reads a complete response and forwards it, unless it has to be retried.
-async fn forward_body<D>(
-    attempt: &Attempt<'_, D>,
-    mut reply: Reply,
-    out: &TcpStream,
-) -> Result<u16, RelayError> {
-    let (call, upstream) = (attempt.call, attempt.upstream);
-    let status = reply.head.status;
-    let body = attempt
-        .read_body(&mut reply.connection, &mut reply.decoder)
-        .await
-        .map_err(RelayError::Runner)?;
-    let claims_not_run = matches!(status, 408 | 421 | 429 | 503);
-    let may_retry = status >= 500
-        && call.route.retry.allows_rerun()
-        && attempt.started + 1 < call.route.max_attempts;
-    if !reply.meta.sealed || claims_not_run || may_retry {
-        let detail = format!("status {status} sealed={}", reply.meta.sealed);
-        if reply.meta.sealed {
-            reuse_connection(upstream, reply);
-        }
-        return Err(RelayError::Runner(SendError::new(Failure::Failed, detail)));
-    }
-    if status == 200 {
-        reply.in_flight.record_work_time(Instant::now());
-    }
-    upstream.record_outcome(Instant::now(), status >= 500);
-    attempt.core.record_answer(call, Instant::now());
-    attempt.unresolved.set(false);
-    let mut bytes = encode_head(status, &reply.head.fields, call.keep_alive);
-    bytes.extend_from_slice(format!("Content-Length: {}\r\n\r\n", body.len()).as_bytes());
-    reuse_connection(upstream, reply);
-    call.answering.set(true);
-    attempt
-        .core
-        .write_answer(out, bytes, &body)
-        .await
-        .map_err(|_| RelayError::Caller)?;
-    Ok(status)
-}
-
-/// Keeps a connection for reuse if its response was read completely.
-fn reuse_connection(upstream: &Rc<Upstream>, reply: Reply) {
-    if reply.head.keep_alive && reply.decoder.is_done() && reply.connection.buf.is_empty() {
-        upstream.keep_idle(Instant::now(), reply.connection, reply.meta.idle);
-    }
-}
--- a/edge/src/serve/exchange.rs
+++ b/edge/src/serve/exchange.rs
@@ -18,7 +18,6 @@
 use super::{
     Core,
     attempts::{
-        SendHistory,
         ServeError,
         serve, //
     },
@@ -31,6 +30,7 @@
         Origin,
         declined_line, //
     },
+    history::SendHistory,
     relay::Relay,
     response::{
         Refusal,
