Say 502 when a kept connection to a neighbour breaks under a request

Callers could get 503, has not run, for a request that a neighbour may have run: if a kept connection broke after an idempotent request had been written to it, the neighbour counted as one that had declined, the next one was asked, and where nobody took it the refusal said that it had not run.

Cause: a broken kept connection was taken for one that the other end had closed as idle.

Change: it is a lost neighbour like any other: 502, may have run.

--- a/edge/src/serve/handover/links.rs
+++ b/edge/src/serve/handover/links.rs
@@ -134,24 +134,15 @@
     out
 }
 
-/// A connection for one request, and whether it was open before.
-struct Acquired {
-    connection: Connection,
-    reused: bool,
-}
-
 /// Takes an idle connection to the neighbour at `address` or opens one.
 async fn acquire<D>(
     core: &Core<D>,
     address: SocketAddr,
     once: bool,
-) -> Result<Acquired, ConnectionError> {
+) -> Result<Connection, ConnectionError> {
     let now = Instant::now();
     if let Some(connection) = core.hop_links.take(address, once, now) {
-        return Ok(Acquired {
-            connection,
-            reused: true,
-        });
+        return Ok(connection);
     }
     let limit = CONNECT_TIMEOUT + core.link.allowance(now);
     let mut connection = Connection::open(address, limit).await?;
@@ -161,10 +152,7 @@
         .write(GREETING)
         .await
         .map_err(ConnectionError::Io)?;
-    Ok(Acquired {
-        connection,
-        reused: false,
-    })
+    Ok(connection)
 }
 
 /// Asks the neighbour at `address` to serve the request, and returns the head of its answer.
@@ -175,10 +163,7 @@
 ) -> Result<HopReply, AskError> {
     let repeatable = call.route.retry.allows_rerun();
     let acquired = acquire(core, address, !repeatable).await;
-    let Acquired {
-        mut connection,
-        reused,
-    } = acquired.map_err(|_| AskError::Declined(AskOutcome::Unreachable))?;
+    let mut connection = acquired.map_err(|_| AskError::Declined(AskOutcome::Unreachable))?;
     let sent_before = call.sent_at.get();
     call.mark_sent(Instant::now());
     match exchange::<D>(call, &mut connection).await {
@@ -197,11 +182,6 @@
             core.hop_links.keep(address, connection, now);
             Err(AskError::Declined(outcome))
         }
-        // The other end closes idle connections.
-        Err(_) if reused && repeatable => {
-            call.sent_at.set(sent_before);
-            Err(AskError::Declined(AskOutcome::Unreachable))
-        }
         Err(error) => Err(AskError::Lost(error)),
     }
 }
